--- /dev/null
+++ b/core/src/main/java/org/quetzalseam/core/fleet/EndpointHealth.java
@@ -0,0 +1,58 @@
+package org.quetzalseam.core.fleet;
+
+/**
+ * How well an endpoint has answered lately, from its answers alone. Not thread-safe.
+ *
+ * <p>The failure rate and the time to answer are exponentially weighted; the failure rate also fades with time, so that an
+ * endpoint that was left out is tried again without a probe.
+ */
+public final class EndpointHealth {
+    /** Weight of the newest answer: about the last ten count. */
+    private static final double NEWEST = 0.1;
+    /** Nanoseconds in which an idle endpoint's failure rate halves: two seconds, a typical restart. */
+    private static final double HALF_LIFE_NANOS = 2e9;
+    /** Assumed time of the first answer, in milliseconds; any small figure does, as it fades within ten answers. */
+    private static final double FIRST_MILLIS = 10;
+    /** Failure rate from which an endpoint is used only when no better one is there: three failures in a row reach it. */
+    private static final double SUSPECT_RATE = 0.25;
+
+    private double failureRate;
+    private double millis = FIRST_MILLIS;
+    private long updated;
+
+    /** Notes an answer and how long it took. */
+    public void succeeded(long now, double tookMillis) {
+        fade(now);
+        failureRate *= 1 - NEWEST;
+        millis += NEWEST * (tookMillis - millis);
+    }
+
+    /** Notes a failure that was the endpoint's. */
+    public void failed(long now) {
+        fade(now);
+        failureRate += NEWEST * (1 - failureRate);
+    }
+
+    /** Returns the share of its latest answers that failed, from 0 to 1. */
+    public double failureRate(long now) {
+        fade(now);
+        return failureRate;
+    }
+
+    /** Returns whether it fails too often to be used while a better one is there. */
+    public boolean suspect(long now) {
+        return failureRate(now) >= SUSPECT_RATE;
+    }
+
+    /** Returns the typical time to an answer, in milliseconds. */
+    public double millis() {
+        return millis;
+    }
+
+    private void fade(long now) {
+        if (updated != 0 && now > updated) {
+            failureRate *= Math.pow(0.5, (now - updated) / HALF_LIFE_NANOS);
+        }
+        updated = now;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalseam/core/fleet/MemberTable.java
@@ -0,0 +1,88 @@
+package org.quetzalseam.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The endpoints an entry may use, kept from listings and changes of the platform's list. Not thread-safe.
+ *
+ * <p>While the platform's store is away, registrations lapse though their endpoints live. What is missing right after the
+ * store's return is therefore kept for a grace time, in which a living endpoint registers again; whatever is missing at
+ * any other time is gone at once.
+ */
+public final class MemberTable {
+    private final long graceNanos;
+    private final Map<String, Member> members = new HashMap<>();
+    private final Map<String, Long> missingUntil = new HashMap<>();
+
+    /** Creates an empty table that keeps lapsed registrations for the given time, in nanoseconds. */
+    public MemberTable(long graceNanos) {
+        this.graceNanos = graceNanos;
+    }
+
+    /**
+     * Takes a whole listing.
+     *
+     * @param listed all members
+     * @param now monotonic time in nanoseconds
+     * @param storeWasAway whether the store has just come back from an outage
+     */
+    public void replaceAll(Collection<Member> listed, long now, boolean storeWasAway) {
+        Set<String> ids = new HashSet<>();
+        for (Member member : listed) {
+            ids.add(member.id());
+            put(member);
+        }
+        for (String id : List.copyOf(members.keySet())) {
+            if (!ids.contains(id)) {
+                remove(id, now, storeWasAway);
+            }
+        }
+    }
+
+    /** Adds or renews a member. */
+    public void put(Member member) {
+        members.put(member.id(), member);
+        missingUntil.remove(member.id());
+    }
+
+    /** Notes that a member is no longer listed. A member that had said that it leaves is gone at once. */
+    public void remove(String id, long now, boolean storeWasAway) {
+        Member member = members.get(id);
+        if (member == null) {
+            return;
+        }
+        if (storeWasAway && !member.leaving()) {
+            missingUntil.putIfAbsent(id, now + graceNanos);
+            return;
+        }
+        forget(id);
+    }
+
+    /** Drops what is still missing after its grace time. Returns the ids dropped. */
+    public List<String> expire(long now) {
+        List<String> dropped = new ArrayList<>();
+        missingUntil.forEach((id, until) -> {
+            if (now - until >= 0) {
+                dropped.add(id);
+            }
+        });
+        dropped.forEach(this::forget);
+        return dropped;
+    }
+
+    private void forget(String id) {
+        members.remove(id);
+        missingUntil.remove(id);
+    }
+
+    /** Returns all members, those that leave and those that are missing included. */
+    public Collection<Member> all() {
+        return List.copyOf(members.values());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
@@ -0,0 +1,67 @@
+package org.quetzalseam.core.limits;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * One entry's share of a retry budget that all entries have in common, without a word between them. Not thread-safe.
+ *
+ * <p>The common budget for a window is {@code ratio} times the requests plus a slack. An entry takes {@code ratio} times its
+ * own requests, which adds up to the common ratio whatever the entries' shares of traffic, and a fixed part of the slack so
+ * small that it holds for {@link #ENTRIES_ASSUMED} entries.
+ */
+public final class RetryAllowance {
+    /** Most entries for which the parts of the slack add up to no more than the whole: a large site of one region. */
+    private static final int ENTRIES_ASSUMED = 24;
+    /** Part of the ratio that is used, as requests and retries fall into sliding windows that don't quite agree. */
+    private static final double RATIO_USED = 0.8;
+
+    private final double ratio;
+    private final double slack;
+    private final long windowNanos;
+    private final Deque<Long> requests = new ArrayDeque<>();
+    private final Deque<Long> retries = new ArrayDeque<>();
+
+    /**
+     * Creates an allowance.
+     *
+     * @param ratio common retries for each request, from 0 to 1
+     * @param slack common retries in a window besides
+     * @param windowNanos the window's length
+     */
+    public RetryAllowance(double ratio, double slack, long windowNanos) {
+        if (!(ratio >= 0 && ratio <= 1)) {
+            throw new IllegalArgumentException("ratio: expected 0 to 1, got " + ratio);
+        }
+        this.ratio = ratio * RATIO_USED;
+        this.slack = slack / ENTRIES_ASSUMED;
+        this.windowNanos = windowNanos;
+    }
+
+    /** Notes a caller's request. */
+    public void request(long now) {
+        requests.addLast(now);
+        trim(now);
+    }
+
+    /** Takes one retry. Returns false when none is left. */
+    public boolean retry(long now) {
+        trim(now);
+        if (retries.size() + 1 > ratio * requests.size() + slack) {
+            return false;
+        }
+        retries.addLast(now);
+        return true;
+    }
+
+    private void trim(long now) {
+        trim(requests, now);
+        trim(retries, now);
+    }
+
+    private void trim(Deque<Long> times, long now) {
+        while (!times.isEmpty() && now - times.peekFirst() > windowNanos) {
+            times.pollFirst();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalseam/core/routing/RouteTable.java
@@ -0,0 +1,80 @@
+package org.quetzalseam.core.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the desired state, indexed for look-up. Immutable.
+ *
+ * <p>A look-up walks the path's slashes from the longest prefix to the shortest, so its cost doesn't grow with the number
+ * of routes.
+ */
+public final class RouteTable {
+    private final long version;
+    private final CallerLimits limits;
+    private final Map<String, ServiceRule> services;
+    private final Map<String, Map<String, RouteRule>> byHost = new HashMap<>();
+
+    /** Creates a table of one version's routes, services and limits. */
+    public RouteTable(long version, List<RouteRule> routes, List<ServiceRule> services, CallerLimits limits) {
+        this.version = version;
+        this.limits = limits;
+        Map<String, ServiceRule> named = new HashMap<>();
+        services.forEach(service -> named.put(service.name(), service));
+        this.services = Map.copyOf(named);
+        for (RouteRule route : routes) {
+            byHost.computeIfAbsent(route.host(), host -> new HashMap<>()).put(route.pathPrefix(), route);
+        }
+    }
+
+    /** Returns the version of the desired state. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns what callers may send. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns a service's settings, if it is configured. */
+    public Optional<ServiceRule> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns the number of routes. */
+    public int routes() {
+        return byHost.values().stream().mapToInt(Map::size).sum();
+    }
+
+    /**
+     * Returns the route with the longest prefix of the path.
+     *
+     * @param host the request's host, with or without a port
+     * @param target the request's target: a path, with or without a query
+     */
+    public Optional<RouteRule> find(String host, String target) {
+        Map<String, RouteRule> routes = byHost.get(hostName(host));
+        if (routes == null) {
+            return Optional.empty();
+        }
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
+            RouteRule route = routes.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String hostName(String host) {
+        int colon = host.lastIndexOf(':');
+        String name = colon > 0 && host.indexOf(']') < colon ? host.substring(0, colon) : host;
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -0,0 +1,118 @@
+package org.quetzalseam.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.quetzalseam.gateway.caller.CallerServer;
+import org.quetzalseam.gateway.endpoint.Directory;
+import org.quetzalseam.gateway.http.Connector;
+import org.quetzalseam.gateway.operator.OperatorServer;
+import org.quetzalseam.gateway.protocol.Protocol;
+import org.quetzalseam.gateway.route.EntrySettings;
+import org.quetzalseam.gateway.route.RequestRouter;
+import org.quetzalseam.gateway.runtime.Timers;
+
+/**
+ * An entry: takes callers' requests on one event loop and forwards them. What it routes by, it is given through {@link
+ * #router} and {@link #directory}, on the thread of its {@link #timers}.
+ */
+public final class EntryProcess {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** How long a leaving entry goes on taking connections, in milliseconds: until the platform has stopped sending them. */
+    private static final long STILL_LISTENING_MILLIS = 3_000;
+    /** How often a leaving entry looks whether it is done, in milliseconds. */
+    private static final long LOOK_MILLIS = 50;
+    /** Time kept from the platform's grace period for the end of the process, in milliseconds. */
+    private static final long END_MARGIN_MILLIS = 400;
+
+    private final NioEventLoopGroup group;
+    private final EventLoop loop;
+    private final Timers timers;
+    private final Directory directory;
+    private final RequestRouter router;
+    private final CallerServer callers;
+    private final OperatorServer operators;
+    private final Connector connector;
+    private volatile boolean leaving;
+
+    /** Creates an entry; {@link #start} opens it. */
+    public EntryProcess(Protocol protocol, EntrySettings settings) {
+        group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
+        loop = group.next();
+        timers = new Timers(loop);
+        connector = new Connector(loop, protocol.idHeader());
+        directory = new Directory(connector);
+        router = new RequestRouter(timers, protocol, directory, settings);
+        callers = new CallerServer(loop, protocol, router::limits, router::route);
+        operators = new OperatorServer(loop, () -> router.ready() && !leaving);
+    }
+
+    /** Returns the timers of the event loop that everything runs on. */
+    public Timers timers() {
+        return timers;
+    }
+
+    /** Returns what opens connections on the event loop. */
+    public Connector connector() {
+        return connector;
+    }
+
+    /** Returns the endpoints, to be kept up to date. */
+    public Directory directory() {
+        return directory;
+    }
+
+    /** Returns the router, to be given the desired state. */
+    public RequestRouter router() {
+        return router;
+    }
+
+    /** Listens for callers, and for questions about readiness. */
+    public void start(InetSocketAddress callerAddress, InetSocketAddress readyAddress) {
+        operators.start(readyAddress);
+        callers.start(callerAddress);
+    }
+
+    /** Leaves: tells that it isn't ready, ends what it has taken, and returns when that is done or time is up. */
+    public void drain(long graceMillis) {
+        leaving = true;
+        long begun = System.nanoTime();
+        CountDownLatch done = new CountDownLatch(1);
+        timers.soon(() -> {
+            logger.atInfo().log("event=leaving requests=%d", callers.inProgress());
+            callers.leave();
+            lookWhetherDone(begun, graceMillis, done);
+        });
+        try {
+            if (!done.await(graceMillis, TimeUnit.MILLISECONDS)) {
+                logger.atWarning().log("event=left-late grace_ms=%d", graceMillis);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void lookWhetherDone(long begun, long graceMillis, CountDownLatch done) {
+        long age = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
+        if (age > STILL_LISTENING_MILLIS) {
+            callers.closeIdle();
+        }
+        boolean empty = age > STILL_LISTENING_MILLIS && callers.inProgress() == 0;
+        if (empty || age > graceMillis - END_MARGIN_MILLIS) {
+            callers.stopListening();
+            logger.atInfo().log("event=left requests_cut=%d age_ms=%d", callers.inProgress(), age);
+            done.countDown();
+            return;
+        }
+        timers.after(LOOK_MILLIS, () -> lookWhetherDone(begun, graceMillis, done));
+    }
+
+    /** Drops everything at once. */
+    public void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
@@ -0,0 +1,183 @@
+package org.quetzalseam.gateway.caller;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.routing.CallerLimits;
+import org.quetzalseam.gateway.protocol.Protocol;
+import org.quetzalseam.gateway.protocol.RequestFacts;
+import org.quetzalseam.gateway.runtime.Timers;
+
+/** Takes callers' connections on one address. Used on its event loop only, but for {@link #start}. */
+public final class CallerServer {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** How often connections are checked for time limits: a tenth of the shortest limit seen in use. */
+    private static final long CHECK_MILLIS = 500;
+    /** Connections that may wait to be accepted: a burst of callers while the loop is busy for some hundred ms. */
+    private static final int BACKLOG = 1024;
+    /** Bytes queued for a slow caller above which its endpoint isn't read, and below which it is read again. */
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
+    /** Largest piece of a body read at once, in bytes. */
+    private static final int PIECE_BYTES = 16 * 1024;
+    /** Longest first line, in bytes: what common clients send. */
+    private static final int LINE_BYTES = 8 * 1024;
+    /** Longest declared body that is taken at once while many are being read, in bytes. */
+    private static final long LARGE_BODY_BYTES = 1024 * 1024;
+    /** Requests under way above which large bodies are refused, to bound the memory they take. */
+    private static final int BUSY_REQUESTS = 200;
+
+    private final EventLoop loop;
+    private final Protocol protocol;
+    private final Limits limits;
+    private final Consumer<Exchange> router;
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private @Nullable Channel listener;
+    private boolean leaving;
+    private int inProgress;
+
+    /**
+     * Creates a server; {@link #start} opens it.
+     *
+     * @param loop the event loop that everything runs on
+     * @param protocol how requests are written
+     * @param limits the limits in force
+     * @param router takes each request that is whole
+     */
+    public CallerServer(EventLoop loop, Protocol protocol, Limits limits, Consumer<Exchange> router) {
+        this.loop = loop;
+        this.protocol = protocol;
+        this.limits = limits;
+        this.router = router;
+    }
+
+    /** Listens on the address. Blocks until it does. */
+    public void start(InetSocketAddress address) {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(loop, loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        prepare(channel);
+                    }
+                });
+        listener = bootstrap.bind(address).syncUninterruptibly().channel();
+        new Timers(loop).every(CHECK_MILLIS, this::checkTimes);
+    }
+
+    private void prepare(Channel channel) {
+        CallerConnection connection = new CallerConnection(this, channel);
+        channel.pipeline()
+                .addLast(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelRead(ChannelHandlerContext ctx, Object message) {
+                        if (message instanceof ByteBuf) {
+                            connection.bytesArrived();
+                        }
+                        ctx.fireChannelRead(message);
+                    }
+                })
+                .addLast(new HttpServerCodec(LINE_BYTES, limits().headerBytes(), PIECE_BYTES))
+                .addLast(connection);
+    }
+
+    private void checkTimes() {
+        long now = System.nanoTime();
+        for (CallerConnection connection : List.copyOf(connections)) {
+            connection.checkTime(now);
+        }
+    }
+
+    CallerLimits limits() {
+        return limits.now();
+    }
+
+    RequestFacts facts(HttpRequest request) {
+        return protocol.facts(request.headers());
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    boolean reserveBody(long bytes) {
+        return bytes <= LARGE_BODY_BYTES || inProgress < BUSY_REQUESTS;
+    }
+
+    void opened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    void begin(Exchange exchange) {
+        inProgress++;
+        try {
+            router.accept(exchange);
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log(
+                    "event=request-failed request=%s", exchange.facts().id());
+            exchange.cut("internal error");
+        }
+    }
+
+    void ended() {
+        inProgress--;
+    }
+
+    /** Returns how many requests are being answered. */
+    public int inProgress() {
+        return inProgress;
+    }
+
+    /** Returns how many connections are open. */
+    public int connections() {
+        return connections.size();
+    }
+
+    /** Announces on every answer from now on that its connection closes. */
+    public void leave() {
+        leaving = true;
+        connections.forEach(CallerConnection::closeAfterCurrent);
+    }
+
+    /** Closes connections on which nothing is asked. */
+    public void closeIdle() {
+        for (CallerConnection connection : List.copyOf(connections)) {
+            if (connection.idle()) {
+                connection.close();
+            }
+        }
+    }
+
+    /** Takes no more connections. */
+    public void stopListening() {
+        Channel open = listener;
+        if (open != null) {
+            open.close().addListener(done -> logger.atFine().log("event=listener-closed"));
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
@@ -0,0 +1,237 @@
+package org.quetzalseam.gateway.caller;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.gateway.protocol.RequestFacts;
+
+/**
+ * One request of a caller and the answer to it. Used on the event loop only.
+ *
+ * <p>An answer is given whole, or begun, continued and ended. One that can't be ended is cut: its connection closes before
+ * the end of the body, so that it never looks complete.
+ */
+// A write or close that fails is reported through the channel's pipeline, where it is handled.
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class Exchange {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final Channel channel;
+    private final HttpRequest request;
+    private final ByteBuf body;
+    private final RequestFacts facts;
+    private final long arrived;
+    private final Runnable onEnd;
+    private final boolean keepAlive;
+    private boolean closing;
+    private boolean begun;
+    private boolean chunked;
+    private boolean ended;
+    private @Nullable Runnable whenGone;
+    private @Nullable Runnable whenWritable;
+
+    Exchange(Channel channel, HttpRequest request, ByteBuf body, RequestFacts facts, Runnable onEnd) {
+        this.channel = channel;
+        this.request = request;
+        this.body = body;
+        this.facts = facts;
+        this.arrived = System.nanoTime();
+        this.onEnd = onEnd;
+        this.keepAlive = HttpUtil.isKeepAlive(request);
+    }
+
+    /** Returns the request's head as the caller sent it. */
+    public HttpRequest request() {
+        return request;
+    }
+
+    /** Returns a view of the whole body; the taker releases it. */
+    public ByteBuf body() {
+        return body.retainedDuplicate();
+    }
+
+    /** Returns what the request says of itself. */
+    public RequestFacts facts() {
+        return facts;
+    }
+
+    /** Returns when the request was whole, in monotonic nanoseconds. */
+    public long arrived() {
+        return arrived;
+    }
+
+    /** Returns how long ago the request was whole, in milliseconds. */
+    public long ageMillis() {
+        return (System.nanoTime() - arrived) / 1_000_000;
+    }
+
+    /** Returns whether the answer is over, or the caller gone. */
+    public boolean ended() {
+        return ended;
+    }
+
+    /** Returns whether the beginning of an answer has been given. */
+    public boolean begun() {
+        return begun;
+    }
+
+    /** Sets what is called once if the caller leaves before the end of the answer. */
+    public void whenGone(Runnable call) {
+        whenGone = call;
+    }
+
+    /** Sets what is called whenever the caller has taken what was written. */
+    public void whenWritable(Runnable call) {
+        whenWritable = call;
+    }
+
+    /** Returns whether the caller takes what is written as fast as it comes. */
+    public boolean writable() {
+        return channel.isWritable();
+    }
+
+    /** Closes the connection after this answer. */
+    void closeAfter() {
+        closing = true;
+    }
+
+    void writabilityChanged() {
+        Runnable call = whenWritable;
+        if (call != null && channel.isWritable()) {
+            call.run();
+        }
+    }
+
+    void callerGone() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        Runnable call = whenGone;
+        if (call != null) {
+            call.run();
+        }
+        finish();
+    }
+
+    /** Gives a whole answer with an endpoint's status and headers. Takes the body over. */
+    public void answer(HttpResponse head, ByteBuf whole) {
+        if (ended) {
+            whole.release();
+            return;
+        }
+        DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), whole);
+        answer.headers().set(head.headers());
+        HopHeaders.remove(answer.headers());
+        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, whole.readableBytes());
+        writeWhole(answer);
+    }
+
+    /** Gives an answer of this process: a status with a short text. */
+    public void answer(HttpResponseStatus status, String text, HttpHeaders more) {
+        if (ended) {
+            return;
+        }
+        ByteBuf content = Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8);
+        DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
+        answer.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
+        answer.headers().add(more);
+        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+        writeWhole(answer);
+    }
+
+    private void writeWhole(DefaultFullHttpResponse answer) {
+        begun = true;
+        boolean close = markClosing(answer.headers());
+        ended = true;
+        ChannelFuture written = channel.writeAndFlush(answer);
+        closeOrGoOn(written, close);
+    }
+
+    private boolean markClosing(HttpHeaders headers) {
+        boolean close = closing || !keepAlive;
+        if (close) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        return close;
+    }
+
+    private void closeOrGoOn(ChannelFuture written, boolean close) {
+        if (close) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+        finish();
+    }
+
+    /** Begins an answer whose body follows in pieces. */
+    public void begin(HttpResponse head) {
+        if (ended) {
+            return;
+        }
+        begun = true;
+        HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
+        answer.headers().set(head.headers());
+        HopHeaders.remove(answer.headers());
+        answer.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+        chunked = request.protocolVersion().isKeepAliveDefault();
+        if (chunked) {
+            answer.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else {
+            closing = true;
+        }
+        closing = markClosing(answer.headers());
+        channel.write(answer);
+    }
+
+    /** Gives a piece of the body and takes it over. */
+    public void piece(ByteBuf piece) {
+        if (ended) {
+            piece.release();
+            return;
+        }
+        channel.writeAndFlush(new DefaultHttpContent(piece));
+    }
+
+    /** Ends the body: the answer is complete. */
+    public void end() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        closeOrGoOn(written, closing);
+    }
+
+    /** Breaks off an answer that was begun. */
+    public void cut(String why) {
+        if (ended) {
+            return;
+        }
+        logger.atInfo().log("event=answer-cut request=%s age_ms=%d why=%s", facts.id(), ageMillis(), why);
+        ended = true;
+        channel.close();
+        finish();
+    }
+
+    private void finish() {
+        body.release();
+        onEnd.run();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -0,0 +1,194 @@
+package org.quetzalseam.gateway.endpoint;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.fleet.EndpointHealth;
+import org.quetzalseam.core.fleet.Member;
+import org.quetzalseam.gateway.http.CallFailure;
+import org.quetzalseam.gateway.http.Connector;
+import org.quetzalseam.gateway.http.HttpConnection;
+import org.quetzalseam.gateway.http.ReplyListener;
+
+/**
+ * One endpoint as this entry sees it: kept connections, work under way, and record. Used on the event loop only.
+ *
+ * <p>Calls that run nothing go over connections of their own, so that a late reply to a request is never taken for theirs.
+ */
+public final class Endpoint {
+    /** How much sooner than the endpoint a kept connection is given up, so that a request doesn't cross its closing. */
+    private static final long CLOSING_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    /** How long an idle connection is used when the endpoint doesn't say how long it keeps it. */
+    private static final long UNSTATED_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+    /** Control calls that wait for a connection; past that an engine is treated as unreachable. */
+    private static final int MAX_CONTROL_CONNECTIONS = 4;
+
+    private final Connector connector;
+    private final InetSocketAddress address;
+    private final EndpointHealth health = new EndpointHealth();
+    private final Deque<HttpConnection> idle = new ArrayDeque<>();
+    private final Deque<HttpConnection> idleControl = new ArrayDeque<>();
+    private Member member;
+    private int open;
+    private int openControl;
+    private int outstanding;
+    private long prefillTokens;
+
+    Endpoint(Connector connector, Member member) {
+        this.connector = connector;
+        this.member = member;
+        this.address = new InetSocketAddress(member.host(), member.port());
+    }
+
+    /** Returns what the platform lists of the endpoint. */
+    public Member member() {
+        return member;
+    }
+
+    void member(Member renewed) {
+        member = renewed;
+    }
+
+    /** Returns its record. */
+    public EndpointHealth health() {
+        return health;
+    }
+
+    /** Returns how many requests of this entry it has. */
+    public int outstanding() {
+        return outstanding;
+    }
+
+    /** Returns the prompt tokens that this entry has it read. */
+    public long prefillTokens() {
+        return prefillTokens;
+    }
+
+    /** Notes prompt tokens handed to it, or read by it when negative. */
+    public void prefillTokens(long change) {
+        prefillTokens += change;
+    }
+
+    /** Returns how many connections for requests are open or opening. */
+    public int connections() {
+        return open;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request its head
+     * @param body its body; released when it has been written or can't be sent
+     * @param id the id that the reply must bear
+     * @param replies takes the reply
+     */
+    public EndpointCall send(HttpRequest request, ByteBuf body, @Nullable String id, ReplyListener replies) {
+        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        outstanding++;
+        EndpointCall call = new EndpointCall(request, body, id, replies, () -> outstanding--);
+        HttpConnection kept = keptConnection(idle);
+        if (kept != null) {
+            call.begin(kept);
+            return call;
+        }
+        open++;
+        connector.connect(address, this::idle, closed -> open--, new Connector.Opened() {
+            @Override
+            public void connected(HttpConnection connection) {
+                if (!call.begin(connection)) {
+                    idle(connection);
+                }
+            }
+
+            @Override
+            public void refused(CallFailure failure) {
+                open--;
+                call.refused(failure);
+            }
+        });
+        return call;
+    }
+
+    /** Sends a call that runs nothing: a booking, a report, an order. */
+    public EndpointCall control(FullHttpRequest request, ReplyListener replies) {
+        request.headers().set(HttpHeaderNames.HOST, member.address());
+        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+        EndpointCall call = new EndpointCall(request, request.content(), null, replies, () -> {});
+        HttpConnection kept = keptConnection(idleControl);
+        if (kept != null) {
+            call.begin(kept);
+            return call;
+        }
+        if (openControl >= MAX_CONTROL_CONNECTIONS) {
+            call.refused(new CallFailure(CallFailure.Kind.NOT_CONNECTED, "all control connections are in use"));
+            return call;
+        }
+        openControl++;
+        connector.connect(address, idleControl::addFirst, this::controlClosed, new Connector.Opened() {
+            @Override
+            public void connected(HttpConnection connection) {
+                if (!call.begin(connection)) {
+                    idleControl.addFirst(connection);
+                }
+            }
+
+            @Override
+            public void refused(CallFailure failure) {
+                openControl--;
+                call.refused(failure);
+            }
+        });
+        return call;
+    }
+
+    private void controlClosed(HttpConnection connection) {
+        openControl--;
+        idleControl.remove(connection);
+    }
+
+    private void idle(HttpConnection connection) {
+        idle.addFirst(connection);
+    }
+
+    private static @Nullable HttpConnection keptConnection(Deque<HttpConnection> connections) {
+        long now = System.nanoTime();
+        while (true) {
+            HttpConnection connection = connections.pollFirst();
+            if (connection == null) {
+                return null;
+            }
+            if (connection.open() && now - connection.idleSince() < usableNanos(connection)) {
+                return connection;
+            }
+            connection.abort();
+        }
+    }
+
+    private static long usableNanos(HttpConnection connection) {
+        long stated = connection.idleLimitNanos();
+        if (stated == Long.MAX_VALUE) {
+            return UNSTATED_IDLE_NANOS;
+        }
+        return Math.max(stated - CLOSING_MARGIN_NANOS, stated / 2);
+    }
+
+    /** Closes idle connections; what is under way goes on. */
+    void close() {
+        idle.forEach(HttpConnection::abort);
+        idleControl.forEach(HttpConnection::abort);
+        idle.clear();
+        idleControl.clear();
+    }
+
+    /** Returns an empty body. */
+    public static ByteBuf noBody() {
+        return Unpooled.EMPTY_BUFFER;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/EndpointCall.java
@@ -0,0 +1,114 @@
+package org.quetzalseam.gateway.endpoint;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.gateway.http.CallFailure;
+import org.quetzalseam.gateway.http.HttpConnection;
+import org.quetzalseam.gateway.http.ReplyListener;
+
+/** One call to an endpoint, from the wait for a connection to the end of the reply. Used on the event loop only. */
+public final class EndpointCall implements ReplyListener {
+    private final HttpRequest request;
+    private final ByteBuf body;
+    private final @Nullable String id;
+    private final ReplyListener replies;
+    private final Runnable onEnd;
+    private @Nullable HttpConnection connection;
+    private boolean ended;
+
+    EndpointCall(HttpRequest request, ByteBuf body, @Nullable String id, ReplyListener replies, Runnable onEnd) {
+        this.request = request;
+        this.body = body;
+        this.id = id;
+        this.replies = replies;
+        this.onEnd = onEnd;
+    }
+
+    /** Starts on a connection. Returns false when the call was given up meanwhile: the connection stays unused. */
+    boolean begin(HttpConnection opened) {
+        if (ended) {
+            return false;
+        }
+        connection = opened;
+        opened.exchange(request, body, id, this);
+        return true;
+    }
+
+    void refused(CallFailure failure) {
+        if (!ended) {
+            body.release();
+            failed(failure);
+        }
+    }
+
+    /** Returns whether the request has been handed to a connection. */
+    public boolean sent() {
+        return connection != null;
+    }
+
+    /** Returns whether the reply is still to come. */
+    public boolean active() {
+        return !ended;
+    }
+
+    /** Gives the call up; the endpoint learns it from the closed connection. Harmless when the call has ended. */
+    public void cancel() {
+        if (ended) {
+            return;
+        }
+        end();
+        HttpConnection used = connection;
+        if (used == null) {
+            body.release();
+        } else {
+            used.abort();
+        }
+    }
+
+    /** Stops or goes on reading the reply. */
+    public void reading(boolean wanted) {
+        HttpConnection used = connection;
+        if (used != null && !ended) {
+            used.reading(wanted);
+        }
+    }
+
+    private void end() {
+        ended = true;
+        onEnd.run();
+    }
+
+    @Override
+    public void head(HttpResponse head) {
+        replies.head(head);
+    }
+
+    @Override
+    public void body(ByteBuf piece) {
+        replies.body(piece);
+    }
+
+    @Override
+    public void completed() {
+        if (ended) {
+            return;
+        }
+        HttpConnection used = connection;
+        if (used != null) {
+            used.reading(true);
+        }
+        end();
+        replies.completed();
+    }
+
+    @Override
+    public void failed(CallFailure failure) {
+        if (ended) {
+            return;
+        }
+        end();
+        replies.failed(failure);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/Connector.java
@@ -0,0 +1,89 @@
+package org.quetzalseam.gateway.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+
+/** Opens HTTP connections on one event loop. */
+public final class Connector {
+    /** How long a connection may take to open: some hundred round trips inside a region, and far below any objective. */
+    private static final int CONNECT_MILLIS = 400;
+    /** Longest first line and longest header section of a reply, in bytes. */
+    private static final int MAX_HEAD_BYTES = 64 * 1024;
+    /** Largest piece of a body handed on at once, in bytes. */
+    private static final int PIECE_BYTES = 16 * 1024;
+
+    private static final HttpDecoderConfig DECODING = new HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_HEAD_BYTES)
+            .setMaxHeaderSize(MAX_HEAD_BYTES)
+            .setMaxChunkSize(PIECE_BYTES);
+
+    private final EventLoop loop;
+    private final String idHeader;
+
+    /** Creates a connector; replies repeat the request's id in the given header. */
+    public Connector(EventLoop loop, String idHeader) {
+        this.loop = loop;
+        this.idHeader = idHeader;
+    }
+
+    /** Returns the event loop that all connections run on. */
+    public EventLoop loop() {
+        return loop;
+    }
+
+    /** What becomes of an attempt to connect. */
+    public interface Opened {
+        /** The connection is open. */
+        void connected(HttpConnection connection);
+
+        /** No connection could be opened. */
+        void refused(CallFailure failure);
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param address where to
+     * @param onIdle called when the connection has carried an exchange and can carry another
+     * @param onClosed called when an opened connection has ended
+     * @param opened takes the outcome
+     */
+    public void connect(
+            InetSocketAddress address,
+            Consumer<HttpConnection> onIdle,
+            Consumer<HttpConnection> onClosed,
+            Opened opened) {
+        HttpConnection connection = new HttpConnection(idHeader, onIdle, onClosed);
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(DECODING, false, false))
+                                .addLast(connection);
+                    }
+                });
+        ChannelFuture connecting = bootstrap.connect(address);
+        connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                opened.connected(connection);
+            } else {
+                opened.refused(new CallFailure(CallFailure.Kind.NOT_CONNECTED, String.valueOf(done.cause())));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/log/AsyncLogHandler.java
@@ -0,0 +1,101 @@
+package org.quetzalseam.gateway.log;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes log lines on a thread of its own, so that no request waits for the log. Thread-safe.
+ *
+ * <p>The queue is bounded. When it is half full, lines below {@link Level#WARNING} are left out and counted; the count is
+ * written with the next line that fits.
+ */
+public final class AsyncLogHandler extends Handler {
+    /** Lines that may wait: about ten seconds of a busy entry. */
+    private static final int MAX_LINES = 4_096;
+    /** How long lines are gathered before they are written together, in milliseconds. */
+    private static final long GATHER_MILLIS = 100;
+
+    private final OutputStream out;
+    private final Deque<LogRecord> queue = new ArrayDeque<>();
+    private final Thread writer;
+    private long leftOut;
+    private boolean closing;
+
+    /** Creates a handler that writes to the stream. */
+    public AsyncLogHandler(OutputStream out) {
+        this.out = out;
+        this.writer = new Thread(this::write, "log");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    @Override
+    public synchronized void publish(LogRecord line) {
+        boolean urgent = line.getLevel().intValue() >= Level.WARNING.intValue();
+        int room = urgent ? MAX_LINES : MAX_LINES / 2;
+        if (queue.size() >= room) {
+            leftOut++;
+            return;
+        }
+        queue.addLast(line);
+        if (queue.size() == 1) {
+            notifyAll();
+        }
+    }
+
+    private void write() {
+        StringBuilder text = new StringBuilder();
+        try {
+            while (true) {
+                text.setLength(0);
+                if (!gather(text)) {
+                    return;
+                }
+                out.write(text.toString().getBytes(StandardCharsets.UTF_8));
+                out.flush();
+                Thread.sleep(GATHER_MILLIS);
+            }
+        } catch (IOException | InterruptedException expected) {
+            // Nobody reads the log any more, or the process ends: there is nowhere left to report to.
+        }
+    }
+
+    private synchronized boolean gather(StringBuilder text) throws InterruptedException {
+        while (queue.isEmpty() && !closing) {
+            wait();
+        }
+        if (leftOut > 0) {
+            text.append("event=log-lines-left-out count=").append(leftOut).append('\n');
+            leftOut = 0;
+        }
+        for (LogRecord line = queue.pollFirst(); line != null; line = queue.pollFirst()) {
+            LogLine.append(text, line);
+        }
+        notifyAll();
+        return !closing || text.length() > 0;
+    }
+
+    @Override
+    public void flush() {
+        // Lines are written as soon as the writer's turn comes; close() waits for them.
+    }
+
+    @Override
+    public void close() {
+        synchronized (this) {
+            closing = true;
+            notifyAll();
+        }
+        try {
+            writer.join(2 * GATHER_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/EventStream.java
@@ -0,0 +1,91 @@
+package org.quetzalseam.gateway.route;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Cuts a stream's bytes into whole events and keeps the last event's id, so that a piece of an event is never delivered. Not
+ * thread-safe.
+ */
+final class EventStream {
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    /** Longest event that is collected, in bytes; a longer one is treated as broken. */
+    private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
+    private ByteBuf rest = Unpooled.buffer();
+    private @Nullable String lastId;
+    private long events;
+
+    /** Returns the id of the last whole event, or null before the first. */
+    @Nullable
+    String lastId() {
+        return lastId;
+    }
+
+    /** Returns how many whole events have passed. */
+    long events() {
+        return events;
+    }
+
+    /** Returns whether a piece of an event is left that has no end. */
+    boolean brokenOff() {
+        return rest.isReadable();
+    }
+
+    /** Forgets a piece of an event: the stream goes on from the last whole one. */
+    void restart() {
+        rest.clear();
+    }
+
+    /** Takes bytes and returns the whole events among them, possibly none. The caller releases what is returned. */
+    ByteBuf take(ByteBuf piece) {
+        rest.writeBytes(piece);
+        piece.release();
+        if (rest.readableBytes() > MAX_EVENT_BYTES) {
+            throw new IllegalStateException("an event is longer than " + MAX_EVENT_BYTES + " bytes");
+        }
+        int end = scan();
+        ByteBuf whole = Unpooled.copiedBuffer(rest.slice(rest.readerIndex(), end - rest.readerIndex()));
+        rest.readerIndex(end);
+        rest.discardReadBytes();
+        return whole;
+    }
+
+    /** Walks the lines, counts events and notes ids. Returns the index after the last whole event. */
+    private int scan() {
+        int endOfEvents = rest.readerIndex();
+        int line = rest.readerIndex();
+        @Nullable String id = null;
+        while (true) {
+            int newline = rest.indexOf(line, rest.writerIndex(), (byte) '\n');
+            if (newline < 0) {
+                return endOfEvents;
+            }
+            int length = newline - line;
+            if (length == 0 || (length == 1 && rest.getByte(line) == '\r')) {
+                endOfEvents = newline + 1;
+                events++;
+                lastId = id == null ? lastId : id;
+                id = null;
+            } else if (beginsWithId(line, length)) {
+                id = rest.toString(line + ID_FIELD.length, length - ID_FIELD.length, StandardCharsets.US_ASCII)
+                        .strip();
+            }
+            line = newline + 1;
+        }
+    }
+
+    private boolean beginsWithId(int line, int length) {
+        if (length < ID_FIELD.length) {
+            return false;
+        }
+        for (int i = 0; i < ID_FIELD.length; i++) {
+            if (rest.getByte(line + i) != ID_FIELD[i]) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ForwardedRequest.java
@@ -0,0 +1,40 @@
+package org.quetzalseam.gateway.route;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import org.quetzalseam.core.routing.RouteRule;
+import org.quetzalseam.gateway.caller.Exchange;
+import org.quetzalseam.gateway.caller.HopHeaders;
+import org.quetzalseam.gateway.protocol.Forwarding;
+import org.quetzalseam.gateway.protocol.Protocol;
+
+/** A caller's request as it goes to endpoints, with the time that its answer is still of use. */
+final class ForwardedRequest {
+    private final Exchange exchange;
+    private final Protocol protocol;
+    private final long deadlineMillis;
+
+    ForwardedRequest(Exchange exchange, Protocol protocol, RouteRule route) {
+        this.exchange = exchange;
+        this.protocol = protocol;
+        this.deadlineMillis = Math.min(exchange.facts().patienceMillis(), route.timeoutMillis());
+    }
+
+    /** Returns how long an answer is still of use, in milliseconds. */
+    long leftMillis() {
+        return deadlineMillis - exchange.ageMillis();
+    }
+
+    /** Returns the head to send: the caller's, with what the entry adds. */
+    HttpRequest head(Forwarding forwarding) {
+        HttpRequest head = new DefaultHttpRequest(
+                HttpVersion.HTTP_1_1,
+                exchange.request().method(),
+                exchange.request().uri());
+        head.headers().set(exchange.request().headers());
+        HopHeaders.remove(head.headers());
+        protocol.forward(head.headers(), forwarding);
+        return head;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -0,0 +1,399 @@
+package org.quetzalseam.gateway.route;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.core.generation.MemoryBooking;
+import org.quetzalseam.core.generation.TokenDemand;
+import org.quetzalseam.core.routing.RouteRule;
+import org.quetzalseam.gateway.caller.Exchange;
+import org.quetzalseam.gateway.endpoint.Endpoint;
+import org.quetzalseam.gateway.endpoint.EndpointCall;
+import org.quetzalseam.gateway.http.CallFailure;
+import org.quetzalseam.gateway.protocol.Forwarding;
+import org.quetzalseam.gateway.protocol.ReplyFacts;
+import org.quetzalseam.gateway.runtime.Subscription;
+
+/**
+ * One streamed generation: decode memory is booked, the prompt is read at a prefill engine, the KV cache goes to the decode
+ * engine, and its events are passed on as they come. Used on the event loop only.
+ */
+final class GenerationRun {
+    /** Tokens by which engines hand out memory. */
+    private static final int BLOCK_TOKENS = 16;
+    /** Time from a booking to the first event, in milliseconds, that a wait for memory must leave within the objective. */
+    private static final long READING_MILLIS = 250;
+    /** How long a caller who is late already may wait for memory, in milliseconds. */
+    private static final long LATE_WAIT_MILLIS = 1_000;
+    /** When to come back to a full service, in milliseconds: about half of a typical generation. */
+    private static final long FULL_MILLIS = 1_500;
+    /** Turns from booking to decoding for one request before it is given up. */
+    private static final int MAX_TURNS = 3;
+    /** Ranks of those who wait for memory: in time before late. */
+    private static final int RANK_IN_TIME = 0;
+
+    private static final int RANK_LATE = 1;
+
+    private final RunContext context;
+    private final Exchange exchange;
+    private final RouteRule route;
+    private final String service;
+    private final RunLog log;
+    private final ReservationDesk desk;
+    private final ForwardedRequest forwarded;
+    private final EventStream events = new EventStream();
+    private @Nullable Reservation reservation;
+    private @Nullable BookedMemory memory;
+    private @Nullable String unusedBooking;
+    private @Nullable PromptReading reading;
+    private @Nullable KvCache unusedKv;
+    private @Nullable EndpointCall decoding;
+    private @Nullable Subscription deadlineTimer;
+    private int turns;
+    private int runs;
+    private boolean mayHaveRun;
+    private boolean over;
+
+    GenerationRun(RunContext context, Exchange exchange, RouteRule route, String service, RunLog log) {
+        this.context = context;
+        this.exchange = exchange;
+        this.route = route;
+        this.service = service;
+        this.log = log;
+        this.desk = context.desk(service);
+        this.forwarded = new ForwardedRequest(exchange, context.protocol(), route);
+    }
+
+    void start() {
+        exchange.whenGone(this::callerGone);
+        exchange.whenWritable(this::callerReads);
+        deadlineTimer = context.after(forwarded.leftMillis(), this::deadlinePassed);
+        takeTurn();
+    }
+
+    private void takeTurn() {
+        turns++;
+        TokenDemand demand = exchange.facts().demand();
+        if (demand == null) {
+            decodeUnbooked();
+        } else {
+            bookMemory(demand);
+        }
+    }
+
+    private void bookMemory(TokenDemand demand) {
+        int tokens = new MemoryBooking(context.settings().outputFactor(), BLOCK_TOKENS).tokens(demand);
+        long inTime = route.targetMillis() - READING_MILLIS - exchange.ageMillis();
+        boolean late = inTime <= 0;
+        long wait = Math.min(late ? LATE_WAIT_MILLIS : inTime, forwarded.leftMillis());
+        Reservation wanted = new Reservation(
+                tokens,
+                late ? RANK_LATE : RANK_IN_TIME,
+                context.now() + TimeUnit.MILLISECONDS.toNanos(wait),
+                new Reservation.Outcome() {
+                    @Override
+                    public void granted(Endpoint engine, String id) {
+                        booked(new BookedMemory(engine, id, tokens));
+                    }
+
+                    @Override
+                    public void refused(String why) {
+                        giveUp(why);
+                    }
+                });
+        reservation = wanted;
+        desk.enter(wanted);
+    }
+
+    /** A stream that says nothing of its size goes to the engine with the least work of this entry. */
+    private void decodeUnbooked() {
+        Optional<Endpoint> chosen = leastUsed(Stage.DECODE).or(() -> leastUsed(Stage.WHOLE));
+        if (chosen.isEmpty()) {
+            giveUp("no endpoint");
+            return;
+        }
+        decode(chosen.get(), null, null);
+    }
+
+    private Optional<Endpoint> leastUsed(Stage stage) {
+        long now = context.now();
+        return context.directory().usable(service, stage).stream()
+                .min(Comparator.<Endpoint, Boolean>comparing(
+                                endpoint -> endpoint.health().suspect(now))
+                        .thenComparingInt(Endpoint::outstanding));
+    }
+
+    private void booked(BookedMemory booked) {
+        reservation = null;
+        memory = booked;
+        unusedBooking = booked.id();
+        log.step("booked", booked.engine(), "tokens=" + booked.tokens());
+        readPrompt(booked);
+    }
+
+    private void readPrompt(BookedMemory booked) {
+        TokenDemand demand = exchange.facts().demand();
+        int promptTokens = demand == null ? 0 : demand.prompt();
+        PromptReading prompt = new PromptReading(
+                context, exchange, forwarded, service, promptTokens, log, new PromptReading.Outcome() {
+                    @Override
+                    public void read(Endpoint reader, String handle) {
+                        unusedKv = new KvCache(reader, handle);
+                        decodeBooked(booked);
+                    }
+
+                    @Override
+                    public void noEngine() {
+                        decodeBooked(booked);
+                    }
+
+                    @Override
+                    public void failed(String why) {
+                        giveUp(why);
+                    }
+                });
+        reading = prompt;
+        prompt.start(booked.engine());
+    }
+
+    private void decodeBooked(BookedMemory booked) {
+        reading = null;
+        KvCache kv = unusedKv;
+        String source = kv == null
+                ? null
+                : context.protocol().kvSource(kv.holder().member().address(), kv.handle());
+        unusedKv = null;
+        unusedBooking = null;
+        decode(booked.engine(), source, booked.id());
+    }
+
+    private void decode(Endpoint engine, @Nullable String kvSource, @Nullable String booking) {
+        Forwarding forwarding =
+                new Forwarding(engine.member().id(), forwarded.leftMillis(), false, kvSource, booking, resumePoint());
+        DecodeReply reply = new DecodeReply(context.protocol(), new DecodeOutcome(engine));
+        decoding = engine.send(
+                forwarded.head(forwarding), exchange.body(), exchange.facts().id(), reply);
+    }
+
+    private @Nullable String resumePoint() {
+        String last = events.lastId();
+        return last == null ? exchange.facts().resumesAfter() : last;
+    }
+
+    private final class DecodeOutcome implements DecodeReply.Outcome {
+        private final Endpoint engine;
+
+        DecodeOutcome(Endpoint engine) {
+            this.engine = engine;
+        }
+
+        @Override
+        public void begun(HttpResponse head) {
+            mayHaveRun = true;
+            if (!exchange.begun()) {
+                exchange.begin(head);
+            }
+        }
+
+        @Override
+        public void piece(ByteBuf piece) {
+            ByteBuf ready = events.take(piece);
+            if (!ready.isReadable()) {
+                ready.release();
+                return;
+            }
+            exchange.piece(ready);
+            EndpointCall running = decoding;
+            if (running != null && !exchange.writable()) {
+                running.reading(false);
+            }
+        }
+
+        @Override
+        public void streamEnded() {
+            if (events.brokenOff()) {
+                failed(new CallFailure(CallFailure.Kind.MALFORMED, "the stream ends within an event"));
+                return;
+            }
+            runs++;
+            engine.health().succeeded(context.now(), engine.health().millis());
+            over("answered", HttpResponseStatus.OK.code());
+            exchange.end();
+        }
+
+        @Override
+        public void answered(HttpResponse head, ByteBuf body) {
+            freeMemory();
+            answeredWhole(engine, head, body);
+        }
+
+        @Override
+        public void failed(CallFailure failure) {
+            freeMemory();
+            decodeFailed(engine, failure);
+        }
+    }
+
+    private void answeredWhole(Endpoint engine, HttpResponse head, ByteBuf body) {
+        ReplyFacts facts = context.protocol().facts(head);
+        int status = head.status().code();
+        if (facts.notRun()) {
+            body.release();
+            log.step("rejected", engine, "status=" + status);
+            turnAgain("the engine turned it away");
+            return;
+        }
+        runs++;
+        mayHaveRun = true;
+        engine.health().failed(context.now());
+        if (exchange.begun() || !facts.signed()) {
+            body.release();
+            goOnElsewhere(engine, "status " + status);
+            return;
+        }
+        over("answered", status);
+        exchange.answer(head, body);
+    }
+
+    private void decodeFailed(Endpoint engine, CallFailure failure) {
+        engine.health().failed(context.now());
+        log.callFailed("decode", engine, failure);
+        if (failure.nothingSent()) {
+            turnAgain("the engine can't be reached");
+            return;
+        }
+        runs++;
+        mayHaveRun = true;
+        goOnElsewhere(engine, failure.kind().toString());
+    }
+
+    /** The engine has not run it: it may be booked, read and sent again. */
+    private void turnAgain(String why) {
+        if (turns < MAX_TURNS && takeRetry()) {
+            takeTurn();
+        } else {
+            giveUp(why);
+        }
+    }
+
+    /** The engine may have run it: it may go on only where its route says so. */
+    private void goOnElsewhere(Endpoint engine, String why) {
+        events.restart();
+        boolean allowed = route.mayRepeat() && runs < route.maxAttempts() && turns < MAX_TURNS;
+        if (allowed && takeRetry()) {
+            log.step("resume", engine, "after=" + events.lastId() + " why=\"" + why + "\"");
+            takeTurn();
+        } else {
+            unknown(why);
+        }
+    }
+
+    private boolean takeRetry() {
+        return context.retries(service).retry(context.now());
+    }
+
+    private void unknown(String why) {
+        over("broken-off", HttpResponseStatus.BAD_GATEWAY.code());
+        if (exchange.begun()) {
+            exchange.cut(why);
+        } else {
+            context.fail(exchange, HttpResponseStatus.BAD_GATEWAY, "the engine gave no whole answer");
+        }
+    }
+
+    /** No engine takes it now: a refusal if it has run nowhere. */
+    private void giveUp(String why) {
+        if (over) {
+            return;
+        }
+        if (mayHaveRun) {
+            unknown(why);
+            return;
+        }
+        over("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+        context.refuse(exchange, why, FULL_MILLIS);
+    }
+
+    private void callerReads() {
+        EndpointCall running = decoding;
+        if (running != null) {
+            running.reading(true);
+        }
+    }
+
+    private void deadlinePassed() {
+        EndpointCall running = decoding;
+        boolean sent = mayHaveRun || (running != null && running.active() && running.sent());
+        stopWork();
+        if (!sent) {
+            giveUp("no engine in time");
+            return;
+        }
+        over("timed-out", HttpResponseStatus.GATEWAY_TIMEOUT.code());
+        if (exchange.begun()) {
+            exchange.cut("time is up");
+        } else {
+            context.fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT, "no answer in time");
+        }
+    }
+
+    private void callerGone() {
+        stopWork();
+        over("caller-gone", 0);
+    }
+
+    /** Ends what runs, waits or is held for this request anywhere. */
+    private void stopWork() {
+        Reservation wanted = reservation;
+        if (wanted != null) {
+            desk.leave(wanted);
+            reservation = null;
+        }
+        PromptReading prompt = reading;
+        if (prompt != null) {
+            prompt.cancel();
+            reading = null;
+        }
+        EndpointCall running = decoding;
+        if (running != null) {
+            running.cancel();
+        }
+        freeMemory();
+    }
+
+    private void freeMemory() {
+        BookedMemory booked = memory;
+        String booking = unusedBooking;
+        if (booked != null && booking != null) {
+            desk.giveBack(booked.engine(), booking);
+        }
+        if (booked != null) {
+            desk.freed(booked.engine(), booked.tokens());
+        }
+        KvCache kv = unusedKv;
+        if (kv != null) {
+            desk.dropKv(kv.holder(), kv.handle());
+        }
+        memory = null;
+        unusedBooking = null;
+        unusedKv = null;
+    }
+
+    private void over(String outcome, int status) {
+        if (over) {
+            return;
+        }
+        over = true;
+        Subscription timer = deadlineTimer;
+        if (timer != null) {
+            timer.cancel();
+        }
+        freeMemory();
+        log.ended(outcome, status, turns);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -0,0 +1,83 @@
+package org.quetzalseam.gateway.route;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.routing.CallKind;
+import org.quetzalseam.core.routing.CallerLimits;
+import org.quetzalseam.core.routing.RouteRule;
+import org.quetzalseam.core.routing.RouteTable;
+import org.quetzalseam.gateway.caller.Exchange;
+import org.quetzalseam.gateway.endpoint.Directory;
+import org.quetzalseam.gateway.protocol.Protocol;
+import org.quetzalseam.gateway.runtime.Timers;
+
+/** Finds the route of each request and starts its run. Used on the event loop only. */
+public final class RequestRouter {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** When to come back to an entry that doesn't know its routes yet: about its time to start, in milliseconds. */
+    private static final long STARTING_MILLIS = 500;
+
+    private final RunContext context;
+    private @Nullable RouteTable routes;
+
+    /** Creates a router that knows no routes yet. */
+    public RequestRouter(Timers timers, Protocol protocol, Directory directory, EntrySettings settings) {
+        this.context = new RunContext(timers, protocol, directory, settings);
+    }
+
+    /** Takes a version of the desired state, unless it is older than the one in force. */
+    public void update(RouteTable table) {
+        RouteTable present = routes;
+        if (present != null && present.version() >= table.version()) {
+            logger.atInfo().log("event=desired-state-kept version=%d offered=%d", present.version(), table.version());
+            return;
+        }
+        routes = table;
+        logger.atInfo().log("event=desired-state version=%d routes=%d", table.version(), table.routes());
+    }
+
+    /** Returns whether the entry can serve: it knows its routes and its endpoints. */
+    public boolean ready() {
+        return routes != null && context.directory().known();
+    }
+
+    /** Returns what callers may send. */
+    public CallerLimits limits() {
+        RouteTable table = routes;
+        return table == null ? CallerLimits.DEFAULT : table.limits();
+    }
+
+    /** Answers a request. */
+    public void route(Exchange exchange) {
+        RouteTable table = routes;
+        if (table == null || !context.directory().known()) {
+            context.refuse(exchange, "not ready yet", STARTING_MILLIS);
+            return;
+        }
+        String host = exchange.request().headers().get(HttpHeaderNames.HOST, "");
+        Optional<RouteRule> found = table.find(host, exchange.request().uri());
+        if (found.isEmpty()) {
+            logger.atInfo().log(
+                    "event=no-route request=%s host=%s version=%d",
+                    exchange.facts().id(), host, table.version());
+            context.fail(exchange, HttpResponseStatus.NOT_FOUND, "no route");
+            return;
+        }
+        start(exchange, found.get(), table.version());
+    }
+
+    private void start(Exchange exchange, RouteRule route, long version) {
+        String service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
+        context.retries(service).request(context.now());
+        RunLog log = new RunLog(exchange, route, service, version);
+        if (route.kind() == CallKind.STREAM) {
+            new GenerationRun(context, exchange, route, service, log).start();
+        } else {
+            new ServiceRun(context, exchange, route, service, log).start();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/Reservation.java
@@ -0,0 +1,76 @@
+package org.quetzalseam.gateway.route;
+
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.gateway.endpoint.Endpoint;
+
+/** A generation's wait for decode memory at a {@link ReservationDesk}. Used on the event loop only. */
+final class Reservation {
+    /** What becomes of the wait. */
+    interface Outcome {
+        /** Memory is booked at the engine under the id. */
+        void granted(Endpoint engine, String id);
+
+        /** Nothing could be booked in time, or there is no engine to book at. */
+        void refused(String why);
+    }
+
+    private final int tokens;
+    private final int rank;
+    private final long until;
+    private final Outcome outcome;
+    private boolean asking;
+    private boolean over;
+
+    /**
+     * Creates a wait.
+     *
+     * @param tokens the memory to book
+     * @param rank order among those who wait: lower goes first
+     * @param until monotonic time in nanoseconds at which to stop waiting
+     * @param outcome takes the outcome
+     */
+    Reservation(int tokens, int rank, long until, Outcome outcome) {
+        this.tokens = tokens;
+        this.rank = rank;
+        this.until = until;
+        this.outcome = outcome;
+    }
+
+    int tokens() {
+        return tokens;
+    }
+
+    int rank() {
+        return rank;
+    }
+
+    long until() {
+        return until;
+    }
+
+    boolean asking() {
+        return asking;
+    }
+
+    void asking(boolean now) {
+        asking = now;
+    }
+
+    boolean over() {
+        return over;
+    }
+
+    void cancel() {
+        over = true;
+    }
+
+    void grant(Endpoint engine, String id) {
+        over = true;
+        outcome.granted(engine, id);
+    }
+
+    void refuse(@Nullable String why) {
+        over = true;
+        outcome.refused(why == null ? "no decode memory in time" : why);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
@@ -0,0 +1,193 @@
+package org.quetzalseam.gateway.route;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.gateway.endpoint.Endpoint;
+import org.quetzalseam.gateway.endpoint.EndpointCall;
+import org.quetzalseam.gateway.http.CallFailure;
+import org.quetzalseam.gateway.http.WholeReply;
+
+/**
+ * Books decode memory at a service's engines for the generations of this entry. Used on the event loop only.
+ *
+ * <p>The engines' own bookings are what all entries agree on, without a message between them: an engine that is full says
+ * so. Those who find no room wait here and ask again, in order of rank and arrival; a smaller one may pass a larger one
+ * that doesn't fit anywhere.
+ */
+final class ReservationDesk {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** How long an engine that refused isn't asked again for as much, in nanoseconds: a few engine steps. */
+    private static final long ASK_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+    /** How often those who wait are looked at, in milliseconds. */
+    private static final long LOOK_MILLIS = 20;
+    /** How long a booking holds before its request arrives, in milliseconds: several times a prompt's reading. */
+    private static final long BOOKING_MILLIS = 2_000;
+    /** How long an engine may take to answer, in milliseconds: many round trips, yet a part of the latency objective. */
+    private static final long ANSWER_MILLIS = 150;
+
+    private static final int MAX_REPLY_BYTES = 64 * 1024;
+
+    private final RunContext context;
+    private final String service;
+    private final List<Reservation> waiting = new ArrayList<>();
+    private final Map<Endpoint, Refusal> refusals = new HashMap<>();
+    private final Map<Endpoint, Integer> booked = new HashMap<>();
+    private boolean looking;
+
+    /** An engine's last refusal: when, and of how many tokens. */
+    private record Refusal(long at, int tokens) {}
+
+    ReservationDesk(RunContext context, String service) {
+        this.context = context;
+        this.service = service;
+    }
+
+    /** Takes a generation in; its outcome follows, never before this call returns. */
+    void enter(Reservation reservation) {
+        waiting.add(reservation);
+        waiting.sort(Comparator.comparingInt(Reservation::rank));
+        context.timers().soon(this::serve);
+    }
+
+    /** Takes a generation out that needs no memory any more. */
+    void leave(Reservation reservation) {
+        reservation.cancel();
+        waiting.remove(reservation);
+    }
+
+    /** Returns how many wait. */
+    int waiting() {
+        return waiting.size();
+    }
+
+    /** Notes that a booking's generation has ended: its engine has room. */
+    void freed(Endpoint engine, int tokens) {
+        booked.merge(engine, -tokens, Integer::sum);
+        refusals.remove(engine);
+        if (!waiting.isEmpty()) {
+            context.timers().soon(this::serve);
+        }
+    }
+
+    private void serve() {
+        long now = context.now();
+        for (Reservation reservation : List.copyOf(waiting)) {
+            if (reservation.over()) {
+                waiting.remove(reservation);
+            } else if (now - reservation.until() >= 0 && !reservation.asking()) {
+                waiting.remove(reservation);
+                reservation.refuse(null);
+            } else if (!reservation.asking()) {
+                askForRoom(reservation, now);
+            }
+        }
+        lookAgain();
+    }
+
+    private void lookAgain() {
+        if (!waiting.isEmpty() && !looking) {
+            looking = true;
+            context.after(LOOK_MILLIS, () -> {
+                looking = false;
+                serve();
+            });
+        }
+    }
+
+    private void askForRoom(Reservation reservation, long now) {
+        List<Endpoint> engines = context.directory().usable(service, Stage.DECODE);
+        if (engines.isEmpty()) {
+            waiting.remove(reservation);
+            reservation.refuse("no decode engine");
+            return;
+        }
+        Optional<Endpoint> engine = engines.stream()
+                .filter(candidate -> mayHaveRoom(candidate, reservation.tokens(), now))
+                .min(Comparator.<Endpoint, Boolean>comparing(
+                                candidate -> candidate.health().suspect(now))
+                        .thenComparingInt(candidate -> booked.getOrDefault(candidate, 0))
+                        .thenComparing(candidate -> ThreadLocalRandom.current().nextInt()));
+        engine.ifPresent(chosen -> ask(reservation, chosen));
+    }
+
+    private boolean mayHaveRoom(Endpoint engine, int tokens, long now) {
+        Refusal refusal = refusals.get(engine);
+        return refusal == null || now - refusal.at() > ASK_AGAIN_NANOS || tokens < refusal.tokens();
+    }
+
+    private void ask(Reservation reservation, Endpoint engine) {
+        reservation.asking(true);
+        WholeReply reply = new WholeReply(
+                MAX_REPLY_BYTES,
+                (head, body) -> {
+                    String text = WholeReply.text(body);
+                    body.release();
+                    Optional<String> id =
+                            head.status().code() == 200 ? context.protocol().reservation(text) : Optional.empty();
+                    answered(reservation, engine, id);
+                },
+                failure -> unanswered(reservation, engine, failure));
+        EndpointCall call = engine.control(context.protocol().reserve(reservation.tokens(), BOOKING_MILLIS), reply);
+        context.after(ANSWER_MILLIS, () -> {
+            if (call.active()) {
+                call.cancel();
+                unanswered(reservation, engine, new CallFailure(CallFailure.Kind.TIMED_OUT, "no answer to a booking"));
+            }
+        });
+    }
+
+    private void answered(Reservation reservation, Endpoint engine, Optional<String> id) {
+        reservation.asking(false);
+        if (id.isEmpty()) {
+            refusals.put(engine, new Refusal(context.now(), reservation.tokens()));
+            serve();
+            return;
+        }
+        if (reservation.over()) {
+            giveBack(engine, id.get());
+            return;
+        }
+        waiting.remove(reservation);
+        booked.merge(engine, reservation.tokens(), Integer::sum);
+        reservation.grant(engine, id.get());
+    }
+
+    private void unanswered(Reservation reservation, Endpoint engine, CallFailure failure) {
+        reservation.asking(false);
+        engine.health().failed(context.now());
+        refusals.put(engine, new Refusal(context.now(), 0));
+        logger.atInfo().log(
+                "event=booking-failed service=%s endpoint=%s kind=%s detail=\"%s\"",
+                service, engine.member().id(), failure.kind(), failure.detail());
+        serve();
+    }
+
+    /** Gives a booking back that won't be used. */
+    void giveBack(Endpoint engine, String id) {
+        control(engine, context.protocol().release(id), "release");
+    }
+
+    /** Drops a KV cache that won't be used. */
+    void dropKv(Endpoint engine, String handle) {
+        control(engine, context.protocol().dropKv(handle), "drop-kv");
+    }
+
+    private void control(Endpoint engine, io.netty.handler.codec.http.FullHttpRequest request, String what) {
+        engine.control(
+                request,
+                new WholeReply(
+                        MAX_REPLY_BYTES,
+                        (head, body) -> body.release(),
+                        failure -> logger.atInfo().log(
+                                "event=%s-failed endpoint=%s kind=%s",
+                                what, engine.member().id(), failure.kind())));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -0,0 +1,80 @@
+package org.quetzalseam.gateway.route;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.quetzalseam.core.limits.RetryAllowance;
+import org.quetzalseam.gateway.caller.Exchange;
+import org.quetzalseam.gateway.endpoint.Directory;
+import org.quetzalseam.gateway.protocol.Protocol;
+import org.quetzalseam.gateway.runtime.Subscription;
+import org.quetzalseam.gateway.runtime.Timers;
+
+/** What all requests of an entry share. Used on the event loop only. */
+final class RunContext {
+    private final Timers timers;
+    private final Protocol protocol;
+    private final Directory directory;
+    private final EntrySettings settings;
+    private final Map<String, RetryAllowance> retries = new HashMap<>();
+    private final Map<String, ReservationDesk> desks = new HashMap<>();
+
+    RunContext(Timers timers, Protocol protocol, Directory directory, EntrySettings settings) {
+        this.timers = timers;
+        this.protocol = protocol;
+        this.directory = directory;
+        this.settings = settings;
+    }
+
+    Timers timers() {
+        return timers;
+    }
+
+    Protocol protocol() {
+        return protocol;
+    }
+
+    Directory directory() {
+        return directory;
+    }
+
+    EntrySettings settings() {
+        return settings;
+    }
+
+    long now() {
+        return timers.now();
+    }
+
+    Subscription after(long millis, Runnable call) {
+        return timers.after(millis, call);
+    }
+
+    RetryAllowance retries(String service) {
+        return retries.computeIfAbsent(
+                service,
+                name -> new RetryAllowance(
+                        settings.retryRatio(),
+                        settings.retrySlack(),
+                        TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMillis())));
+    }
+
+    ReservationDesk desk(String service) {
+        return desks.computeIfAbsent(service, name -> new ReservationDesk(this, name));
+    }
+
+    /** Refuses a request that has not run and won't, and says when to come back. */
+    void refuse(Exchange exchange, String why, long comeBackMillis) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        protocol.comeBackAfter(headers, comeBackMillis);
+        exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, why, headers);
+    }
+
+    /** Tells of a failure that says nothing of whether the request has run. */
+    void fail(Exchange exchange, HttpResponseStatus status, String why) {
+        exchange.answer(status, why, new DefaultHttpHeaders());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -0,0 +1,47 @@
+package org.quetzalseam.gateway.route;
+
+import com.google.common.flogger.FluentLogger;
+import org.quetzalseam.core.routing.RouteRule;
+import org.quetzalseam.gateway.caller.Exchange;
+import org.quetzalseam.gateway.endpoint.Endpoint;
+import org.quetzalseam.gateway.http.CallFailure;
+
+/** The log lines of one request, each with its id. */
+final class RunLog {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final Exchange exchange;
+    private final RouteRule route;
+    private final String service;
+    private final long version;
+
+    RunLog(Exchange exchange, RouteRule route, String service, long version) {
+        this.exchange = exchange;
+        this.route = route;
+        this.service = service;
+        this.version = version;
+    }
+
+    void ended(String outcome, int status, int tries) {
+        logger.atInfo().log(
+                "event=request-ended request=%s route=%s service=%s version=%d outcome=%s status=%d tries=%d age_ms=%d",
+                exchange.facts().id(), route.name(), service, version, outcome, status, tries, exchange.ageMillis());
+    }
+
+    void step(String step, Endpoint endpoint, String detail) {
+        logger.atInfo().log(
+                "event=%s request=%s endpoint=%s age_ms=%d %s",
+                step, exchange.facts().id(), endpoint.member().id(), exchange.ageMillis(), detail);
+    }
+
+    void callFailed(String call, Endpoint endpoint, CallFailure failure) {
+        logger.atInfo().log(
+                "event=call-failed call=%s request=%s endpoint=%s age_ms=%d kind=%s detail=\"%s\"",
+                call,
+                exchange.facts().id(),
+                endpoint.member().id(),
+                exchange.ageMillis(),
+                failure.kind(),
+                failure.detail());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -0,0 +1,254 @@
+package org.quetzalseam.gateway.route;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.core.routing.RouteRule;
+import org.quetzalseam.gateway.caller.Exchange;
+import org.quetzalseam.gateway.endpoint.Endpoint;
+import org.quetzalseam.gateway.endpoint.EndpointCall;
+import org.quetzalseam.gateway.http.CallFailure;
+import org.quetzalseam.gateway.http.WholeReply;
+import org.quetzalseam.gateway.protocol.Forwarding;
+import org.quetzalseam.gateway.protocol.ReplyFacts;
+import org.quetzalseam.gateway.runtime.Subscription;
+
+/**
+ * One call of a plain service, whose answer is passed on when it is whole. Used on the event loop only.
+ *
+ * <p>A request that may have run is sent again only where it is idempotent; one that an endpoint has turned away, or that
+ * never left this process, may go to another endpoint in any case.
+ */
+final class ServiceRun {
+    /** Longest answer that is collected, in bytes; a plain service's answers are some kilobytes long. */
+    private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+    /** Endpoints that may turn a request away before the caller is told that the service is full. */
+    private static final int MAX_REJECTIONS = 3;
+    /** Connections that may fail to open before the caller is told. */
+    private static final int MAX_UNREACHED = 3;
+    /** When to come back to a service that is full: a few times its usual time to answer, in milliseconds. */
+    private static final long FULL_MILLIS = 300;
+    /** Part of the time left that the first of several tries may use. */
+    private static final double TRY_SHARE = 0.5;
+
+    private final RunContext context;
+    private final Exchange exchange;
+    private final RouteRule route;
+    private final String service;
+    private final RunLog log;
+    private final ForwardedRequest forwarded;
+    private final Set<Endpoint> tried = new HashSet<>();
+    private @Nullable EndpointCall call;
+    private @Nullable Subscription tryTimer;
+    private @Nullable Subscription deadlineTimer;
+    private int runs;
+    private int rejections;
+    private int unreached;
+    private boolean mayHaveRun;
+
+    ServiceRun(RunContext context, Exchange exchange, RouteRule route, String service, RunLog log) {
+        this.context = context;
+        this.exchange = exchange;
+        this.route = route;
+        this.service = service;
+        this.log = log;
+        this.forwarded = new ForwardedRequest(exchange, context.protocol(), route);
+    }
+
+    void start() {
+        exchange.whenGone(this::callerGone);
+        deadlineTimer = context.after(forwarded.leftMillis(), this::deadlinePassed);
+        sendToNext();
+    }
+
+    private Optional<Endpoint> choose() {
+        long now = context.now();
+        List<Endpoint> usable = context.directory().usable(service, Stage.WHOLE);
+        Comparator<Endpoint> order = Comparator.<Endpoint, Boolean>comparing(tried::contains)
+                .thenComparing(endpoint -> endpoint.health().suspect(now))
+                .thenComparingDouble(ServiceRun::expectedMillis)
+                .thenComparing(endpoint ->
+                        !endpoint.member().zone().equals(context.settings().zone()))
+                .thenComparing(endpoint -> ThreadLocalRandom.current().nextInt());
+        return usable.stream().min(order);
+    }
+
+    private static double expectedMillis(Endpoint endpoint) {
+        return endpoint.outstanding() == 0
+                ? 0
+                : endpoint.outstanding() * endpoint.health().millis();
+    }
+
+    private void sendToNext() {
+        Optional<Endpoint> chosen = choose();
+        if (chosen.isEmpty()) {
+            giveUp("no endpoint");
+            return;
+        }
+        send(chosen.get());
+    }
+
+    private void send(Endpoint endpoint) {
+        tried.add(endpoint);
+        HttpRequest head = forwarded.head(Forwarding.whole(endpoint.member().id(), forwarded.leftMillis()));
+        long sentAt = context.now();
+        WholeReply reply = new WholeReply(
+                MAX_ANSWER_BYTES,
+                (answer, body) -> answered(endpoint, answer, body, sentAt),
+                failure -> failed(endpoint, failure));
+        if (mayTryAgain()) {
+            tryTimer = context.after((long) (forwarded.leftMillis() * TRY_SHARE), () -> tryTimedOut(endpoint));
+        }
+        call = endpoint.send(head, exchange.body(), exchange.facts().id(), reply);
+    }
+
+    private boolean mayTryAgain() {
+        return route.mayRepeat() && runs + 1 < route.maxAttempts();
+    }
+
+    private void tryTimedOut(Endpoint endpoint) {
+        EndpointCall slow = call;
+        if (exchange.ended() || slow == null) {
+            return;
+        }
+        slow.cancel();
+        failed(endpoint, new CallFailure(CallFailure.Kind.TIMED_OUT, "no answer in this try's share of the time"));
+    }
+
+    private void stopTryTimer() {
+        Subscription timer = tryTimer;
+        if (timer != null) {
+            timer.cancel();
+            tryTimer = null;
+        }
+    }
+
+    private void answered(Endpoint endpoint, HttpResponse answer, ByteBuf body, long sentAt) {
+        stopTryTimer();
+        ReplyFacts facts = context.protocol().facts(answer);
+        if (facts.notRun()) {
+            body.release();
+            rejected(endpoint, answer.status().code());
+            return;
+        }
+        runs++;
+        mayHaveRun = true;
+        if (!facts.signed()) {
+            body.release();
+            endpoint.health().failed(context.now());
+            unproved(endpoint, "unsigned answer " + answer.status().code());
+            return;
+        }
+        boolean serverFault = answer.status().code() >= 500;
+        if (serverFault) {
+            endpoint.health().failed(context.now());
+        } else {
+            endpoint.health().succeeded(context.now(), (context.now() - sentAt) / 1e6);
+        }
+        if (serverFault && route.mayRepeat() && runs < route.maxAttempts() && takeRetry()) {
+            body.release();
+            log.step("retry", endpoint, "status=" + answer.status().code());
+            sendToNext();
+            return;
+        }
+        over("answered", answer.status().code());
+        exchange.answer(answer, body);
+    }
+
+    private void rejected(Endpoint endpoint, int status) {
+        rejections++;
+        log.step("rejected", endpoint, "status=" + status);
+        if (rejections < MAX_REJECTIONS && takeRetry()) {
+            sendToNext();
+        } else {
+            giveUp("the service is full");
+        }
+    }
+
+    private boolean takeRetry() {
+        return context.retries(service).retry(context.now());
+    }
+
+    private void failed(Endpoint endpoint, CallFailure failure) {
+        stopTryTimer();
+        if (exchange.ended()) {
+            return;
+        }
+        endpoint.health().failed(context.now());
+        log.callFailed("run", endpoint, failure);
+        if (failure.nothingSent()) {
+            unreached++;
+            if (unreached < MAX_UNREACHED) {
+                sendToNext();
+            } else {
+                giveUp("no endpoint can be reached");
+            }
+            return;
+        }
+        runs++;
+        mayHaveRun = true;
+        unproved(endpoint, "reply lost: " + failure.kind());
+    }
+
+    /** The request may have run, and there is no answer that can be passed on. */
+    private void unproved(Endpoint endpoint, String why) {
+        if (route.mayRepeat() && runs < route.maxAttempts() && takeRetry()) {
+            log.step("retry", endpoint, "why=\"" + why + "\"");
+            sendToNext();
+            return;
+        }
+        over("unknown", HttpResponseStatus.BAD_GATEWAY.code());
+        context.fail(exchange, HttpResponseStatus.BAD_GATEWAY, "the endpoint gave no whole answer");
+    }
+
+    /** No endpoint takes it now: a refusal if it has run nowhere. */
+    private void giveUp(String why) {
+        if (mayHaveRun) {
+            over("unknown", HttpResponseStatus.BAD_GATEWAY.code());
+            context.fail(exchange, HttpResponseStatus.BAD_GATEWAY, why);
+            return;
+        }
+        over("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+        context.refuse(exchange, why, FULL_MILLIS);
+    }
+
+    private void deadlinePassed() {
+        EndpointCall running = call;
+        boolean sent = mayHaveRun || (running != null && running.sent());
+        if (running != null) {
+            running.cancel();
+        }
+        if (sent) {
+            over("timed-out", HttpResponseStatus.GATEWAY_TIMEOUT.code());
+            context.fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT, "no answer in time");
+        } else {
+            giveUp("no endpoint in time");
+        }
+    }
+
+    private void callerGone() {
+        EndpointCall running = call;
+        if (running != null) {
+            running.cancel();
+        }
+        over("caller-gone", 0);
+    }
+
+    private void over(String outcome, int status) {
+        stopTryTimer();
+        Subscription timer = deadlineTimer;
+        if (timer != null) {
+            timer.cancel();
+        }
+        log.ended(outcome, status, runs + rejections);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/package-info.java
@@ -0,0 +1,5 @@
+/** Where requests go: plain calls, generations, retries and refusals. */
+@NullMarked
+package org.quetzalseam.gateway.route;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/runtime/Subscription.java
@@ -0,0 +1,8 @@
+package org.quetzalseam.gateway.runtime;
+
+/** A timed call to come, which can be cancelled; cancelling twice, or too late, is harmless. */
+@FunctionalInterface
+public interface Subscription {
+    /** Makes no further calls. */
+    void cancel();
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/runtime/Timers.java
@@ -0,0 +1,50 @@
+package org.quetzalseam.gateway.runtime;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/** Timed calls on one event loop. A call that throws is logged; one that repeats goes on. */
+public final class Timers {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final EventLoop loop;
+
+    /** Creates timers of an event loop. */
+    public Timers(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    /** Returns the monotonic time in nanoseconds. */
+    public long now() {
+        return System.nanoTime();
+    }
+
+    /** Calls as soon as what the loop is doing now has ended. */
+    public void soon(Runnable call) {
+        loop.execute(guarded(call));
+    }
+
+    /** Calls once, after so many milliseconds. */
+    public Subscription after(long millis, Runnable call) {
+        Future<?> scheduled = loop.schedule(guarded(call), Math.max(0, millis), TimeUnit.MILLISECONDS);
+        return () -> scheduled.cancel(false);
+    }
+
+    /** Calls again and again, with so many milliseconds from one call to the next. */
+    public Subscription every(long millis, Runnable call) {
+        Future<?> scheduled = loop.scheduleWithFixedDelay(guarded(call), millis, millis, TimeUnit.MILLISECONDS);
+        return () -> scheduled.cancel(false);
+    }
+
+    private static Runnable guarded(Runnable call) {
+        return () -> {
+            try {
+                call.run();
+            } catch (RuntimeException e) {
+                logger.atSevere().withCause(e).log("event=timer-call-failed");
+            }
+        };
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -0,0 +1,126 @@
+package org.quetzalseam.gateway.store;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.quetzalseam.gateway.runtime.Timers;
+
+/**
+ * Keeps up with one kind of objects: lists it, then watches it, and lists again when the store has dropped the history. Used
+ * on the event loop only.
+ *
+ * <p>A watch waits briefly, so that one that has gone silent is noticed before a change is overdue.
+ */
+public final class KindWatch {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** How long one watch waits, in milliseconds: changes must be in force within some seconds, a silent watch included. */
+    private static final long WAIT_MILLIS = 2_500;
+    /** First pause after a failure, in milliseconds; it doubles up to the longest. */
+    private static final long FIRST_PAUSE_MILLIS = 100;
+
+    private static final long LONGEST_PAUSE_MILLIS = 800;
+    /** How long after the store's return entries may still be missing that live, in nanoseconds. */
+    private static final long RETURN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+    private final Timers timers;
+    private final ObjectStore store;
+    private final String kind;
+    private final KindListener listener;
+    private final List<StoredObject> pages = new ArrayList<>();
+    private long pauseMillis = FIRST_PAUSE_MILLIS;
+    private boolean away;
+    private boolean everAway;
+    private long returnedAt;
+    private long heardAt = System.nanoTime();
+
+    /** Creates a watch; {@link #start} begins it. */
+    public KindWatch(Timers timers, ObjectStore store, String kind, KindListener listener) {
+        this.timers = timers;
+        this.store = store;
+        this.kind = kind;
+        this.listener = listener;
+    }
+
+    /** Begins to list and watch. */
+    public void start() {
+        timers.soon(this::listAll);
+    }
+
+    /** Returns how old the newest word from the store is, in milliseconds. */
+    public long ageMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAt);
+    }
+
+    private void listAll() {
+        pages.clear();
+        store.list(kind, null, this::page, this::listFailed);
+    }
+
+    private void page(ObjectPage page) {
+        heard();
+        pages.addAll(page.objects());
+        if (page.more() && !page.objects().isEmpty()) {
+            String last = page.objects().get(page.objects().size() - 1).name();
+            store.list(kind, last, this::page, this::listFailed);
+            return;
+        }
+        listener.listed(List.copyOf(pages), justReturned());
+        logger.atInfo().log("event=listed kind=%s objects=%d revision=%d", kind, pages.size(), page.revision());
+        watch(page.revision());
+    }
+
+    private void listFailed(StoreFailure failure) {
+        afterPause(failure, this::listAll);
+    }
+
+    private void watch(long revision) {
+        store.watch(kind, revision, WAIT_MILLIS, this::changes, failure -> watchFailed(revision, failure));
+    }
+
+    private void changes(ObjectChanges changes) {
+        heard();
+        for (ObjectChanges.Change change : changes.changes()) {
+            if (change.deleted()) {
+                listener.deleted(change.object(), justReturned());
+            } else {
+                listener.changed(change.object());
+            }
+        }
+        watch(changes.revision());
+    }
+
+    private void watchFailed(long revision, StoreFailure failure) {
+        if (failure.kind() == StoreFailure.Kind.HISTORY_GONE) {
+            logger.atInfo().log("event=history-gone kind=%s revision=%d", kind, revision);
+            listAll();
+            return;
+        }
+        afterPause(failure, () -> watch(revision));
+    }
+
+    private void afterPause(StoreFailure failure, Runnable next) {
+        if (!away) {
+            away = true;
+            everAway = true;
+            logger.atWarning().log(
+                    "event=store-lost kind=%s failure=%s detail=\"%s\"", kind, failure.kind(), failure.detail());
+        }
+        timers.after(pauseMillis, next);
+        pauseMillis = Math.min(2 * pauseMillis, LONGEST_PAUSE_MILLIS);
+    }
+
+    private void heard() {
+        pauseMillis = FIRST_PAUSE_MILLIS;
+        heardAt = System.nanoTime();
+        if (away) {
+            away = false;
+            returnedAt = heardAt;
+            logger.atInfo().log("event=store-back kind=%s", kind);
+        }
+    }
+
+    private boolean justReturned() {
+        return everAway && System.nanoTime() - returnedAt < RETURN_NANOS;
+    }
+}
