Control calls keep their connections

Cause: a full request was written as a head and followed by a second end of the message, so its write failed and the connection was closed. Ruled out: the engines' idle time-out (10 s), refusals that close.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
@@ -28,7 +29,7 @@
     /** How long an idle connection is used when the endpoint doesn't say how long it keeps it. */
     private static final long UNSTATED_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
     /** Control calls that wait for a connection; past that an engine is treated as unreachable. */
-    private static final int MAX_CONTROL_CONNECTIONS = 4;
+    private static final int MAX_CONTROL_CONNECTIONS = 8;
 
     private final Connector connector;
     private final InetSocketAddress address;
@@ -120,7 +121,10 @@
     public EndpointCall control(FullHttpRequest request, ReplyListener replies) {
         request.headers().set(HttpHeaderNames.HOST, member.address());
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
-        EndpointCall call = new EndpointCall(request, request.content(), null, replies, () -> {});
+        // The connection writes head and body apart; a full request as its head would end the message twice.
+        HttpRequest head =
+                new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers());
+        EndpointCall call = new EndpointCall(head, request.content(), null, replies, () -> {});
         HttpConnection kept = keptConnection(idleControl);
         if (kept != null) {
             call.begin(kept);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
@@ -33,6 +33,9 @@
     /** How long an engine may take to answer, in milliseconds: many round trips, yet a part of the latency objective. */
     private static final long ANSWER_MILLIS = 150;
 
+    /** Bookings asked of one engine at a time: the answer to one tells what another can hope for. */
+    private static final int MAX_ASKED = 2;
+
     private static final int MAX_REPLY_BYTES = 64 * 1024;
 
     private final RunContext context;
@@ -40,6 +43,7 @@
     private final List<Reservation> waiting = new ArrayList<>();
     private final Map<Endpoint, Refusal> refusals = new HashMap<>();
     private final Map<Endpoint, Integer> booked = new HashMap<>();
+    private final Map<Endpoint, Integer> asked = new HashMap<>();
     private boolean looking;
 
     /** An engine's last refusal: when, and of how many tokens. */
@@ -119,12 +123,16 @@
     }
 
     private boolean mayHaveRoom(Endpoint engine, int tokens, long now) {
+        if (asked.getOrDefault(engine, 0) >= MAX_ASKED) {
+            return false;
+        }
         Refusal refusal = refusals.get(engine);
         return refusal == null || now - refusal.at() > ASK_AGAIN_NANOS || tokens < refusal.tokens();
     }
 
     private void ask(Reservation reservation, Endpoint engine) {
         reservation.asking(true);
+        asked.merge(engine, 1, Integer::sum);
         WholeReply reply = new WholeReply(
                 MAX_REPLY_BYTES,
                 (head, body) -> {
@@ -145,7 +153,7 @@
     }
 
     private void answered(Reservation reservation, Endpoint engine, Optional<String> id) {
-        reservation.asking(false);
+        answerEnds(reservation, engine);
         if (id.isEmpty()) {
             refusals.put(engine, new Refusal(context.now(), reservation.tokens()));
             serve();
@@ -160,8 +168,13 @@
         reservation.grant(engine, id.get());
     }
 
-    private void unanswered(Reservation reservation, Endpoint engine, CallFailure failure) {
+    private void answerEnds(Reservation reservation, Endpoint engine) {
         reservation.asking(false);
+        asked.merge(engine, -1, Integer::sum);
+    }
+
+    private void unanswered(Reservation reservation, Endpoint engine, CallFailure failure) {
+        answerEnds(reservation, engine);
         engine.health().failed(context.now());
         refusals.put(engine, new Refusal(context.now(), 0));
         logger.atInfo().log(
