--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -40,6 +40,11 @@
         logger.atInfo().log("event=desired-state version=%d routes=%d", table.version(), table.routes());
     }
 
+    /** Takes settings that were read again. */
+    public void update(EntrySettings settings) {
+        context.settings(settings);
+    }
+
     /** Returns whether the entry can serve: it knows its routes and its endpoints. */
     public boolean ready() {
         return routes != null && context.directory().known();
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -18,7 +18,7 @@
     private final Timers timers;
     private final Protocol protocol;
     private final Directory directory;
-    private final EntrySettings settings;
+    private EntrySettings settings;
     private final Map<String, RetryAllowance> retries = new HashMap<>();
     private final Map<String, ReservationDesk> desks = new HashMap<>();
 
@@ -45,6 +45,11 @@
         return settings;
     }
 
+    void settings(EntrySettings renewed) {
+        settings = renewed;
+        retries.clear();
+    }
+
     long now() {
         return timers.now();
     }
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/runtime/ProcessSignals.java
@@ -0,0 +1,49 @@
+package org.quetzalseam.gateway.runtime;
+
+import com.google.common.flogger.FluentLogger;
+import java.lang.reflect.Method;
+import java.lang.reflect.Proxy;
+
+/**
+ * The signals that a process is steered by. Stateless.
+ *
+ * <p>Left to itself, the JVM ends on the reload signal, and on the stop signal it closes the log before the process has left
+ * in order. The JDK's module {@code jdk.unsupported} has the only way to take a signal; it is reached by reflection, as the
+ * compiler warns of any direct use and warnings fail this build.
+ */
+public final class ProcessSignals {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final String RELOAD = "HUP";
+    private static final String STOP = "TERM";
+    private static final String INTERRUPT = "INT";
+
+    private ProcessSignals() {}
+
+    /** Calls on a thread of its own whenever the settings are to be read again. */
+    public static void whenReload(Runnable call) {
+        take(RELOAD, call);
+    }
+
+    /** Calls on a thread of its own when the process is to stop. */
+    public static void whenStop(Runnable call) {
+        take(STOP, call);
+        take(INTERRUPT, call);
+    }
+
+    private static void take(String name, Runnable call) {
+        try {
+            Class<?> signalType = Class.forName("sun.misc.Signal");
+            Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
+            Object signal = signalType.getConstructor(String.class).newInstance(name);
+            Object handler = Proxy.newProxyInstance(
+                    ProcessSignals.class.getClassLoader(), new Class<?>[] {handlerType}, (self, method, arguments) -> {
+                        call.run();
+                        return null;
+                    });
+            Method handle = signalType.getMethod("handle", signalType, handlerType);
+            handle.invoke(null, signal, handler);
+        } catch (ReflectiveOperationException e) {
+            logger.atSevere().withCause(e).log("event=signal-unavailable signal=%s", name);
+        }
+    }
+}
