Engines are divided between prefill and decode by one entry under a lease in the store

Cause: decode memory binds and prefill engines are mostly idle. The order leaves only in the turn in which the store confirms a renewal, by both clocks.

--- /dev/null
+++ b/core/src/main/java/org/quetzalseam/core/generation/OrderLease.java
@@ -0,0 +1,109 @@
+package org.quetzalseam.core.generation;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What one process knows of a lease that is a record in a shared store: who holds it, and when it may be taken over or used.
+ * Not thread-safe.
+ *
+ * <p>The record's revision rises with each renewal. A process takes a lease over when its revision has stood still for far
+ * longer than a holder lets pass between renewals, by its own monotonic clock; the take-over is conditional on that revision,
+ * so that one process wins. An order is given only right after a renewal, and by a new holder only when any order of the
+ * holder before it is long past.
+ */
+public final class OrderLease {
+    /** Renewals that may be missed before the lease is taken over. */
+    private static final int MISSED_RENEWALS = 3;
+    /** How long after the start of a renewal an order may leave: well within the shortest lease. */
+    private static final long ORDER_WITHIN_MILLIS = 1_000;
+
+    private final String self;
+    private final long renewMillis;
+    private final long quietMillis;
+    private String holder = "";
+    private long epoch;
+    private long revision = -1;
+    private long seenAt;
+    private long ordersFrom;
+    private long renewedSteady;
+    private long renewedWall;
+    private boolean renewed;
+
+    /**
+     * Creates a view of a lease that has not been read yet.
+     *
+     * @param self this process's name
+     * @param renewMillis how often a holder renews it
+     * @param quietMillis how long a new holder waits before its first order
+     */
+    public OrderLease(String self, long renewMillis, long quietMillis) {
+        this.self = self;
+        this.renewMillis = renewMillis;
+        this.quietMillis = quietMillis;
+    }
+
+    /** Notes the record as read or written. */
+    public void seen(String recordHolder, long recordEpoch, long recordRevision, long now) {
+        if (recordRevision <= revision) {
+            return;
+        }
+        holder = recordHolder;
+        epoch = recordEpoch;
+        revision = recordRevision;
+        seenAt = now;
+    }
+
+    /** Returns whether the record has been read, or written, since the start. */
+    public boolean known() {
+        return revision >= 0;
+    }
+
+    /** Returns the record's newest revision. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Returns the number of the present holding; it rises with each take-over. */
+    public long epoch() {
+        return epoch;
+    }
+
+    /** Returns whether this process holds the lease, as far as it knows. */
+    public boolean held() {
+        return known() && holder.equals(self);
+    }
+
+    /** Returns whether the holder has been silent for so long that the lease may be taken over. */
+    public boolean lapsed(long now) {
+        long silent = TimeUnit.NANOSECONDS.toMillis(now - seenAt);
+        return known() && !held() && silent > MISSED_RENEWALS * renewMillis;
+    }
+
+    /** Notes that this process has taken the lease; {@code after} tells whether another one held it before. */
+    public void taken(boolean after, long now) {
+        ordersFrom = after ? now + TimeUnit.MILLISECONDS.toNanos(quietMillis) : now;
+    }
+
+    /**
+     * Notes a renewal that the store has confirmed.
+     *
+     * @param sentSteady monotonic time in nanoseconds at which it was sent
+     * @param sentWall time of day in milliseconds at which it was sent
+     */
+    public void renewed(long sentSteady, long sentWall) {
+        renewed = true;
+        renewedSteady = sentSteady;
+        renewedWall = sentWall;
+    }
+
+    /**
+     * Returns whether an order may leave now. Both clocks have to agree that the renewal is recent: the monotonic one doesn't
+     * count the time for which a machine was suspended, and the time of day may jump.
+     */
+    public boolean mayOrder(long steady, long wall) {
+        long sinceSteady = TimeUnit.NANOSECONDS.toMillis(steady - renewedSteady);
+        long sinceWall = wall - renewedWall;
+        boolean recent = sinceSteady <= ORDER_WITHIN_MILLIS && Math.abs(sinceWall) <= ORDER_WITHIN_MILLIS;
+        return held() && renewed && recent && steady - ordersFrom >= 0;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalseam/core/generation/StageSplit.java
@@ -0,0 +1,142 @@
+package org.quetzalseam.core.generation;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.quetzalseam.core.fleet.Stage;
+
+/**
+ * Decides how many of a service's engines read prompts and how many decode. Not thread-safe.
+ *
+ * <p>Before any load has been seen it follows the share that the operators assume. Then it follows the load: a prefill engine
+ * that the others can do without goes to decoding when decode memory is short, and back when prompts wait while decode memory
+ * is free. A change takes an engine out for seconds, so a decision needs a window of samples and a clear case.
+ */
+public final class StageSplit {
+    /** Weight of the newest sample: with a sample a second, about the last six seconds count. */
+    private static final double NEWEST = 0.25;
+    /** Samples after a change, or at first, before load decides: until the averages have taken hold. */
+    private static final int SETTLE_SAMPLES = 8;
+    /** Samples for which the engines must have been the same before the assumption is followed: at a start they come one by one. */
+    private static final int SAME_SAMPLES = 3;
+    /** Share of the time that prefill engines may be busy after one of them has left: room for bursts of twice the mean. */
+    private static final double SPARE_PREFILL_BUSY = 0.5;
+    /** Use of decode memory from which another decode engine is wanted. */
+    private static final double SHORT_FILL = 0.6;
+    /** Share of the time that prefill engines are busy from which another one is wanted. */
+    private static final double SHORT_PREFILL_BUSY = 0.85;
+    /** Use of decode memory, after one engine has left, up to which one can be spared. */
+    private static final double SPARE_FILL = 0.55;
+
+    private final double assumedPrefillShare;
+    private double busy;
+    private double fill;
+    private int samples;
+    private boolean loadSeen;
+    private Set<String> known = Set.of();
+    private int unchanged;
+
+    /**
+     * An engine's change of stage. Immutable.
+     *
+     * @param engine the engine's id
+     * @param stage its new stage
+     * @param reason the figures that decided it, for the log
+     */
+    public record Change(String engine, Stage stage, String reason) {}
+
+    /** Creates a decision that starts from the assumed share of prefill engines, between 0 and 1. */
+    public StageSplit(double assumedPrefillShare) {
+        if (!(assumedPrefillShare > 0 && assumedPrefillShare < 1)) {
+            throw new IllegalArgumentException("prefill share: expected 0 to 1, got " + assumedPrefillShare);
+        }
+        this.assumedPrefillShare = assumedPrefillShare;
+    }
+
+    /** Notes which engines there are; while their number grows or shrinks no assumption is followed. */
+    private void noteEngines(List<EngineSample> engines) {
+        Set<String> present = engines.stream().map(EngineSample::id).collect(Collectors.toSet());
+        unchanged = present.equals(known) ? unchanged + 1 : 0;
+        known = present;
+    }
+
+    /** Takes the load of all engines at a moment, about once a second. */
+    public void observe(List<EngineSample> engines) {
+        noteEngines(engines);
+        double busyNow = count(engines, Stage.PREFILL, true);
+        double fillNow = engines.stream()
+                .filter(engine -> engine.stage() == Stage.DECODE)
+                .mapToDouble(EngineSample::fill)
+                .average()
+                .orElse(0);
+        loadSeen |= engines.stream().anyMatch(engine -> engine.running() > 0);
+        if (!loadSeen) {
+            return;
+        }
+        busy += (samples == 0 ? 1 : NEWEST) * (busyNow - busy);
+        fill += (samples == 0 ? 1 : NEWEST) * (fillNow - fill);
+        samples++;
+    }
+
+    private static double count(List<EngineSample> engines, Stage stage, boolean onlyBusy) {
+        return engines.stream()
+                .filter(engine -> engine.stage() == stage)
+                .filter(engine -> !onlyBusy || engine.running() + engine.queued() > 0)
+                .count();
+    }
+
+    /** Notes that an engine's stage has been changed: what was seen before counts no more. */
+    public void changed() {
+        samples = 0;
+    }
+
+    /** Returns the change that is called for, if any. */
+    public Optional<Change> decide(List<EngineSample> engines) {
+        int prefill = (int) count(engines, Stage.PREFILL, false);
+        int decode = (int) count(engines, Stage.DECODE, false);
+        if (prefill + decode < 2) {
+            return Optional.empty();
+        }
+        return loadSeen ? byLoad(engines, prefill, decode) : byAssumption(engines, prefill, decode);
+    }
+
+    private Optional<Change> byAssumption(List<EngineSample> engines, int prefill, int decode) {
+        if (unchanged < SAME_SAMPLES) {
+            return Optional.empty();
+        }
+        int all = prefill + decode;
+        int wanted = (int) Math.max(1, Math.min(all - 1, Math.round(all * assumedPrefillShare)));
+        String reason = "assumed=" + wanted + " prefill=" + prefill + " decode=" + decode;
+        if (prefill > wanted) {
+            return change(engines, Stage.PREFILL, Stage.DECODE, reason);
+        }
+        return prefill < wanted ? change(engines, Stage.DECODE, Stage.PREFILL, reason) : Optional.empty();
+    }
+
+    private Optional<Change> byLoad(List<EngineSample> engines, int prefill, int decode) {
+        if (samples < SETTLE_SAMPLES) {
+            return Optional.empty();
+        }
+        String reason = String.format("busy=%.2f fill=%.2f prefill=%d decode=%d", busy, fill, prefill, decode);
+        if (prefill > 1 && fill > SHORT_FILL && busy / (prefill - 1) < SPARE_PREFILL_BUSY) {
+            return change(engines, Stage.PREFILL, Stage.DECODE, reason);
+        }
+        boolean decodeSpare = decode > 1 && fill * decode / (decode - 1) < SPARE_FILL;
+        if (decodeSpare && (prefill == 0 || busy / prefill > SHORT_PREFILL_BUSY)) {
+            return change(engines, Stage.DECODE, Stage.PREFILL, reason);
+        }
+        return Optional.empty();
+    }
+
+    /** The engine with the least to do changes; among equals the one with the least id, so that all would choose alike. */
+    private static Optional<Change> change(List<EngineSample> engines, Stage from, Stage to, String reason) {
+        return engines.stream()
+                .filter(engine -> engine.stage() == from)
+                .min(Comparator.comparingInt(EngineSample::running)
+                        .thenComparingDouble(EngineSample::fill)
+                        .thenComparing(EngineSample::id))
+                .map(engine -> new Change(engine.id(), to, reason));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
@@ -0,0 +1,167 @@
+package org.quetzalseam.gateway.stage;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.core.generation.EngineSample;
+import org.quetzalseam.core.generation.StageSplit;
+import org.quetzalseam.gateway.endpoint.Directory;
+import org.quetzalseam.gateway.endpoint.Endpoint;
+import org.quetzalseam.gateway.http.CallFailure;
+import org.quetzalseam.gateway.http.WholeReply;
+import org.quetzalseam.gateway.protocol.EngineLoad;
+import org.quetzalseam.gateway.protocol.Protocol;
+import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.ObjectStore;
+
+/**
+ * Keeps one service's engines divided between stages, while this entry holds the lease. Used on the event loop only.
+ *
+ * <p>If nobody can hold the lease, engines stay as they are and everything else goes on.
+ */
+final class StageKeeper {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** How often the holder asks engines for their load, in milliseconds: their reports are about that old themselves. */
+    private static final long SAMPLE_MILLIS = 1_000;
+    /**
+     * How long after an order no other is given, in milliseconds: longer than an order may be carried out late, and than an
+     * engine takes to change.
+     */
+    private static final long ORDER_REST_MILLIS = 14_000;
+
+    private static final int MAX_REPLY_BYTES = 64 * 1024;
+    private static final int ACCEPTED = 202;
+
+    private final Timers timers;
+    private final Directory directory;
+    private final Protocol protocol;
+    private final String service;
+    private final String self;
+    private final StageLease lease;
+    private final StageSplit split;
+    private final Map<String, EngineLoad> loads = new HashMap<>();
+    private long restUntil;
+    private int unanswered;
+
+    StageKeeper(
+            Timers timers,
+            Directory directory,
+            Protocol protocol,
+            ObjectStore store,
+            String service,
+            String self,
+            double assumedPrefillShare) {
+        this.timers = timers;
+        this.directory = directory;
+        this.protocol = protocol;
+        this.service = service;
+        this.self = self;
+        this.lease = new StageLease(timers, store, service, self);
+        this.split = new StageSplit(assumedPrefillShare);
+    }
+
+    void start() {
+        lease.keep();
+        timers.every(StageLease.RENEW_MILLIS, lease::keep);
+        timers.every(SAMPLE_MILLIS, this::sample);
+    }
+
+    private void sample() {
+        if (!lease.held() || unanswered > 0) {
+            return;
+        }
+        loads.clear();
+        List<Endpoint> engines = engines();
+        unanswered = engines.size();
+        for (Endpoint engine : engines) {
+            engine.control(
+                    protocol.load(),
+                    new WholeReply(
+                            MAX_REPLY_BYTES,
+                            (head, body) -> {
+                                String text = WholeReply.text(body);
+                                body.release();
+                                protocol.load(text)
+                                        .ifPresent(load ->
+                                                loads.put(engine.member().id(), load));
+                                sampled();
+                            },
+                            failure -> sampled()));
+        }
+    }
+
+    private List<Endpoint> engines() {
+        List<Endpoint> engines = new ArrayList<>(directory.usable(service, Stage.PREFILL));
+        engines.addAll(directory.usable(service, Stage.DECODE));
+        return engines;
+    }
+
+    private void sampled() {
+        unanswered--;
+        if (unanswered > 0) {
+            return;
+        }
+        List<EngineSample> samples = new ArrayList<>();
+        for (Endpoint engine : engines()) {
+            EngineLoad load = loads.get(engine.member().id());
+            if (load != null && !load.changing()) {
+                double fill = load.memoryTotal() == 0 ? 0 : (double) load.memoryUsed() / load.memoryTotal();
+                samples.add(new EngineSample(
+                        engine.member().id(), engine.member().stage(), load.running(), load.queued(), fill));
+            }
+        }
+        split.observe(samples);
+        if (timers.now() - restUntil >= 0) {
+            split.decide(samples).ifPresent(this::prepare);
+        }
+    }
+
+    /** Renews the lease first: the order leaves in the same turn in which the store confirms it, or not at all. */
+    private void prepare(StageSplit.Change change) {
+        lease.renew(() -> order(change));
+    }
+
+    private void order(StageSplit.Change change) {
+        Optional<Endpoint> engine = engines().stream()
+                .filter(candidate -> candidate.member().id().equals(change.engine()))
+                .findFirst();
+        EngineLoad load = loads.get(change.engine());
+        if (engine.isEmpty() || load == null || !lease.mayOrder()) {
+            return;
+        }
+        restUntil = timers.now() + ORDER_REST_MILLIS * 1_000_000;
+        split.changed();
+        logger.atInfo().log(
+                "event=stage-order service=%s endpoint=%s stage=%s epoch=%d %s",
+                service, change.engine(), change.stage(), lease.epoch(), change.reason());
+        FullHttpRequest order =
+                protocol.changeStage(change.stage(), self, lease.epoch(), load.orders(), change.engine());
+        engine.get()
+                .control(
+                        order,
+                        new WholeReply(
+                                MAX_REPLY_BYTES,
+                                (head, body) -> {
+                                    body.release();
+                                    answered(change, head.status().code());
+                                },
+                                failure -> unanswered(change, failure)));
+    }
+
+    private void answered(StageSplit.Change change, int status) {
+        logger.atInfo().log(
+                "event=stage-order-answered service=%s endpoint=%s accepted=%s status=%d",
+                service, change.engine(), status == ACCEPTED, status);
+    }
+
+    private void unanswered(StageSplit.Change change, CallFailure failure) {
+        logger.atInfo().log(
+                "event=stage-order-unanswered service=%s endpoint=%s kind=%s",
+                service, change.engine(), failure.kind());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeepers.java
@@ -0,0 +1,50 @@
+package org.quetzalseam.gateway.stage;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.quetzalseam.gateway.endpoint.Directory;
+import org.quetzalseam.gateway.protocol.Protocol;
+import org.quetzalseam.gateway.route.EntrySettings;
+import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.ObjectStore;
+
+/** A keeper for each service whose engines have stages. Used on the event loop only. */
+public final class StageKeepers {
+    /** How often services are looked for, in milliseconds. */
+    private static final long LOOK_MILLIS = 500;
+
+    private final Timers timers;
+    private final Directory directory;
+    private final Protocol protocol;
+    private final ObjectStore store;
+    private final EntrySettings settings;
+    private final Map<String, StageKeeper> keepers = new HashMap<>();
+
+    /** Creates keepers; {@link #start} begins to look for services. */
+    public StageKeepers(
+            Timers timers, Directory directory, Protocol protocol, ObjectStore store, EntrySettings settings) {
+        this.timers = timers;
+        this.directory = directory;
+        this.protocol = protocol;
+        this.store = store;
+        this.settings = settings;
+    }
+
+    /** Begins to look for services with stages. */
+    public void start() {
+        timers.every(LOOK_MILLIS, this::look);
+    }
+
+    private void look() {
+        for (String service : directory.stagedServices()) {
+            keepers.computeIfAbsent(service, this::begin);
+        }
+    }
+
+    private StageKeeper begin(String service) {
+        StageKeeper keeper =
+                new StageKeeper(timers, directory, protocol, store, service, settings.name(), settings.prefillShare());
+        keeper.start();
+        return keeper;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
@@ -0,0 +1,149 @@
+package org.quetzalseam.gateway.stage;
+
+import com.google.common.flogger.FluentLogger;
+import org.quetzalseam.core.generation.OrderLease;
+import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.ObjectStore;
+import org.quetzalseam.gateway.store.StoreFailure;
+import org.quetzalseam.gateway.store.StoredObject;
+
+/** The lease, in the platform's store, on ordering one service's engines between stages. Used on the event loop only. */
+final class StageLease {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Kind of the lease's record in the store. */
+    private static final String KIND = "quetzalseam-leases";
+    /** How often a holder renews and others look, in milliseconds: a take-over within some seconds at few calls. */
+    static final long RENEW_MILLIS = 4_000;
+    /**
+     * How long a new holder waits before its first order, in milliseconds: longer than the longest lease that engines are
+     * known to assume, and than an order may be on its way.
+     */
+    private static final long QUIET_MILLIS = 5_000;
+
+    private final Timers timers;
+    private final ObjectStore store;
+    private final String service;
+    private final String self;
+    private final OrderLease lease;
+    private LeaseRecord record = new LeaseRecord("", 0, 0);
+    private boolean calling;
+
+    StageLease(Timers timers, ObjectStore store, String service, String self) {
+        this.timers = timers;
+        this.store = store;
+        this.service = service;
+        this.self = self;
+        this.lease = new OrderLease(self, RENEW_MILLIS, QUIET_MILLIS);
+    }
+
+    boolean held() {
+        return lease.held();
+    }
+
+    long epoch() {
+        return lease.epoch();
+    }
+
+    boolean mayOrder() {
+        return lease.mayOrder(timers.now(), System.currentTimeMillis());
+    }
+
+    /** Renews, looks at or takes over the lease, whichever is due. */
+    void keep() {
+        if (calling) {
+            return;
+        }
+        if (!lease.known()) {
+            read();
+        } else if (lease.held()) {
+            renew(() -> {});
+        } else if (lease.lapsed(timers.now())) {
+            takeOver();
+        } else {
+            read();
+        }
+    }
+
+    private void read() {
+        calling = true;
+        store.read(KIND, service, this::taken, this::readFailed);
+    }
+
+    private void readFailed(StoreFailure failure) {
+        calling = false;
+        if (failure.kind() == StoreFailure.Kind.NOT_FOUND && !lease.known()) {
+            create();
+        }
+    }
+
+    private void create() {
+        calling = true;
+        LeaseRecord first = new LeaseRecord(self, 1, 0);
+        store.create(
+                KIND,
+                service,
+                first.json(),
+                object -> {
+                    taken(object);
+                    lease.taken(false, timers.now());
+                    logger.atInfo().log("event=lease-taken service=%s epoch=1 before=nobody", service);
+                },
+                failure -> calling = false);
+    }
+
+    /** Renews the lease, and calls once the store has confirmed it. */
+    void renew(Runnable confirmed) {
+        if (calling) {
+            return;
+        }
+        calling = true;
+        long steady = timers.now();
+        long wall = System.currentTimeMillis();
+        store.replace(
+                KIND,
+                service,
+                lease.revision(),
+                record.renewed().json(),
+                object -> {
+                    taken(object);
+                    lease.renewed(steady, wall);
+                    confirmed.run();
+                },
+                this::writeFailed);
+    }
+
+    private void takeOver() {
+        calling = true;
+        String before = record.holder();
+        LeaseRecord mine = new LeaseRecord(self, record.epoch() + 1, 0);
+        store.replace(
+                KIND,
+                service,
+                lease.revision(),
+                mine.json(),
+                object -> {
+                    taken(object);
+                    lease.taken(true, timers.now());
+                    logger.atInfo().log(
+                            "event=lease-taken service=%s epoch=%d before=%s", service, mine.epoch(), before);
+                },
+                this::writeFailed);
+    }
+
+    private void taken(StoredObject object) {
+        calling = false;
+        boolean heldBefore = lease.held();
+        record = LeaseRecord.of(object.spec());
+        lease.seen(record.holder(), record.epoch(), object.revision(), timers.now());
+        if (heldBefore && !lease.held()) {
+            logger.atInfo().log("event=lease-lost service=%s to=%s epoch=%d", service, record.holder(), record.epoch());
+        }
+    }
+
+    /** The write may have had its effect all the same: what stands in the store is read before anything else. */
+    private void writeFailed(StoreFailure failure) {
+        logger.atInfo().log(
+                "event=lease-write-failed service=%s kind=%s detail=\"%s\"", service, failure.kind(), failure.detail());
+        read();
+    }
+}
