Memory is booked by lengths that were seen, not by the caller's estimate alone

Also: refused callers are told to come back after a generation's time, and the late ask for memory seldom.

--- /dev/null
+++ b/core/src/main/java/org/quetzalseam/core/generation/OutputLengthModel.java
@@ -0,0 +1,70 @@
+package org.quetzalseam.core.generation;
+
+/**
+ * Learns how long generations really get for a caller's estimate. Not thread-safe.
+ *
+ * <p>The logarithm of the length is taken to depend linearly on that of the estimate, with a normal error: a straight line,
+ * fitted by least squares over the lengths seen, older ones fading. An estimate far from the usual is mostly an estimate that
+ * is far off, so the line is flatter than the identity, and the error about it is smaller than that of the estimate itself.
+ * Lengths may be counted in any unit, such as events: the estimates are right in the median, which gives the tokens in a unit.
+ */
+public final class OutputLengthModel {
+    /** Weight that the past keeps with each new length: about the last two hundred count. */
+    private static final double KEPT = 0.995;
+    /** Lengths that the assumptions below weigh as much as. */
+    private static final double ASSUMED_WEIGHT = 12;
+    /** Assumed slope of the line: an estimate that is twice as long is taken for half an octave, a usual regression. */
+    private static final double ASSUMED_SLOPE = 0.6;
+    /** Assumed spread of the estimates, as the variance of their logarithm: a factor of about 1.65 either way. */
+    private static final double ASSUMED_VARIANCE = 0.25;
+    /** Assumed error about the line, as the variance of the length's logarithm: a factor of about 1.5 either way. */
+    private static final double ASSUMED_ERROR = 0.16;
+
+    private double weight;
+    private double meanEstimate;
+    private double meanLength;
+    private double estimateSquares;
+    private double lengthSquares;
+    private double products;
+
+    /** Notes a generation that ended as it should: the caller's estimate, and its length in any unit, both above 0. */
+    public void ended(double estimate, double length) {
+        if (!(estimate > 0) || !(length > 0)) {
+            return;
+        }
+        double x = Math.log(estimate);
+        double y = Math.log(length);
+        weight = weight * KEPT + 1;
+        double dx = x - meanEstimate;
+        double dy = y - meanLength;
+        meanEstimate += dx / weight;
+        meanLength += dy / weight;
+        estimateSquares = estimateSquares * KEPT + dx * (x - meanEstimate);
+        lengthSquares = lengthSquares * KEPT + dy * (y - meanLength);
+        products = products * KEPT + dx * (y - meanLength);
+    }
+
+    /**
+     * Returns the output tokens that a generation stays below, with a chance given in standard deviations.
+     *
+     * @param estimate the caller's estimate, in tokens
+     * @param deviations how many standard deviations above the median: 0 for one in two, 1.28 for nine in ten
+     */
+    public double tokens(double estimate, double deviations) {
+        double x = Math.log(Math.max(1, estimate));
+        double usual = weight == 0 ? x : meanEstimate;
+        return Math.exp(usual + slope() * (x - usual) + deviations * Math.sqrt(error()));
+    }
+
+    private double slope() {
+        double assumed = ASSUMED_WEIGHT * ASSUMED_VARIANCE;
+        return (products + ASSUMED_SLOPE * assumed) / (estimateSquares + assumed);
+    }
+
+    /** The variance about the line, the assumption weighed in. */
+    private double error() {
+        double slope = slope();
+        double residue = lengthSquares - 2 * slope * products + slope * slope * estimateSquares;
+        return (Math.max(0, residue) + ASSUMED_WEIGHT * ASSUMED_ERROR) / (weight + ASSUMED_WEIGHT);
+    }
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/EntrySettings.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/EntrySettings.java
@@ -8,7 +8,7 @@
  * @param retryRatio retries for each request that all entries together may make at a service
  * @param retrySlack retries in a window that all entries together may make besides
  * @param retryWindowMillis the window over which retries are counted
- * @param outputFactor booked output tokens for each token of a caller's estimate
+ * @param bookedDeviations standard deviations above a generation's median length that are booked
  * @param prefillShare share of a service's engines that read prompts, assumed until load has been seen
  */
 public record EntrySettings(
@@ -17,5 +17,5 @@
         double retryRatio,
         double retrySlack,
         long retryWindowMillis,
-        double outputFactor,
+        double bookedDeviations,
         double prefillShare) {}
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.fleet.Stage;
-import org.quetzalseam.core.generation.MemoryBooking;
 import org.quetzalseam.core.generation.TokenDemand;
 import org.quetzalseam.core.routing.RouteRule;
 import org.quetzalseam.gateway.caller.Exchange;
@@ -24,20 +23,12 @@
  * engine, and its events are passed on as they come. Used on the event loop only.
  */
 final class GenerationRun {
-    /** Tokens by which engines hand out memory. */
-    private static final int BLOCK_TOKENS = 16;
     /** Time from a booking to the first event, in milliseconds, that a wait for memory must leave within the objective. */
     private static final long READING_MILLIS = 250;
     /** How long a caller who is late already may wait for memory, in milliseconds. */
     private static final long LATE_WAIT_MILLIS = 1_000;
-    /** When to come back to a full service, in milliseconds: about half of a typical generation. */
-    private static final long FULL_MILLIS = 1_500;
     /** Turns from booking to decoding for one request before it is given up. */
     private static final int MAX_TURNS = 3;
-    /** Ranks of those who wait for memory: in time before late. */
-    private static final int RANK_IN_TIME = 0;
-
-    private static final int RANK_LATE = 1;
 
     private final RunContext context;
     private final Exchange exchange;
@@ -87,14 +78,14 @@
     }
 
     private void bookMemory(TokenDemand demand) {
-        int tokens = new MemoryBooking(context.settings().outputFactor(), BLOCK_TOKENS).tokens(demand);
-        long inTime = route.targetMillis() - READING_MILLIS - exchange.ageMillis();
-        boolean late = inTime <= 0;
-        long wait = Math.min(late ? LATE_WAIT_MILLIS : inTime, forwarded.leftMillis());
+        int tokens = desk.booking().tokens(demand);
+        long now = context.now();
+        long inTime = route.targetMillis() - READING_MILLIS - exchange.ageMillis() - spentBefore();
+        long wait = Math.min(inTime > 0 ? inTime : LATE_WAIT_MILLIS, forwarded.leftMillis());
         Reservation wanted = new Reservation(
                 tokens,
-                late ? RANK_LATE : RANK_IN_TIME,
-                context.now() + TimeUnit.MILLISECONDS.toNanos(wait),
+                now + TimeUnit.MILLISECONDS.toNanos(inTime),
+                now + TimeUnit.MILLISECONDS.toNanos(wait),
                 new Reservation.Outcome() {
                     @Override
                     public void granted(Endpoint engine, String id) {
@@ -110,6 +101,11 @@
         desk.enter(wanted);
     }
 
+    /** Returns how long the caller has waited in earlier tries, as far as the patience it has left shows, in milliseconds. */
+    private long spentBefore() {
+        return context.patience(route.name()).spent(exchange.facts().patienceMillis());
+    }
+
     /** A stream that says nothing of its size goes to the engine with the least work of this entry. */
     private void decodeUnbooked() {
         Optional<Endpoint> chosen = leastUsed(Stage.DECODE).or(() -> leastUsed(Stage.WHOLE));
@@ -222,6 +218,7 @@
             }
             runs++;
             engine.health().succeeded(context.now(), engine.health().millis());
+            desk.ended(exchange.ageMillis(), exchange.facts(), events.events());
             over("answered", HttpResponseStatus.OK.code());
             exchange.end();
         }
@@ -316,7 +313,7 @@
             return;
         }
         over("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code());
-        context.refuse(exchange, why, FULL_MILLIS);
+        context.refuse(exchange, why, desk.comeBackMillis());
     }
 
     private void callerReads() {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/Reservation.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/Reservation.java
@@ -15,7 +15,7 @@
     }
 
     private final int tokens;
-    private final int rank;
+    private final long inTimeUntil;
     private final long until;
     private final Outcome outcome;
     private boolean asking;
@@ -25,13 +25,13 @@
      * Creates a wait.
      *
      * @param tokens the memory to book
-     * @param rank order among those who wait: lower goes first
+     * @param inTimeUntil monotonic time in nanoseconds up to which a place still meets the latency objective
      * @param until monotonic time in nanoseconds at which to stop waiting
      * @param outcome takes the outcome
      */
-    Reservation(int tokens, int rank, long until, Outcome outcome) {
+    Reservation(int tokens, long inTimeUntil, long until, Outcome outcome) {
         this.tokens = tokens;
-        this.rank = rank;
+        this.inTimeUntil = inTimeUntil;
         this.until = until;
         this.outcome = outcome;
     }
@@ -40,8 +40,8 @@
         return tokens;
     }
 
-    int rank() {
-        return rank;
+    boolean late(long now) {
+        return now - inTimeUntil > 0;
     }
 
     long until() {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
@@ -10,22 +10,30 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.core.generation.MemoryBooking;
+import org.quetzalseam.core.generation.TokenDemand;
 import org.quetzalseam.gateway.endpoint.Endpoint;
 import org.quetzalseam.gateway.endpoint.EndpointCall;
 import org.quetzalseam.gateway.http.CallFailure;
 import org.quetzalseam.gateway.http.WholeReply;
+import org.quetzalseam.gateway.protocol.RequestFacts;
 
 /**
  * Books decode memory at a service's engines for the generations of this entry. Used on the event loop only.
  *
  * <p>The engines' own bookings are what all entries agree on, without a message between them: an engine that is full says
- * so. Those who find no room wait here and ask again, in order of rank and arrival; a smaller one may pass a larger one
- * that doesn't fit anywhere.
+ * so. Those who find no room wait here and ask again, in order of arrival, those who can still be in time first; a smaller one
+ * may pass a larger one that doesn't fit anywhere.
  */
 final class ReservationDesk {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** How long an engine that refused isn't asked again for as much, in nanoseconds: a few engine steps. */
     private static final long ASK_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+    /**
+     * The same for those who are late already, in nanoseconds: so much longer that a place that gets free is nearly always
+     * found first by someone, at this entry or another, whose answer can still be in time.
+     */
+    private static final long ASK_AGAIN_LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
     /** How often those who wait are looked at, in milliseconds. */
     private static final long LOOK_MILLIS = 20;
     /** How long a booking holds before its request arrives, in milliseconds: several times a prompt's reading. */
@@ -36,6 +44,16 @@
     /** Bookings asked of one engine at a time: the answer to one tells what another can hope for. */
     private static final int MAX_ASKED = 2;
 
+    /** Weight of the newest generation in the typical time: about the last twenty count. */
+    private static final double NEWEST = 0.05;
+    /** Time of a generation before the first one has ended, in milliseconds; fades within some twenty generations. */
+    private static final double FIRST_MILLIS = 3_000;
+    /** Part of the time to come back by which it is spread either way. */
+    private static final double SPREAD = 0.25;
+
+    /** Tokens by which engines hand out memory. */
+    private static final int BLOCK_TOKENS = 16;
+
     private static final int MAX_REPLY_BYTES = 64 * 1024;
 
     private final RunContext context;
@@ -44,7 +62,9 @@
     private final Map<Endpoint, Refusal> refusals = new HashMap<>();
     private final Map<Endpoint, Integer> booked = new HashMap<>();
     private final Map<Endpoint, Integer> asked = new HashMap<>();
+    private final MemoryBooking booking;
     private boolean looking;
+    private double typicalMillis = FIRST_MILLIS;
 
     /** An engine's last refusal: when, and of how many tokens. */
     private record Refusal(long at, int tokens) {}
@@ -52,12 +72,12 @@
     ReservationDesk(RunContext context, String service) {
         this.context = context;
         this.service = service;
+        this.booking = new MemoryBooking(context.settings().bookedDeviations(), BLOCK_TOKENS);
     }
 
     /** Takes a generation in; its outcome follows, never before this call returns. */
     void enter(Reservation reservation) {
         waiting.add(reservation);
-        waiting.sort(Comparator.comparingInt(Reservation::rank));
         context.timers().soon(this::serve);
     }
 
@@ -67,9 +87,27 @@
         waiting.remove(reservation);
     }
 
-    /** Returns how many wait. */
-    int waiting() {
-        return waiting.size();
+    /** Returns how much memory is booked for a generation. */
+    MemoryBooking booking() {
+        return booking;
+    }
+
+    /** Notes how long a generation took from its arrival to its end, and how many events it made. */
+    void ended(long millis, RequestFacts facts, long events) {
+        TokenDemand demand = facts.demand();
+        if (demand != null && facts.resumesAfter() == null) {
+            booking.ended(demand, (double) events);
+        }
+        typicalMillis += NEWEST * (millis - typicalMillis);
+    }
+
+    /**
+     * Returns when a refused caller finds room, in milliseconds: all that fills the engines now has ended after about the
+     * time of a generation. Spread, so that those who were refused together don't come back together.
+     */
+    long comeBackMillis() {
+        double spread = 1 - SPREAD + 2 * SPREAD * ThreadLocalRandom.current().nextDouble();
+        return Math.round(typicalMillis * spread);
     }
 
     /** Notes that a booking's generation has ended: its engine has room. */
@@ -83,7 +121,9 @@
 
     private void serve() {
         long now = context.now();
-        for (Reservation reservation : List.copyOf(waiting)) {
+        List<Reservation> order = new ArrayList<>(waiting);
+        order.sort(Comparator.comparing(reservation -> reservation.late(now)));
+        for (Reservation reservation : order) {
             if (reservation.over()) {
                 waiting.remove(reservation);
             } else if (now - reservation.until() >= 0 && !reservation.asking()) {
@@ -114,7 +154,7 @@
             return;
         }
         Optional<Endpoint> engine = engines.stream()
-                .filter(candidate -> mayHaveRoom(candidate, reservation.tokens(), now))
+                .filter(candidate -> mayHaveRoom(candidate, reservation, now))
                 .min(Comparator.<Endpoint, Boolean>comparing(
                                 candidate -> candidate.health().suspect(now))
                         .thenComparingInt(candidate -> booked.getOrDefault(candidate, 0))
@@ -122,12 +162,13 @@
         engine.ifPresent(chosen -> ask(reservation, chosen));
     }
 
-    private boolean mayHaveRoom(Endpoint engine, int tokens, long now) {
+    private boolean mayHaveRoom(Endpoint engine, Reservation reservation, long now) {
         if (asked.getOrDefault(engine, 0) >= MAX_ASKED) {
             return false;
         }
         Refusal refusal = refusals.get(engine);
-        return refusal == null || now - refusal.at() > ASK_AGAIN_NANOS || tokens < refusal.tokens();
+        long pause = reservation.late(now) ? ASK_AGAIN_LATE_NANOS : ASK_AGAIN_NANOS;
+        return refusal == null || now - refusal.at() > pause || reservation.tokens() < refusal.tokens();
     }
 
     private void ask(Reservation reservation, Endpoint engine) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.quetzalseam.core.limits.CallerPatience;
 import org.quetzalseam.core.limits.RetryAllowance;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Directory;
@@ -20,6 +21,7 @@
     private final Directory directory;
     private EntrySettings settings;
     private final Map<String, RetryAllowance> retries = new HashMap<>();
+    private final Map<String, CallerPatience> patience = new HashMap<>();
     private final Map<String, ReservationDesk> desks = new HashMap<>();
 
     RunContext(Timers timers, Protocol protocol, Directory directory, EntrySettings settings) {
@@ -67,6 +69,10 @@
                         TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMillis())));
     }
 
+    CallerPatience patience(String route) {
+        return patience.computeIfAbsent(route, name -> new CallerPatience());
+    }
+
     ReservationDesk desk(String service) {
         return desks.computeIfAbsent(service, name -> new ReservationDesk(this, name));
     }
