--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -3,6 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
@@ -20,8 +22,13 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** When to come back to an entry that doesn't know its routes yet: about its time to start, in milliseconds. */
     private static final long STARTING_MILLIS = 500;
+    /** How long a request may wait for the routes of an entry that has just started: several answers of the store. */
+    private static final long START_WAIT_MILLIS = 800;
+    /** Requests that may wait for the routes. */
+    private static final int MAX_EARLY = 200;
 
     private final RunContext context;
+    private final List<Exchange> early = new ArrayList<>();
     private @Nullable RouteTable routes;
 
     /** Creates a router that knows no routes yet. */
@@ -38,6 +45,7 @@
         }
         routes = table;
         logger.atInfo().log("event=desired-state version=%d routes=%d", table.version(), table.routes());
+        routeEarly();
     }
 
     /** Takes settings that were read again. */
@@ -60,7 +68,7 @@
     public void route(Exchange exchange) {
         RouteTable table = routes;
         if (table == null || !context.directory().known()) {
-            context.refuse(exchange, "not ready yet", STARTING_MILLIS);
+            waitForRoutes(exchange);
             return;
         }
         String host = exchange.request().headers().get(HttpHeaderNames.HOST, "");
@@ -75,6 +83,33 @@
         start(exchange, found.get(), table.version());
     }
 
+    /** A process that has just started is asked before it has heard from the store; its callers needn't come back for that. */
+    private void waitForRoutes(Exchange exchange) {
+        if (early.size() >= MAX_EARLY) {
+            context.refuse(exchange, "not ready yet", STARTING_MILLIS);
+            return;
+        }
+        early.add(exchange);
+        exchange.whenGone(() -> early.remove(exchange));
+        context.after(START_WAIT_MILLIS, () -> {
+            if (early.remove(exchange)) {
+                logger.atInfo().log(
+                        "event=refused-early request=%s", exchange.facts().id());
+                context.refuse(exchange, "not ready yet", STARTING_MILLIS);
+            }
+        });
+    }
+
+    /** Routes the requests that came before the routes and the endpoints were known. Call it when either has been learnt. */
+    public void routeEarly() {
+        if (!ready() || early.isEmpty()) {
+            return;
+        }
+        List<Exchange> waiting = List.copyOf(early);
+        early.clear();
+        waiting.forEach(this::route);
+    }
+
     private void start(Exchange exchange, RouteRule route, long version) {
         String service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
         context.retries(service).request(context.now());
