Generations are admitted where a long one fits, and booked for the usual length

Cause: at 1.8 deviations nearly the longest length stays booked and engines are about half empty. Change: two sizes; a second booking, given back at once, proves that there is room.

--- a/core/src/main/java/org/quetzalseam/core/generation/MemoryBooking.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/MemoryBooking.java
@@ -4,21 +4,29 @@
  * How much decode memory to book for a generation before its prompt is read. Not thread-safe.
  *
  * <p>Booking too little lets an engine preempt a generation and read it in again, which wastes more than the generation is
- * worth; booking too much leaves memory idle.
+ * worth; booking too much leaves memory idle. So two sizes are told apart: a generation is admitted where it would fit even if
+ * it got long, but only its usual size stays booked. What the others leave of that room serves those who do get long.
  */
 public final class MemoryBooking {
     private final OutputLengthModel lengths = new OutputLengthModel();
-    private final double deviations;
+    private final double bookedDeviations;
+    private final double admittedDeviations;
     private final int blockTokens;
 
     /**
      * Creates a policy.
      *
-     * @param deviations standard deviations above the median length that are booked
+     * @param bookedDeviations standard deviations above the median length that stay booked
+     * @param admittedDeviations standard deviations above it that must be free on admission, no fewer
      * @param blockTokens tokens that engines hand out memory by
      */
-    public MemoryBooking(double deviations, int blockTokens) {
-        this.deviations = deviations;
+    public MemoryBooking(double bookedDeviations, double admittedDeviations, int blockTokens) {
+        if (!(admittedDeviations >= bookedDeviations)) {
+            throw new IllegalArgumentException(
+                    "admitted deviations: expected at least " + bookedDeviations + ", got " + admittedDeviations);
+        }
+        this.bookedDeviations = bookedDeviations;
+        this.admittedDeviations = admittedDeviations;
         this.blockTokens = blockTokens;
     }
 
@@ -29,9 +37,19 @@
 
     /** Returns the tokens to book. */
     public int tokens(TokenDemand demand) {
-        double output = Math.min(demand.maxOutput(), lengths.tokens(demand.expectedOutput(), deviations));
-        int tokens = demand.prompt() + (int) Math.ceil(output);
-        int blocks = (tokens + blockTokens - 1) / blockTokens;
-        return blocks * blockTokens;
+        return inBlocks(demand.prompt() + output(demand, bookedDeviations));
+    }
+
+    /** Returns the tokens that must be free beside those that are booked. */
+    public int room(TokenDemand demand) {
+        return inBlocks(output(demand, admittedDeviations) - output(demand, bookedDeviations));
+    }
+
+    private double output(TokenDemand demand, double deviations) {
+        return Math.min(demand.maxOutput(), lengths.tokens(demand.expectedOutput(), deviations));
+    }
+
+    private int inBlocks(double tokens) {
+        return (int) Math.ceil(tokens / blockTokens) * blockTokens;
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/EntrySettings.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/EntrySettings.java
@@ -8,7 +8,8 @@
  * @param retryRatio retries for each request that all entries together may make at a service
  * @param retrySlack retries in a window that all entries together may make besides
  * @param retryWindowMillis the window over which retries are counted
- * @param bookedDeviations standard deviations above a generation's median length that are booked
+ * @param bookedDeviations standard deviations above a generation's median length that stay booked
+ * @param admittedDeviations standard deviations above it that must be free when a generation is admitted
  * @param prefillShare share of a service's engines that read prompts, assumed until load has been seen
  */
 public record EntrySettings(
@@ -18,4 +19,5 @@
         double retrySlack,
         long retryWindowMillis,
         double bookedDeviations,
+        double admittedDeviations,
         double prefillShare) {}
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -84,6 +84,7 @@
         long wait = Math.min(inTime > 0 ? inTime : LATE_WAIT_MILLIS, forwarded.leftMillis());
         Reservation wanted = new Reservation(
                 tokens,
+                desk.booking().room(demand),
                 now + TimeUnit.MILLISECONDS.toNanos(inTime),
                 now + TimeUnit.MILLISECONDS.toNanos(wait),
                 new Reservation.Outcome() {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/Reservation.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/Reservation.java
@@ -15,6 +15,7 @@
     }
 
     private final int tokens;
+    private final int room;
     private final long inTimeUntil;
     private final long until;
     private final Outcome outcome;
@@ -25,12 +26,14 @@
      * Creates a wait.
      *
      * @param tokens the memory to book
+     * @param room memory that must be free besides
      * @param inTimeUntil monotonic time in nanoseconds up to which a place still meets the latency objective
      * @param until monotonic time in nanoseconds at which to stop waiting
      * @param outcome takes the outcome
      */
-    Reservation(int tokens, long inTimeUntil, long until, Outcome outcome) {
+    Reservation(int tokens, int room, long inTimeUntil, long until, Outcome outcome) {
         this.tokens = tokens;
+        this.room = room;
         this.inTimeUntil = inTimeUntil;
         this.until = until;
         this.outcome = outcome;
@@ -40,6 +43,10 @@
         return tokens;
     }
 
+    int room() {
+        return room;
+    }
+
     boolean late(long now) {
         return now - inTimeUntil > 0;
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
@@ -72,7 +72,8 @@
     ReservationDesk(RunContext context, String service) {
         this.context = context;
         this.service = service;
-        this.booking = new MemoryBooking(context.settings().bookedDeviations(), BLOCK_TOKENS);
+        this.booking = new MemoryBooking(
+                context.settings().bookedDeviations(), context.settings().admittedDeviations(), BLOCK_TOKENS);
     }
 
     /** Takes a generation in; its outcome follows, never before this call returns. */
@@ -174,6 +175,61 @@
     private void ask(Reservation reservation, Endpoint engine) {
         reservation.asking(true);
         asked.merge(engine, 1, Integer::sum);
+        book(engine, reservation.tokens(), new BookingOutcome() {
+            @Override
+            public void booked(String id) {
+                askForMore(reservation, engine, id);
+            }
+
+            @Override
+            public void full() {
+                refused(reservation, engine);
+            }
+
+            @Override
+            public void failed(CallFailure failure) {
+                unanswered(reservation, engine, failure);
+            }
+        });
+    }
+
+    /** The usual size is booked; the room that a long one needs has to be free, but doesn't stay booked. */
+    private void askForMore(Reservation reservation, Endpoint engine, String id) {
+        if (reservation.over() || reservation.room() == 0) {
+            granted(reservation, engine, id);
+            return;
+        }
+        book(engine, reservation.room(), new BookingOutcome() {
+            @Override
+            public void booked(String room) {
+                giveBack(engine, room);
+                granted(reservation, engine, id);
+            }
+
+            @Override
+            public void full() {
+                giveBack(engine, id);
+                refused(reservation, engine);
+            }
+
+            @Override
+            public void failed(CallFailure failure) {
+                giveBack(engine, id);
+                unanswered(reservation, engine, failure);
+            }
+        });
+    }
+
+    /** What an engine answers to a booking. */
+    private interface BookingOutcome {
+        void booked(String id);
+
+        void full();
+
+        void failed(CallFailure failure);
+    }
+
+    private void book(Endpoint engine, int tokens, BookingOutcome outcome) {
         WholeReply reply = new WholeReply(
                 MAX_REPLY_BYTES,
                 (head, body) -> {
@@ -181,32 +237,33 @@
                     body.release();
                     Optional<String> id =
                             head.status().code() == 200 ? context.protocol().reservation(text) : Optional.empty();
-                    answered(reservation, engine, id);
+                    id.ifPresentOrElse(outcome::booked, outcome::full);
                 },
-                failure -> unanswered(reservation, engine, failure));
-        EndpointCall call = engine.control(context.protocol().reserve(reservation.tokens(), BOOKING_MILLIS), reply);
+                outcome::failed);
+        EndpointCall call = engine.control(context.protocol().reserve(tokens, BOOKING_MILLIS), reply);
         context.after(ANSWER_MILLIS, () -> {
             if (call.active()) {
                 call.cancel();
-                unanswered(reservation, engine, new CallFailure(CallFailure.Kind.TIMED_OUT, "no answer to a booking"));
+                outcome.failed(new CallFailure(CallFailure.Kind.TIMED_OUT, "no answer to a booking"));
             }
         });
     }
 
-    private void answered(Reservation reservation, Endpoint engine, Optional<String> id) {
+    private void refused(Reservation reservation, Endpoint engine) {
+        answerEnds(reservation, engine);
+        refusals.put(engine, new Refusal(context.now(), reservation.tokens()));
+        serve();
+    }
+
+    private void granted(Reservation reservation, Endpoint engine, String id) {
         answerEnds(reservation, engine);
-        if (id.isEmpty()) {
-            refusals.put(engine, new Refusal(context.now(), reservation.tokens()));
-            serve();
-            return;
-        }
         if (reservation.over()) {
-            giveBack(engine, id.get());
+            giveBack(engine, id);
             return;
         }
         waiting.remove(reservation);
         booked.merge(engine, reservation.tokens(), Integer::sum);
-        reservation.grant(engine, id.get());
+        reservation.grant(engine, id);
     }
 
     private void answerEnds(Reservation reservation, Endpoint engine) {
