An entry notices the store's return within a second

Cause, from the log: a long watch was begun while the store was silent, and hung for 3.5 s after its return, as a channel that lost an answer brings nothing more. Change: while the store is away, watches ask for an answer at once; a watch waits 2 s instead of 2.5 s. Test: KindWatchTest.

--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -15,11 +15,13 @@
 public final class KindWatch {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** How long one watch waits, in milliseconds: changes must be in force within some seconds, a silent watch included. */
-    private static final long WAIT_MILLIS = 2_500;
+    static final long WAIT_MILLIS = 2_000;
+    /** The same while the store is away: an answer at once, so that its return is noticed within about a second. */
+    static final long AWAY_WAIT_MILLIS = 1;
     /** First pause after a failure, in milliseconds; it doubles up to the longest. */
     private static final long FIRST_PAUSE_MILLIS = 100;
 
-    private static final long LONGEST_PAUSE_MILLIS = 800;
+    private static final long LONGEST_PAUSE_MILLIS = 300;
     /** How long after the store's return entries may still be missing that live, in nanoseconds. */
     private static final long RETURN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
@@ -75,7 +77,12 @@
     }
 
     private void watch(long revision) {
-        store.watch(kind, revision, WAIT_MILLIS, this::changes, failure -> watchFailed(revision, failure));
+        store.watch(
+                kind,
+                revision,
+                away ? AWAY_WAIT_MILLIS : WAIT_MILLIS,
+                this::changes,
+                failure -> watchFailed(revision, failure));
     }
 
     private void changes(ObjectChanges changes) {
--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -0,0 +1,160 @@
+package org.quetzalseam.gateway.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.gateway.runtime.Timers;
+
+class KindWatchTest {
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final FakeStore store = new FakeStore();
+    private final Seen seen = new Seen();
+
+    KindWatchTest() {
+        channel.freezeTime();
+        new KindWatch(new Timers(channel.eventLoop()), store, "things", seen).start();
+        pass(0);
+    }
+
+    private void pass(long millis) {
+        channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        channel.runPendingTasks();
+        channel.runScheduledPendingTasks();
+    }
+
+    private static StoredObject object(String name, long revision) {
+        return new StoredObject(name, revision, JsonNodeFactory.instance.objectNode());
+    }
+
+    @Test
+    void pagesAreListedTogetherAndTheWatchGoesOnFromTheLastOne() {
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, 5));
+        assertThat(store.after).isEqualTo("a");
+        store.listed.accept(new ObjectPage(List.of(object("b", 4)), false, 6));
+        assertThat(seen.lines).containsExactly("listed a b away=false");
+        assertThat(store.watchedFrom).isEqualTo(6);
+    }
+
+    @Test
+    void aStoreThatHasGoneSilentIsAskedForAnAnswerAtOnceUntilItIsBack() {
+        store.listed.accept(new ObjectPage(List.of(), false, 6));
+        assertThat(store.waitMillis).isEqualTo(KindWatch.WAIT_MILLIS);
+        store.failed.accept(new StoreFailure(StoreFailure.Kind.UNKNOWN, "no answer in time"));
+        pass(100);
+        assertThat(store.waitMillis)
+                .as("a long wait at a silent store would hide its return for as long")
+                .isEqualTo(KindWatch.AWAY_WAIT_MILLIS);
+        assertThat(store.watchedFrom).isEqualTo(6);
+        store.changed.accept(new ObjectChanges(List.of(), 7));
+        assertThat(store.waitMillis).isEqualTo(KindWatch.WAIT_MILLIS);
+    }
+
+    @Test
+    void anOutageIsRetriedAtLeastThreeTimesASecond() {
+        store.listed.accept(new ObjectPage(List.of(), false, 6));
+        for (int i = 0; i < 20; i++) {
+            store.failed.accept(new StoreFailure(StoreFailure.Kind.DECLINED, "status 503"));
+            int calls = store.calls;
+            pass(300);
+            assertThat(store.calls).isEqualTo(calls + 1);
+        }
+    }
+
+    @Test
+    void aLostHistoryIsListedAnew() {
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, 6));
+        store.failed.accept(new StoreFailure(StoreFailure.Kind.HISTORY_GONE, "status 410"));
+        store.listed.accept(new ObjectPage(List.of(object("b", 9)), false, 9));
+        assertThat(seen.lines).containsExactly("listed a away=false", "listed b away=false");
+    }
+
+    @Test
+    void whatIsDeletedRightAfterAnOutageIsMarkedSo() {
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, 6));
+        store.failed.accept(new StoreFailure(StoreFailure.Kind.UNKNOWN, "reset"));
+        pass(100);
+        store.changed.accept(new ObjectChanges(List.of(new ObjectChanges.Change(object("a", 7), true)), 7));
+        assertThat(seen.lines).last().isEqualTo("deleted a away=true");
+    }
+
+    private static final class Seen implements KindListener {
+        private final List<String> lines = new ArrayList<>();
+
+        @Override
+        public void listed(List<StoredObject> objects, boolean storeWasAway) {
+            StringBuilder names = new StringBuilder("listed");
+            objects.forEach(object -> names.append(' ').append(object.name()));
+            lines.add(names + " away=" + storeWasAway);
+        }
+
+        @Override
+        public void changed(StoredObject object) {
+            lines.add("changed " + object.name());
+        }
+
+        @Override
+        public void deleted(StoredObject object, boolean storeWasAway) {
+            lines.add("deleted " + object.name() + " away=" + storeWasAway);
+        }
+    }
+
+    /** Keeps the last call's consumers, for the test to answer through. */
+    private static final class FakeStore implements ObjectStore {
+        private Consumer<ObjectPage> listed = page -> {};
+        private Consumer<ObjectChanges> changed = changes -> {};
+        private Consumer<StoreFailure> failed = failure -> {};
+        private @Nullable String after;
+        private long watchedFrom;
+        private long waitMillis;
+        private int calls;
+
+        @Override
+        public void list(
+                String kind, @Nullable String from, Consumer<ObjectPage> done, Consumer<StoreFailure> failure) {
+            calls++;
+            after = from;
+            listed = done;
+            failed = failure;
+        }
+
+        @Override
+        public void watch(
+                String kind, long revision, long wait, Consumer<ObjectChanges> done, Consumer<StoreFailure> failure) {
+            calls++;
+            watchedFrom = revision;
+            waitMillis = wait;
+            changed = done;
+            failed = failure;
+        }
+
+        @Override
+        public void read(String kind, String name, Consumer<StoredObject> done, Consumer<StoreFailure> failure) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void create(
+                String kind, String name, JsonNode spec, Consumer<StoredObject> done, Consumer<StoreFailure> failure) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void replace(
+                String kind,
+                String name,
+                long revision,
+                JsonNode spec,
+                Consumer<StoredObject> done,
+                Consumer<StoreFailure> failure) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
