Metrics of the entry; callers of the daemon who come before its catalogue are kept for a moment

Cause of the finding LeavingTest.aRollingStopOfEveryProcessUnderLoadCutsNothingShort (NOT_RUN, no-catalogue, once beside load): an entry that has just started takes calls before its catalogue has been read. Ruled out: load as such; the code path refuses at any speed. Change: such a caller waits up to 0.8 s.

--- a/core/src/main/java/org/quetzalseam/core/catalogue/CatalogueInForce.java
+++ b/core/src/main/java/org/quetzalseam/core/catalogue/CatalogueInForce.java
@@ -1,6 +1,8 @@
 package org.quetzalseam.core.catalogue;
 
+import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The accepted catalogue that one process runs. Its version only rises: an older one is never taken, whoever offers it.
@@ -39,6 +41,27 @@
             return false;
         }
         current = candidate;
+        notifyAll();
         return true;
     }
+
+    /**
+     * Waits until a catalogue has been read, for a process that is asked before that. Returns whether one is in force.
+     *
+     * @param limit how long to wait at most
+     */
+    public synchronized boolean awaitFirst(Duration limit) {
+        long end = System.nanoTime() + limit.toNanos();
+        long left = limit.toNanos();
+        while (version() == 0 && left > 0) {
+            try {
+                TimeUnit.NANOSECONDS.timedWait(this, left);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                break;
+            }
+            left = end - System.nanoTime();
+        }
+        return version() > 0;
+    }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/Admittance.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/Admittance.java
@@ -1,6 +1,7 @@
 package org.quetzalseam.daemon.caller;
 
 import com.sun.net.httpserver.HttpExchange;
+import java.time.Duration;
 import java.util.Optional;
 import org.quetzalseam.core.catalogue.Catalogue;
 import org.quetzalseam.core.catalogue.CatalogueInForce;
@@ -19,6 +20,9 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long CONCURRENCY_RETRY_MILLIS = 1_000;
 
+    /** How long a caller of an entry that has just started is kept until it has read its catalogue: some answers of the store. */
+    private static final Duration START_WAIT = Duration.ofMillis(800);
+
     private final CatalogueInForce inForce;
     private final EntryLimiter limiter;
     private final EntryRouter router;
@@ -37,7 +41,7 @@
 
     /** Returns the owner whose token the request carries. */
     OwnerSpec owner(HttpExchange exchange) {
-        if (inForce.version() == 0) {
+        if (!inForce.awaitFirst(START_WAIT)) {
             throw CallerException.later(Statuses.UNAVAILABLE, "no-catalogue", "this entry has no catalogue yet", 1_000);
         }
         String header = CallerServer.header(exchange, "Authorization");
--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -10,6 +10,7 @@
 import org.quetzalseam.gateway.caller.CallerServer;
 import org.quetzalseam.gateway.endpoint.Directory;
 import org.quetzalseam.gateway.http.Connector;
+import org.quetzalseam.gateway.operator.GatewayMetrics;
 import org.quetzalseam.gateway.operator.OperatorServer;
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.route.EntrySettings;
@@ -22,6 +23,9 @@
  */
 public final class EntryProcess {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final String METRICS_PATH = "/metrics";
+    /** How often the loop's delay is measured, in milliseconds. */
+    private static final long LOOP_LOOK_MILLIS = 500;
     /** How long a leaving entry goes on taking connections, in milliseconds: until the platform has stopped sending them. */
     private static final long STILL_LISTENING_MILLIS = 3_000;
     /** How often a leaving entry looks whether it is done, in milliseconds. */
@@ -35,9 +39,12 @@
     private final Directory directory;
     private final RequestRouter router;
     private final CallerServer callers;
+    private final GatewayMetrics metrics;
     private final OperatorServer operators;
     private final Connector connector;
     private volatile boolean leaving;
+    private long loopLookedAt;
+    private long loopDelayMillis;
 
     /** Creates an entry; {@link #start} opens it. */
     public EntryProcess(Protocol protocol, EntrySettings settings) {
@@ -46,7 +53,8 @@
         timers = new Timers(loop);
         connector = new Connector(loop, protocol.idHeader());
         directory = new Directory(connector);
-        router = new RequestRouter(timers, protocol, directory, settings);
+        metrics = new GatewayMetrics();
+        router = new RequestRouter(timers, protocol, directory, settings, metrics);
         callers = new CallerServer(loop, protocol, router::limits, router::route);
         operators = new OperatorServer(loop, () -> router.ready() && !leaving);
     }
@@ -71,12 +79,45 @@
         return router;
     }
 
-    /** Listens for callers, and for questions about readiness. */
-    public void start(InetSocketAddress callerAddress, InetSocketAddress readyAddress) {
+    /** Listens for callers, for questions about readiness, and for those who ask for the metrics. */
+    public void start(
+            InetSocketAddress callerAddress, InetSocketAddress readyAddress, InetSocketAddress metricsAddress) {
+        operators.page(METRICS_PATH, metrics::text);
+        registerGauges();
         operators.start(readyAddress);
+        operators.start(metricsAddress);
         callers.start(callerAddress);
     }
 
+    private void registerGauges() {
+        metrics.gauge("quetzalseam.requests.in.progress", callers::inProgress);
+        metrics.gauge("quetzalseam.caller.connections", callers::connections);
+        metrics.gauge("quetzalseam.desired.state.version", router::version);
+        metrics.gauge("quetzalseam.memory.used.bytes", EntryProcess::memoryUsed);
+        metrics.gauge("quetzalseam.loop.delay.ms", () -> loopDelayMillis);
+        timers.every(LOOP_LOOK_MILLIS, this::measureLoopDelay);
+    }
+
+    private static long memoryUsed() {
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    /** The time by which the loop's own timer is late tells how long everything else waits for it. */
+    private void measureLoopDelay() {
+        long now = timers.now();
+        if (loopLookedAt != 0) {
+            long late = TimeUnit.NANOSECONDS.toMillis(now - loopLookedAt) - LOOP_LOOK_MILLIS;
+            loopDelayMillis = Math.max(late, loopDelayMillis / 2);
+        }
+        loopLookedAt = now;
+    }
+
+    /** Returns the metrics, for what is measured outside the entry's own parts. */
+    public GatewayMetrics metrics() {
+        return metrics;
+    }
+
     /** Leaves: tells that it isn't ready, ends what it has taken, and returns when that is done or time is up. */
     public void drain(long graceMillis) {
         leaving = true;
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/operator/GatewayMetrics.java
@@ -0,0 +1,103 @@
+package org.quetzalseam.gateway.operator;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+
+/**
+ * What an entry measures, in Prometheus form. Used on the event loop only.
+ *
+ * <p>Names of routes and services come from the operator; beyond a fixed number of them the rest share one label, so that the
+ * number of series stays bounded.
+ */
+public final class GatewayMetrics {
+    private static final int MAX_NAMES = 100;
+    private static final String OTHER = "other";
+    /** Bounds of the histograms, in milliseconds: about a factor of two apart, from a network's time to a long stream's. */
+    private static final Duration[] BUCKETS = millis(5, 10, 20, 50, 100, 200, 400, 900, 2_000, 4_000, 8_000, 16_000);
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Set<String> names = new HashSet<>();
+    private final Map<String, Timer> timers = new HashMap<>();
+    private final Map<String, Counter> counters = new HashMap<>();
+
+    private static Duration[] millis(int... values) {
+        Duration[] durations = new Duration[values.length];
+        for (int i = 0; i < values.length; i++) {
+            durations[i] = Duration.ofMillis(values[i]);
+        }
+        return durations;
+    }
+
+    private String bounded(String name) {
+        if (names.contains(name) || (names.size() < MAX_NAMES && names.add(name))) {
+            return name;
+        }
+        return OTHER;
+    }
+
+    private Timer timer(String metric, String route) {
+        String label = bounded(route);
+        return timers.computeIfAbsent(
+                metric + label,
+                key -> Timer.builder(metric)
+                        .serviceLevelObjectives(BUCKETS)
+                        .tag("route", label)
+                        .register(registry));
+    }
+
+    private void count(String metric, String nameTag, String name, String valueTag, String value) {
+        String label = bounded(name);
+        counters.computeIfAbsent(
+                        metric + label + "/" + value,
+                        key -> Counter.builder(metric)
+                                .tag(nameTag, label)
+                                .tag(valueTag, value)
+                                .register(registry))
+                .increment();
+    }
+
+    /** Notes a request's end: how, and how long after its arrival. */
+    public void ended(String route, String outcome, long millis) {
+        count("quetzalseam.requests", "route", route, "outcome", outcome);
+        timer("quetzalseam.answer.time", route).record(Duration.ofMillis(millis));
+    }
+
+    /** Notes the time from a stream's arrival to its first event. */
+    public void firstEvent(String route, long millis) {
+        timer("quetzalseam.first.event", route).record(Duration.ofMillis(millis));
+    }
+
+    /** Notes how long a generation waited for decode memory. */
+    public void bookingWait(String route, long millis) {
+        timer("quetzalseam.booking.wait", route).record(Duration.ofMillis(millis));
+    }
+
+    /** Counts a refusal by its reason, which must come from a fixed set. */
+    public void refused(String reason) {
+        count("quetzalseam.refusals", "entry", "all", "reason", reason);
+    }
+
+    /** Counts a retry that the budget allowed, or didn't. */
+    public void retry(String service, boolean allowed) {
+        count("quetzalseam.retries", "service", service, "allowed", Boolean.toString(allowed));
+    }
+
+    /** Registers a figure that is read whenever the metrics are asked for. */
+    public void gauge(String metric, Supplier<Number> value) {
+        Gauge.builder(metric, value).strongReference(true).register(registry);
+    }
+
+    /** Returns all series as text. */
+    public String text() {
+        return registry.scrape();
+    }
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -129,7 +129,7 @@
         reservation = null;
         memory = booked;
         unusedBooking = booked.id();
-        log.step("booked", booked.engine(), "tokens=" + booked.tokens());
+        log.booked(booked.engine(), booked.tokens());
         readPrompt(booked);
     }
 
@@ -199,11 +199,15 @@
 
         @Override
         public void piece(ByteBuf piece) {
+            boolean first = events.events() == 0;
             ByteBuf ready = events.take(piece);
             if (!ready.isReadable()) {
                 ready.release();
                 return;
             }
+            if (first) {
+                log.firstEvent();
+            }
             exchange.piece(ready);
             EndpointCall running = decoding;
             if (running != null && !exchange.writable()) {
@@ -292,7 +296,7 @@
     }
 
     private boolean takeRetry() {
-        return context.retries(service).retry(context.now());
+        return context.takeRetry(service);
     }
 
     private void unknown(String why) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
@@ -134,7 +134,7 @@
     }
 
     private void askAnother(Endpoint decoder) {
-        if (tried.size() < MAX_ENGINES && context.retries(service).retry(context.now())) {
+        if (tried.size() < MAX_ENGINES && context.takeRetry(service)) {
             start(decoder);
             return;
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -14,6 +14,7 @@
 import org.quetzalseam.core.routing.RouteTable;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Directory;
+import org.quetzalseam.gateway.operator.GatewayMetrics;
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.runtime.Timers;
 
@@ -32,8 +33,9 @@
     private @Nullable RouteTable routes;
 
     /** Creates a router that knows no routes yet. */
-    public RequestRouter(Timers timers, Protocol protocol, Directory directory, EntrySettings settings) {
-        this.context = new RunContext(timers, protocol, directory, settings);
+    public RequestRouter(
+            Timers timers, Protocol protocol, Directory directory, EntrySettings settings, GatewayMetrics metrics) {
+        this.context = new RunContext(timers, protocol, directory, settings, metrics);
     }
 
     /** Takes a version of the desired state, unless it is older than the one in force. */
@@ -53,6 +55,12 @@
         context.settings(settings);
     }
 
+    /** Returns the version of the desired state in force, 0 before the first. */
+    public long version() {
+        RouteTable table = routes;
+        return table == null ? 0 : table.version();
+    }
+
     /** Returns whether the entry can serve: it knows its routes and its endpoints. */
     public boolean ready() {
         return routes != null && context.directory().known();
@@ -113,7 +121,7 @@
     private void start(Exchange exchange, RouteRule route, long version) {
         String service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
         context.retries(service).request(context.now());
-        RunLog log = new RunLog(exchange, route, service, version);
+        RunLog log = new RunLog(context.metrics(), exchange, route, service, version);
         if (route.kind() == CallKind.STREAM) {
             new GenerationRun(context, exchange, route, service, log).start();
         } else {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -10,6 +10,7 @@
 import org.quetzalseam.core.limits.RetryAllowance;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Directory;
+import org.quetzalseam.gateway.operator.GatewayMetrics;
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.runtime.Subscription;
 import org.quetzalseam.gateway.runtime.Timers;
@@ -19,16 +20,18 @@
     private final Timers timers;
     private final Protocol protocol;
     private final Directory directory;
+    private final GatewayMetrics metrics;
     private EntrySettings settings;
     private final Map<String, RetryAllowance> retries = new HashMap<>();
     private final Map<String, CallerPatience> patience = new HashMap<>();
     private final Map<String, ReservationDesk> desks = new HashMap<>();
 
-    RunContext(Timers timers, Protocol protocol, Directory directory, EntrySettings settings) {
+    RunContext(Timers timers, Protocol protocol, Directory directory, EntrySettings settings, GatewayMetrics metrics) {
         this.timers = timers;
         this.protocol = protocol;
         this.directory = directory;
         this.settings = settings;
+        this.metrics = metrics;
     }
 
     Timers timers() {
@@ -52,6 +55,10 @@
         retries.clear();
     }
 
+    GatewayMetrics metrics() {
+        return metrics;
+    }
+
     long now() {
         return timers.now();
     }
@@ -60,6 +67,13 @@
         return timers.after(millis, call);
     }
 
+    /** Takes one retry from this entry's share of the budget. Returns false when none is left. */
+    boolean takeRetry(String service) {
+        boolean allowed = retries(service).retry(now());
+        metrics.retry(service, allowed);
+        return allowed;
+    }
+
     RetryAllowance retries(String service) {
         return retries.computeIfAbsent(
                 service,
@@ -79,6 +93,7 @@
 
     /** Refuses a request that has not run and won't, and says when to come back. */
     void refuse(Exchange exchange, String why, long comeBackMillis) {
+        metrics.refused(why);
         HttpHeaders headers = new DefaultHttpHeaders();
         protocol.comeBackAfter(headers, comeBackMillis);
         exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, why, headers);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -5,24 +5,37 @@
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Endpoint;
 import org.quetzalseam.gateway.http.CallFailure;
+import org.quetzalseam.gateway.operator.GatewayMetrics;
 
 /** The log lines of one request, each with its id. */
 final class RunLog {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+    private final GatewayMetrics metrics;
     private final Exchange exchange;
     private final RouteRule route;
     private final String service;
     private final long version;
 
-    RunLog(Exchange exchange, RouteRule route, String service, long version) {
+    RunLog(GatewayMetrics metrics, Exchange exchange, RouteRule route, String service, long version) {
+        this.metrics = metrics;
         this.exchange = exchange;
         this.route = route;
         this.service = service;
         this.version = version;
     }
 
+    void firstEvent() {
+        metrics.firstEvent(route.name(), exchange.ageMillis());
+    }
+
+    void booked(Endpoint engine, int tokens) {
+        metrics.bookingWait(route.name(), exchange.ageMillis());
+        step("booked", engine, "tokens=" + tokens);
+    }
+
     void ended(String outcome, int status, int tries) {
+        metrics.ended(route.name(), outcome, exchange.ageMillis());
         logger.atInfo().log(
                 "event=request-ended request=%s route=%s service=%s version=%d outcome=%s status=%d tries=%d age_ms=%d",
                 exchange.facts().id(), route.name(), service, version, outcome, status, tries, exchange.ageMillis());
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -175,7 +175,7 @@
     }
 
     private boolean takeRetry() {
-        return context.retries(service).retry(context.now());
+        return context.takeRetry(service);
     }
 
     private void failed(Endpoint endpoint, CallFailure failure) {
