--- a/core/src/main/java/org/quetzalseam/core/generation/MemoryBooking.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/MemoryBooking.java
@@ -45,6 +45,15 @@
         return inBlocks(output(demand, admittedDeviations) - output(demand, bookedDeviations));
     }
 
+    /**
+     * Returns what a generation is expected to cost, in tokens of memory times tokens of output: it holds its prompt, and on
+     * average half of its output, for as long as its output takes.
+     */
+    public double cost(TokenDemand demand) {
+        double output = output(demand, 0);
+        return (demand.prompt() + output / 2) * output;
+    }
+
     private double output(TokenDemand demand, double deviations) {
         return Math.min(demand.maxOutput(), lengths.tokens(demand.expectedOutput(), deviations));
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -85,6 +85,7 @@
         Reservation wanted = new Reservation(
                 tokens,
                 desk.booking().room(demand),
+                desk.booking().cost(demand),
                 now + TimeUnit.MILLISECONDS.toNanos(inTime),
                 now + TimeUnit.MILLISECONDS.toNanos(wait),
                 new Reservation.Outcome() {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/Reservation.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/Reservation.java
@@ -16,6 +16,7 @@
 
     private final int tokens;
     private final int room;
+    private final double cost;
     private final long inTimeUntil;
     private final long until;
     private final Outcome outcome;
@@ -27,13 +28,15 @@
      *
      * @param tokens the memory to book
      * @param room memory that must be free besides
+     * @param cost what serving it is expected to cost; of two who wait, the cheaper goes first
      * @param inTimeUntil monotonic time in nanoseconds up to which a place still meets the latency objective
      * @param until monotonic time in nanoseconds at which to stop waiting
      * @param outcome takes the outcome
      */
-    Reservation(int tokens, int room, long inTimeUntil, long until, Outcome outcome) {
+    Reservation(int tokens, int room, double cost, long inTimeUntil, long until, Outcome outcome) {
         this.tokens = tokens;
         this.room = room;
+        this.cost = cost;
         this.inTimeUntil = inTimeUntil;
         this.until = until;
         this.outcome = outcome;
@@ -47,6 +50,10 @@
         return room;
     }
 
+    double cost() {
+        return cost;
+    }
+
     boolean late(long now) {
         return now - inTimeUntil > 0;
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
@@ -22,8 +22,8 @@
  * Books decode memory at a service's engines for the generations of this entry. Used on the event loop only.
  *
  * <p>The engines' own bookings are what all entries agree on, without a message between them: an engine that is full says
- * so. Those who find no room wait here and ask again, in order of arrival, those who can still be in time first; a smaller one
- * may pass a larger one that doesn't fit anywhere.
+ * so. Those who find no room wait here and ask again: those who can still be in time first, and among them those who cost the
+ * least, as every answer is worth about the same and more of them fit.
  */
 final class ReservationDesk {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -123,7 +123,8 @@
     private void serve() {
         long now = context.now();
         List<Reservation> order = new ArrayList<>(waiting);
-        order.sort(Comparator.comparing(reservation -> reservation.late(now)));
+        order.sort(Comparator.<Reservation, Boolean>comparing(reservation -> reservation.late(now))
+                .thenComparingDouble(Reservation::cost));
         for (Reservation reservation : order) {
             if (reservation.over()) {
                 waiting.remove(reservation);
--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/GenerationTest.java
@@ -0,0 +1,211 @@
+package org.quetzalseam.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.fleet.Stage;
+
+class GenerationTest {
+    private static final String SIZE = "x-tokens: 1000";
+
+    private final TestEntry entry = new TestEntry();
+    private final AtomicInteger bookings = new AtomicInteger();
+    private final AtomicBoolean full = new AtomicBoolean();
+    private final ScriptedEndpoint prefill = new ScriptedEndpoint("prefill", this::prefilled);
+    private final ScriptedEndpoint decode = new ScriptedEndpoint("decode", engine(this::twoEvents));
+
+    @BeforeEach
+    void start() {
+        entry.routes(5_000);
+        entry.endpoints(prefill.member("s", Stage.PREFILL), decode.member("s", Stage.DECODE));
+    }
+
+    @AfterEach
+    void stop() {
+        entry.close();
+        prefill.close();
+        decode.close();
+    }
+
+    private void prefilled(ScriptedEndpoint.Request request, ScriptedEndpoint.Connection connection)
+            throws IOException {
+        connection.answer(request, request.path().startsWith("/control/") ? "" : "kv1");
+    }
+
+    /** An engine that takes bookings unless it is full, and streams by the script. */
+    private ScriptedEndpoint.Script engine(ScriptedEndpoint.Script stream) {
+        return (request, connection) -> {
+            if (request.path().startsWith("/control/reserve") && full.get()) {
+                connection.reject(request);
+            } else if (request.path().startsWith("/control/reserve")) {
+                connection.answer(request, "booking" + bookings.incrementAndGet());
+            } else if (request.path().startsWith("/control/")) {
+                connection.answer(request, "");
+            } else {
+                stream.reply(request, connection);
+            }
+        };
+    }
+
+    private void twoEvents(ScriptedEndpoint.Request request, ScriptedEndpoint.Connection connection)
+            throws IOException {
+        connection.beginStream(request);
+        connection.chunk("id: 1\ndata: a\n\n");
+        connection.chunk("id: 2\ndata: b\n\n");
+        connection.endStream();
+    }
+
+    private List<String> controls(ScriptedEndpoint endpoint, String prefix) {
+        return endpoint.requests().stream()
+                .map(ScriptedEndpoint.Request::path)
+                .filter(path -> path.startsWith(prefix))
+                .toList();
+    }
+
+    @Test
+    void memoryIsBookedBeforeThePromptIsReadAndItsCacheGoesToTheBooking() {
+        String answer = entry.ask("/stream/x", "r1", SIZE);
+        assertThat(answer)
+                .startsWith("HTTP/1.1 200 OK")
+                .contains("data: a")
+                .contains("data: b")
+                .endsWith("0\r\n\r\n");
+        assertThat(prefill.runs())
+                .singleElement()
+                .satisfies(read -> assertThat(read.header("x-prefill")).isEqualTo("1"));
+        assertThat(decode.runs()).singleElement().satisfies(run -> {
+            assertThat(run.header("x-kv")).isEqualTo("kv1");
+            assertThat(run.header("x-booking")).isEqualTo("booking1");
+        });
+    }
+
+    @Test
+    void theRoomForALongOneIsGivenBackAtOnce() {
+        entry.ask("/stream/x", "r1", SIZE);
+        assertThat(controls(decode, "/control/reserve")).hasSize(2);
+        assertThat(controls(decode, "/control/release")).containsExactly("/control/release/booking2");
+    }
+
+    @Test
+    void aFullEngineMeansARefusalThatHasNotRunAnything() {
+        full.set(true);
+        String answer = entry.ask("/stream/x", "r1", SIZE);
+        assertThat(answer).startsWith("HTTP/1.1 503").contains("x-come-back: ");
+        assertThat(prefill.runs()).isEmpty();
+        assertThat(decode.runs()).isEmpty();
+    }
+
+    @Test
+    void whoWaitsGetsThePlaceThatBecomesFree() throws Exception {
+        full.set(true);
+        CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> entry.ask("/stream/x", "r1", SIZE));
+        TimeUnit.MILLISECONDS.sleep(200);
+        full.set(false);
+        assertThat(answer.get(10, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200");
+    }
+
+    @Test
+    void aPieceOfAnEventIsNeverDeliveredAndABrokenStreamDoesNotLookComplete() {
+        decode.script(engine((request, connection) -> {
+            connection.beginStream(request);
+            connection.chunk("id: 1\ndata: a\n\nid: 2\ndata: ha");
+            connection.reset();
+        }));
+        String answer = entry.ask("/stream/x", "r1", SIZE);
+        assertThat(answer).contains("data: a").doesNotContain("data: ha").doesNotEndWith("0\r\n\r\n");
+    }
+
+    @Test
+    void aStreamThatMayNotBeRepeatedRunsOnce() {
+        decode.script(engine((request, connection) -> connection.reset()));
+        assertThat(entry.ask("/stream/x", "r1", SIZE)).startsWith("HTTP/1.1 502");
+        assertThat(decode.runs()).hasSize(1);
+    }
+
+    @Test
+    void aResumableStreamGoesOnAfterItsLastWholeEvent() {
+        AtomicInteger runs = new AtomicInteger();
+        decode.script(engine((request, connection) -> {
+            connection.beginStream(request);
+            if (runs.incrementAndGet() == 1) {
+                connection.chunk("id: 1\ndata: a\n\nid: 2\ndata: ha");
+                connection.reset();
+                return;
+            }
+            connection.chunk("id: 2\ndata: b\n\n");
+            connection.endStream();
+        }));
+        String answer = entry.ask("/resumable/x", "r1", SIZE);
+        assertThat(answer).endsWith("0\r\n\r\n");
+        assertThat(answer.split("HTTP/1.1", -1)).as("one head").hasSize(2);
+        assertThat(answer.split("data: a", -1)).hasSize(2);
+        assertThat(answer.split("data: b", -1)).hasSize(2);
+        assertThat(decode.runs().get(1).header("x-resume")).isEqualTo("1");
+    }
+
+    @Test
+    void anEngineThatTurnsTheRequestAwayLeadsToAnotherTurn() {
+        AtomicInteger runs = new AtomicInteger();
+        decode.script(engine((request, connection) -> {
+            if (runs.incrementAndGet() == 1) {
+                connection.reject(request);
+            } else {
+                twoEvents(request, connection);
+            }
+        }));
+        assertThat(entry.ask("/stream/x", "r1", SIZE))
+                .startsWith("HTTP/1.1 200")
+                .endsWith("0\r\n\r\n");
+        assertThat(prefill.runs()).hasSize(2);
+    }
+
+    @Test
+    void withoutAPrefillEngineTheDecodeEngineReadsThePrompt() {
+        entry.endpoints(decode.member("s", Stage.DECODE));
+        assertThat(entry.ask("/stream/x", "r1", SIZE)).startsWith("HTTP/1.1 200");
+        assertThat(decode.runs())
+                .singleElement()
+                .satisfies(run -> assertThat(run.header("x-kv")).isEmpty());
+    }
+
+    @Test
+    void whoLeavesWhileThePromptIsReadLeavesNoBookingBehind() throws Exception {
+        CompletableFuture<Void> reading = new CompletableFuture<>();
+        prefill.script((request, connection) -> {
+            reading.complete(null);
+            connection.awaitClosed();
+        });
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.send("/stream/x", "r1", SIZE);
+            reading.get(10, TimeUnit.SECONDS);
+        }
+        for (int i = 0; i < 100 && !controls(decode, "/control/release").contains("/control/release/booking1"); i++) {
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+        assertThat(controls(decode, "/control/release")).contains("/control/release/booking1");
+        assertThat(decode.runs()).isEmpty();
+    }
+
+    @Test
+    void whoLeavesAStreamEndsItAtTheEngine() throws Exception {
+        CompletableFuture<Boolean> closed = new CompletableFuture<>();
+        decode.script(engine((request, connection) -> {
+            connection.beginStream(request);
+            connection.chunk("id: 1\ndata: a\n\n");
+            closed.complete(connection.awaitClosed());
+        }));
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.send("/stream/x", "r1", SIZE);
+            caller.readUntil("data: a");
+        }
+        assertThat(closed.get(10, TimeUnit.SECONDS)).isTrue();
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/PlainCallTest.java
@@ -0,0 +1,233 @@
+package org.quetzalseam.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.fleet.Stage;
+
+class PlainCallTest {
+    private final TestEntry entry = new TestEntry();
+    private final ScriptedEndpoint one =
+            new ScriptedEndpoint("one", (request, connection) -> connection.answer(request, "first"));
+    private final ScriptedEndpoint two =
+            new ScriptedEndpoint("two", (request, connection) -> connection.answer(request, "second"));
+
+    @BeforeEach
+    void start() {
+        entry.routes(5_000);
+        entry.endpoints(one.member("s", Stage.WHOLE));
+    }
+
+    @AfterEach
+    void stop() {
+        entry.close();
+        one.close();
+        two.close();
+    }
+
+    private void useBoth() {
+        entry.endpoints(one.member("s", Stage.WHOLE), two.member("s", Stage.WHOLE));
+    }
+
+    @Test
+    void anAnswerIsPassedOnWithItsSignature() {
+        assertThat(entry.ask("/once/x", "r1"))
+                .startsWith("HTTP/1.1 200 OK")
+                .contains("x-signature: s")
+                .endsWith("first");
+        assertThat(one.requests().get(0).header("x-endpoint")).isEqualTo("one");
+        assertThat(one.requests().get(0).body()).isEqualTo("hi");
+    }
+
+    @Test
+    void aReplyToAnotherRequestIsSkipped() {
+        one.script((request, connection) -> {
+            connection.write("HTTP/1.1 200 OK\r\nx-id: other\r\nx-signature: s\r\nContent-Length: 5\r\n\r\nwrong");
+            connection.answer(request, "right");
+        });
+        assertThat(entry.ask("/once/x", "r1")).endsWith("right");
+    }
+
+    @Test
+    void aSecondReplyIsNeverTakenForTheNextRequestsAnswer() {
+        one.script((request, connection) -> {
+            connection.answer(request, "mine " + request.header("x-id"));
+            connection.answer(request, "again " + request.header("x-id"));
+        });
+        for (int i = 0; i < 20; i++) {
+            assertThat(entry.ask("/once/x", "r" + i)).endsWith("mine r" + i);
+        }
+    }
+
+    @Test
+    void aNonIdempotentRequestWhoseReplyIsLostIsSentOnceAndNotCalledNotRun() {
+        useBoth();
+        one.script((request, connection) -> connection.reset());
+        two.script((request, connection) -> connection.reset());
+        assertThat(entry.ask("/once/x", "r1")).startsWith("HTTP/1.1 502");
+        assertThat(one.runs().size() + two.runs().size()).isEqualTo(1);
+    }
+
+    @Test
+    void anIdempotentRequestWhoseReplyIsLostRunsElsewhere() {
+        useBoth();
+        one.script((request, connection) -> connection.reset());
+        assertThat(entry.ask("/many/x", "r1")).startsWith("HTTP/1.1 200 OK").endsWith("second");
+    }
+
+    @Test
+    void aRequestThatWasTurnedAwayGoesToAnotherEndpointEvenIfItMayRunOnlyOnce() {
+        useBoth();
+        one.script((request, connection) -> connection.reject(request));
+        for (int i = 0; i < 5; i++) {
+            assertThat(entry.ask("/once/x", "r" + i)).endsWith("second");
+        }
+    }
+
+    @Test
+    void whenAllEndpointsTurnItAwayTheCallerIsToldWhenToComeBack() {
+        one.script((request, connection) -> connection.reject(request));
+        assertThat(entry.ask("/once/x", "r1")).startsWith("HTTP/1.1 503").contains("x-come-back: ");
+    }
+
+    @Test
+    void anUnsignedAnswerIsNotASuccess() {
+        one.script((request, connection) -> connection.write(
+                "HTTP/1.1 200 OK\r\nx-id: " + request.header("x-id") + "\r\nContent-Length: 2\r\n\r\nhm"));
+        assertThat(entry.ask("/once/x", "r1")).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void anAnswerWithoutLengthThatIsResetIsNotShownAsWhole() {
+        one.script((request, connection) -> {
+            connection.write("HTTP/1.1 200 OK\r\nx-id: " + request.header("x-id") + "\r\nx-signature: s\r\n\r\nhalf");
+            connection.reset();
+        });
+        assertThat(entry.ask("/once/x", "r1")).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void anAnswerWithoutLengthThatEndsInOrderIsWhole() {
+        one.script((request, connection) -> {
+            connection.write("HTTP/1.1 200 OK\r\nx-id: " + request.header("x-id") + "\r\nx-signature: s\r\n\r\nwhole");
+            connection.finish();
+        });
+        assertThat(entry.ask("/once/x", "r1")).startsWith("HTTP/1.1 200").endsWith("whole");
+    }
+
+    @Test
+    void aTruncatedAnswerIsNotShownAsWhole() {
+        one.script((request, connection) -> {
+            connection.write("HTTP/1.1 200 OK\r\nx-id: " + request.header("x-id")
+                    + "\r\nx-signature: s\r\nContent-Length: 100\r\n\r\nhalf");
+            connection.finish();
+        });
+        assertThat(entry.ask("/once/x", "r1")).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void bytesThatAreNoReplyAreNotPassedOn() {
+        one.script((request, connection) -> connection.write("\u0001\u0002 no reply at all\r\n\r\n"));
+        assertThat(entry.ask("/once/x", "r1")).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void workEndsAtTheEndpointWhenTheCallerLeaves() throws Exception {
+        CompletableFuture<Boolean> closed = new CompletableFuture<>();
+        CompletableFuture<Void> arrived = new CompletableFuture<>();
+        one.script((request, connection) -> {
+            arrived.complete(null);
+            closed.complete(connection.awaitClosed());
+        });
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.send("/once/x", "r1");
+            arrived.get(10, TimeUnit.SECONDS);
+        }
+        assertThat(closed.get(10, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void aRequestIsAnsweredWhenItsRoutesTimeIsUp() {
+        one.script((request, connection) -> connection.awaitClosed());
+        TestEntry slow = new TestEntry();
+        slow.routes(300);
+        slow.endpoints(one.member("s", Stage.WHOLE));
+        assertThat(slow.ask("/once/x", "r1")).startsWith("HTTP/1.1 504");
+        slow.close();
+    }
+
+    @Test
+    void connectionsToAnEndpointAreKept() {
+        for (int i = 0; i < 10; i++) {
+            entry.ask("/once/x", "r" + i);
+        }
+        assertThat(one.connections()).isEqualTo(1);
+    }
+
+    @Test
+    void aLeavingEndpointGetsNoNewRequests() {
+        useBoth();
+        var leaving = one.member("s", Stage.WHOLE);
+        entry.endpoints(
+                new org.quetzalseam.core.fleet.Member(
+                        leaving.id(), "s", leaving.host(), leaving.port(), "a", 4, true, Stage.WHOLE),
+                two.member("s", Stage.WHOLE));
+        for (int i = 0; i < 6; i++) {
+            assertThat(entry.ask("/once/x", "r" + i)).endsWith("second");
+        }
+    }
+
+    @Test
+    void aPathWithoutRouteIsNotFound() {
+        assertThat(entry.ask("/nowhere/", "r1")).startsWith("HTTP/1.1 404");
+    }
+
+    @Test
+    void aCallerWhoComesBeforeTheRoutesIsKeptUntilTheyAreThere() throws Exception {
+        try (TestEntry young = new TestEntry();
+                TestEntry.Caller caller = young.caller()) {
+            caller.send("/once/x", "r1");
+            young.endpoints(one.member("s", Stage.WHOLE));
+            young.routes(5_000);
+            assertThat(caller.readUntil("first")).startsWith("HTTP/1.1 200 OK");
+        }
+    }
+
+    @Test
+    void requestsThatAreSentTogetherAreAnsweredInOrder() {
+        one.script((request, connection) -> connection.answer(request, "for " + request.header("x-id")));
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.send("/once/x", "r1");
+            caller.send("/once/x", "r2");
+            caller.send("/once/x", "r3");
+            assertThat(caller.readUntil("for r1")).endsWith("for r1");
+            assertThat(caller.readUntil("for r2")).endsWith("for r2");
+            assertThat(caller.readUntil("for r3")).endsWith("for r3");
+        }
+    }
+
+    @Test
+    void aLeavingEntryFinishesWhatItHasTakenAndClosesTheConnection() throws Exception {
+        CompletableFuture<Void> arrived = new CompletableFuture<>();
+        CompletableFuture<Void> goOn = new CompletableFuture<>();
+        one.script((request, connection) -> {
+            arrived.complete(null);
+            goOn.join();
+            connection.answer(request, "late but whole");
+        });
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.send("/once/x", "r1");
+            arrived.get(10, TimeUnit.SECONDS);
+            CompletableFuture<Void> left =
+                    CompletableFuture.runAsync(() -> entry.process().drain(8_000));
+            TimeUnit.MILLISECONDS.sleep(100);
+            goOn.complete(null);
+            assertThat(caller.readAll()).contains("connection: close").endsWith("late but whole");
+            left.get(10, TimeUnit.SECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
@@ -0,0 +1,175 @@
+package org.quetzalseam.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.quetzalseam.core.fleet.Member;
+import org.quetzalseam.core.routing.CallKind;
+import org.quetzalseam.core.routing.CallerLimits;
+import org.quetzalseam.core.routing.RouteRule;
+import org.quetzalseam.core.routing.RouteTable;
+import org.quetzalseam.core.routing.ServiceRule;
+import org.quetzalseam.core.routing.ServiceShare;
+import org.quetzalseam.gateway.route.EntrySettings;
+
+/** An entry on the loopback address, and callers of it. */
+final class TestEntry implements AutoCloseable {
+    private static final int TIME_OUT_MILLIS = 10_000;
+
+    private final EntryProcess process;
+    private final InetSocketAddress address;
+
+    TestEntry() {
+        EntrySettings settings = new EntrySettings("entry-1", "a", 1.0, 1_000, 10_000, 1, 2, 0.25);
+        process = new EntryProcess(new TestProtocol(), settings);
+        address = freeAddress();
+        process.start(address, freeAddress(), freeAddress());
+    }
+
+    private static InetSocketAddress freeAddress() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    EntryProcess process() {
+        return process;
+    }
+
+    /** Puts three routes in force: {@code /once/}, {@code /many/} and the streams {@code /stream/} and {@code /resumable/}. */
+    void routes(long timeoutMillis) {
+        List<RouteRule> rules = new ArrayList<>();
+        rules.add(rule("once", CallKind.NON_IDEMPOTENT, false, timeoutMillis));
+        rules.add(rule("many", CallKind.IDEMPOTENT, false, timeoutMillis));
+        rules.add(rule("stream", CallKind.STREAM, false, timeoutMillis));
+        rules.add(rule("resumable", CallKind.STREAM, true, timeoutMillis));
+        RouteTable table = new RouteTable(1, rules, List.of(new ServiceRule("s", 100)), CallerLimits.DEFAULT);
+        onLoop(() -> process.router().update(table));
+    }
+
+    private static RouteRule rule(String name, CallKind kind, boolean resumable, long timeoutMillis) {
+        return new RouteRule(
+                name,
+                "h",
+                "/" + name + "/",
+                kind,
+                List.of(new ServiceShare("s", 1)),
+                2,
+                timeoutMillis,
+                2_000,
+                0,
+                resumable);
+    }
+
+    void endpoints(Member... members) {
+        onLoop(() -> {
+            process.directory().update(List.of(members));
+            process.router().routeEarly();
+        });
+    }
+
+    private void onLoop(Runnable call) {
+        CountDownLatch done = new CountDownLatch(1);
+        process.timers().soon(() -> {
+            call.run();
+            done.countDown();
+        });
+        try {
+            done.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    Caller caller() {
+        return new Caller(address);
+    }
+
+    /** Sends one request on a connection of its own and returns all that comes back until the connection ends. */
+    String ask(String path, String id, String... headers) {
+        try (Caller caller = caller()) {
+            String[] closing = new String[headers.length + 1];
+            System.arraycopy(headers, 0, closing, 0, headers.length);
+            closing[headers.length] = "Connection: close";
+            caller.send(path, id, closing);
+            return caller.readAll();
+        }
+    }
+
+    @Override
+    public void close() {
+        process.stop();
+    }
+
+    /** A caller's connection, read as bytes. */
+    static final class Caller implements AutoCloseable {
+        private final Socket socket;
+
+        Caller(InetSocketAddress address) {
+            try {
+                socket = new Socket(address.getAddress(), address.getPort());
+                socket.setSoTimeout(TIME_OUT_MILLIS);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        void send(String path, String id, String... headers) {
+            StringBuilder text = new StringBuilder("POST " + path + " HTTP/1.1\r\nHost: h\r\nx-id: " + id + "\r\n");
+            for (String header : headers) {
+                text.append(header).append("\r\n");
+            }
+            write(text + "Content-Length: 2\r\n\r\nhi");
+        }
+
+        void write(String text) {
+            try {
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        /** Reads until the text has come, and returns all up to its end. */
+        String readUntil(String end) {
+            ByteArrayOutputStream got = new ByteArrayOutputStream();
+            try {
+                InputStream in = socket.getInputStream();
+                int next = in.read();
+                while (next >= 0) {
+                    got.write(next);
+                    if (got.toString(StandardCharsets.UTF_8).endsWith(end)) {
+                        break;
+                    }
+                    next = in.read();
+                }
+            } catch (IOException e) {
+                got.writeBytes(" [reset]".getBytes(StandardCharsets.UTF_8));
+            }
+            return got.toString(StandardCharsets.UTF_8);
+        }
+
+        String readAll() {
+            return readUntil("\0");
+        }
+
+        @Override
+        public void close() {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestProtocol.java
@@ -0,0 +1,112 @@
+package org.quetzalseam.gateway;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.core.generation.TokenDemand;
+import org.quetzalseam.gateway.protocol.EngineLoad;
+import org.quetzalseam.gateway.protocol.Forwarding;
+import org.quetzalseam.gateway.protocol.Protocol;
+import org.quetzalseam.gateway.protocol.ReplyFacts;
+import org.quetzalseam.gateway.protocol.RequestFacts;
+
+/** A plain protocol for tests, with names of its own. */
+final class TestProtocol implements Protocol {
+    @Override
+    public String idHeader() {
+        return "x-id";
+    }
+
+    @Override
+    public RequestFacts facts(HttpHeaders headers) {
+        String tokens = headers.get("x-tokens");
+        TokenDemand demand = tokens == null ? null : new TokenDemand(Integer.parseInt(tokens), 500, 200);
+        long patience = Long.parseLong(headers.get("x-patience", "5000"));
+        return new RequestFacts(headers.get("x-id", ""), patience, demand, headers.get("x-resume"));
+    }
+
+    @Override
+    public void forward(HttpHeaders headers, Forwarding forwarding) {
+        headers.set("x-endpoint", forwarding.expectedEndpoint());
+        if (forwarding.prefillOnly()) {
+            headers.set("x-prefill", "1");
+        }
+        set(headers, "x-kv", forwarding.kvSource());
+        set(headers, "x-booking", forwarding.reservation());
+        set(headers, "x-resume", forwarding.resumeAfter());
+    }
+
+    private static void set(HttpHeaders headers, String name, @Nullable String value) {
+        if (value != null) {
+            headers.set(name, value);
+        }
+    }
+
+    @Override
+    public ReplyFacts facts(HttpResponse reply) {
+        return new ReplyFacts(
+                reply.headers().contains("x-signature"), reply.headers().contains("x-not-run"));
+    }
+
+    @Override
+    public void comeBackAfter(HttpHeaders headers, long millis) {
+        headers.set("x-come-back", millis);
+    }
+
+    @Override
+    public FullHttpRequest reserve(int tokens, long millis) {
+        return call(HttpMethod.POST, "/control/reserve?tokens=" + tokens);
+    }
+
+    @Override
+    public Optional<String> reservation(String body) {
+        return body.isEmpty() ? Optional.empty() : Optional.of(body);
+    }
+
+    @Override
+    public FullHttpRequest release(String reservation) {
+        return call(HttpMethod.DELETE, "/control/release/" + reservation);
+    }
+
+    @Override
+    public Optional<String> kvHandle(String body) {
+        return body.isEmpty() ? Optional.empty() : Optional.of(body);
+    }
+
+    @Override
+    public String kvSource(String address, String handle) {
+        return handle;
+    }
+
+    @Override
+    public FullHttpRequest dropKv(String handle) {
+        return call(HttpMethod.DELETE, "/control/kv/" + handle);
+    }
+
+    @Override
+    public FullHttpRequest load() {
+        return call(HttpMethod.GET, "/control/load");
+    }
+
+    @Override
+    public Optional<EngineLoad> load(String body) {
+        return Optional.empty();
+    }
+
+    @Override
+    public FullHttpRequest changeStage(
+            Stage stage, String holder, long epoch, long ordersSeen, String expectedEndpoint) {
+        return call(HttpMethod.POST, "/control/stage/" + stage);
+    }
+
+    private static FullHttpRequest call(HttpMethod method, String path) {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.EMPTY_BUFFER);
+    }
+}
