Entries count each other through the store and share the retry budget evenly

Cause: an entry's part of the slack was worked out for 24 entries, so it had no retry left at the start of traffic. Test: RetryAllowanceTest.

--- a/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
+++ b/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
@@ -4,20 +4,21 @@
 import java.util.Deque;
 
 /**
- * One entry's share of a retry budget that all entries have in common, without a word between them. Not thread-safe.
+ * One entry's share of a retry budget that all entries have in common. Not thread-safe.
  *
  * <p>The common budget for a window is {@code ratio} times the requests plus a slack. An entry takes {@code ratio} times its
- * own requests, which adds up to the common ratio whatever the entries' shares of traffic, and a fixed part of the slack so
- * small that it holds for {@link #ENTRIES_ASSUMED} entries.
+ * own requests, which adds up to the common ratio whatever the entries' shares of traffic, and an even part of the slack; until
+ * it knows how many entries there are, so small a part that it holds for {@link #ENTRIES_ASSUMED} of them.
  */
 public final class RetryAllowance {
     /** Most entries for which the parts of the slack add up to no more than the whole: a large site of one region. */
     private static final int ENTRIES_ASSUMED = 24;
-    /** Part of the ratio that is used, as requests and retries fall into sliding windows that don't quite agree. */
+    /** Part of the budget that is used, as requests and retries fall into sliding windows that don't quite agree. */
     private static final double RATIO_USED = 0.8;
 
     private final double ratio;
-    private final double slack;
+    private final double commonSlack;
+    private double slack;
     private final long windowNanos;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> retries = new ArrayDeque<>();
@@ -34,10 +35,16 @@
             throw new IllegalArgumentException("ratio: expected 0 to 1, got " + ratio);
         }
         this.ratio = ratio * RATIO_USED;
-        this.slack = slack / ENTRIES_ASSUMED;
+        this.commonSlack = slack * RATIO_USED;
+        entries(ENTRIES_ASSUMED);
         this.windowNanos = windowNanos;
     }
 
+    /** Takes the number of entries that share the budget. */
+    public void entries(int entries) {
+        slack = commonSlack / Math.max(1, entries);
+    }
+
     /** Notes a caller's request. */
     public void request(long now) {
         requests.addLast(now);
--- /dev/null
+++ b/core/src/test/java/org/quetzalseam/core/limits/RetryAllowanceTest.java
@@ -0,0 +1,67 @@
+package org.quetzalseam.core.limits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class RetryAllowanceTest {
+    private static final long WINDOW = 10_000_000_000L;
+    private static final double RATIO = 0.2;
+    private static final double SLACK = 56;
+
+    private static int taken(RetryAllowance allowance, long now) {
+        int taken = 0;
+        while (allowance.retry(now)) {
+            taken++;
+        }
+        return taken;
+    }
+
+    @Test
+    void allEntriesTogetherStayWithinTheBudgetHoweverTrafficIsShared() {
+        int[] requests = {0, 1, 10, 300, 1_000};
+        List<RetryAllowance> entries = new ArrayList<>();
+        int all = 0;
+        int retries = 0;
+        for (int share : requests) {
+            RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW);
+            allowance.entries(requests.length);
+            entries.add(allowance);
+            for (int i = 0; i < share; i++) {
+                allowance.request(1);
+            }
+            all += share;
+        }
+        for (RetryAllowance allowance : entries) {
+            retries += taken(allowance, 2);
+        }
+        assertThat((double) retries).isLessThanOrEqualTo(RATIO * all + SLACK);
+        assertThat(retries).isGreaterThan((int) (0.7 * (RATIO * all + SLACK)));
+    }
+
+    @Test
+    void anEntryThatDoesNotKnowTheOthersTakesASmallPartOfTheSlack() {
+        assertThat(taken(new RetryAllowance(RATIO, SLACK, WINDOW), 1)).isLessThanOrEqualTo(2);
+    }
+
+    @Test
+    void aCrashAtTheStartOfTrafficLeavesRetriesForThoseWhoCanGoOn() {
+        RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW);
+        allowance.entries(5);
+        for (int i = 0; i < 5; i++) {
+            allowance.request(1);
+        }
+        assertThat(taken(allowance, 2)).isGreaterThanOrEqualTo(8);
+    }
+
+    @Test
+    void whatIsTakenComesBackAfterTheWindow() {
+        RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW);
+        allowance.entries(5);
+        int first = taken(allowance, 1);
+        assertThat(taken(allowance, WINDOW)).isZero();
+        assertThat(taken(allowance, WINDOW + 2)).isEqualTo(first);
+    }
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -55,6 +55,11 @@
         context.settings(settings);
     }
 
+    /** Takes the number of entries that share the site's budgets. */
+    public void entries(int entries) {
+        context.entries(entries);
+    }
+
     /** Returns the version of the desired state in force, 0 before the first. */
     public long version() {
         RouteTable table = routes;
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -22,6 +22,7 @@
     private final Directory directory;
     private final GatewayMetrics metrics;
     private EntrySettings settings;
+    private int entries;
     private final Map<String, RetryAllowance> retries = new HashMap<>();
     private final Map<String, CallerPatience> patience = new HashMap<>();
     private final Map<String, ReservationDesk> desks = new HashMap<>();
@@ -74,13 +75,24 @@
         return allowed;
     }
 
+    void entries(int counted) {
+        entries = counted;
+        retries.values().forEach(allowance -> allowance.entries(counted));
+    }
+
     RetryAllowance retries(String service) {
-        return retries.computeIfAbsent(
-                service,
-                name -> new RetryAllowance(
-                        settings.retryRatio(),
-                        settings.retrySlack(),
-                        TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMillis())));
+        return retries.computeIfAbsent(service, name -> newAllowance());
+    }
+
+    private RetryAllowance newAllowance() {
+        RetryAllowance allowance = new RetryAllowance(
+                settings.retryRatio(),
+                settings.retrySlack(),
+                TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMillis()));
+        if (entries > 0) {
+            allowance.entries(entries);
+        }
+        return allowance;
     }
 
     CallerPatience patience(String route) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectStore.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectStore.java
@@ -9,6 +9,9 @@
     /** Lists a page of a kind, beginning after a name, or with the first one where that is null. */
     void list(String kind, @Nullable String after, Consumer<ObjectPage> done, Consumer<StoreFailure> failed);
 
+    /** Lists the first page of a kind as it was some seconds ago at most, which costs the platform less. */
+    void listRecent(String kind, Consumer<ObjectPage> done, Consumer<StoreFailure> failed);
+
     /** Waits for changes of a kind since a revision, for so long at most. */
     void watch(
             String kind, long revision, long waitMillis, Consumer<ObjectChanges> done, Consumer<StoreFailure> failed);
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -135,6 +135,11 @@
             failed = failure;
         }
 
+        @Override
+        public void listRecent(String kind, Consumer<ObjectPage> done, Consumer<StoreFailure> failure) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public void read(String kind, String name, Consumer<StoredObject> done, Consumer<StoreFailure> failure) {
             throw new UnsupportedOperationException();
