--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -87,13 +87,13 @@
      *
      * @param request its head
      * @param body its body; released when it has been written or can't be sent
-     * @param id the id that the reply must bear
+     * @param id the id that the reply must bear; where it is empty, any reply is the right one
      * @param replies takes the reply
      */
-    public EndpointCall send(HttpRequest request, ByteBuf body, @Nullable String id, ReplyListener replies) {
+    public EndpointCall send(HttpRequest request, ByteBuf body, String id, ReplyListener replies) {
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         outstanding++;
-        EndpointCall call = new EndpointCall(request, body, id, replies, () -> outstanding--);
+        EndpointCall call = new EndpointCall(request, body, id.isEmpty() ? null : id, replies, () -> outstanding--);
         HttpConnection kept = keptConnection(idle);
         if (kept != null) {
             call.begin(kept);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -38,6 +38,7 @@
     private final ReservationDesk desk;
     private final ForwardedRequest forwarded;
     private final EventStream events = new EventStream();
+    private final StreamPace pace = new StreamPace();
     private @Nullable Reservation reservation;
     private @Nullable BookedMemory memory;
     private @Nullable String unusedBooking;
@@ -45,6 +46,7 @@
     private @Nullable KvCache unusedKv;
     private @Nullable EndpointCall decoding;
     private @Nullable Subscription deadlineTimer;
+    private final long spentBefore;
     private int turns;
     private int runs;
     private boolean mayHaveRun;
@@ -58,6 +60,7 @@
         this.log = log;
         this.desk = context.desk(service);
         this.forwarded = new ForwardedRequest(exchange, context.protocol(), route);
+        this.spentBefore = context.patience(route.name()).spent(exchange.facts().patienceMillis());
     }
 
     void start() {
@@ -80,7 +83,7 @@
     private void bookMemory(TokenDemand demand) {
         int tokens = desk.booking().tokens(demand);
         long now = context.now();
-        long inTime = route.targetMillis() - READING_MILLIS - exchange.ageMillis() - spentBefore();
+        long inTime = route.targetMillis() - READING_MILLIS - exchange.ageMillis() - spentBefore;
         long wait = Math.min(inTime > 0 ? inTime : LATE_WAIT_MILLIS, forwarded.leftMillis());
         Reservation wanted = new Reservation(
                 tokens,
@@ -96,6 +99,7 @@
 
                     @Override
                     public void refused(String why) {
+                        notBooked(why);
                         giveUp(why);
                     }
                 });
@@ -103,9 +107,13 @@
         desk.enter(wanted);
     }
 
-    /** Returns how long the caller has waited in earlier tries, as far as the patience it has left shows, in milliseconds. */
-    private long spentBefore() {
-        return context.patience(route.name()).spent(exchange.facts().patienceMillis());
+    private void notBooked(String why) {
+        Reservation wanted = reservation;
+        if (wanted != null) {
+            int engines = context.directory().usable(service, Stage.DECODE).size();
+            log.notBooked(wanted, engines, spentBefore, why);
+            reservation = null;
+        }
     }
 
     /** A stream that says nothing of its size goes to the engine with the least work of this entry. */
@@ -206,6 +214,7 @@
                 ready.release();
                 return;
             }
+            pace.came(exchange.ageMillis());
             if (first) {
                 log.firstEvent();
             }
@@ -397,6 +406,9 @@
             timer.cancel();
         }
         freeMemory();
+        if (pace.pieces() > 0) {
+            log.streamed(pace, spentBefore);
+        }
         log.ended(outcome, status, turns);
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/Reservation.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/Reservation.java
@@ -21,6 +21,7 @@
     private final long until;
     private final Outcome outcome;
     private boolean asking;
+    private int asks;
     private boolean over;
 
     /**
@@ -68,6 +69,12 @@
 
     void asking(boolean now) {
         asking = now;
+        asks += now ? 1 : 0;
+    }
+
+    /** Returns how many engines' answers it has asked for. */
+    int asks() {
+        return asks;
     }
 
     boolean over() {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
@@ -51,6 +51,8 @@
     /** Part of the time to come back by which it is spread either way. */
     private static final double SPREAD = 0.25;
 
+    /** How often engines that are gone are forgotten, in milliseconds. */
+    private static final long FORGET_MILLIS = 10_000;
     /** Tokens by which engines hand out memory. */
     private static final int BLOCK_TOKENS = 16;
 
@@ -74,6 +76,13 @@
         this.service = service;
         this.booking = new MemoryBooking(
                 context.settings().bookedDeviations(), context.settings().admittedDeviations(), BLOCK_TOKENS);
+        context.timers().every(FORGET_MILLIS, this::forgetGone);
+    }
+
+    private void forgetGone() {
+        refusals.keySet().removeIf(engine -> !context.directory().usable(engine));
+        booked.values().removeIf(tokens -> tokens == 0);
+        asked.values().removeIf(count -> count == 0);
     }
 
     /** Takes a generation in; its outcome follows, never before this call returns. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -34,6 +34,32 @@
         step("booked", engine, "tokens=" + tokens);
     }
 
+    void notBooked(Reservation wanted, int engines, long spentBefore, String why) {
+        logger.atInfo().log(
+                "event=booking-refused request=%s service=%s why=\"%s\" tokens=%d room=%d engines=%d asked=%d"
+                        + " spent_before_ms=%d age_ms=%d",
+                exchange.facts().id(),
+                service,
+                why,
+                wanted.tokens(),
+                wanted.room(),
+                engines,
+                wanted.asks(),
+                spentBefore,
+                exchange.ageMillis());
+    }
+
+    void streamed(StreamPace pace, long spentBefore) {
+        logger.atInfo().log(
+                "event=stream-ended request=%s events=%d first_event_ms=%d longest_pause_ms=%d spent_before_ms=%d age_ms=%d",
+                exchange.facts().id(),
+                pace.pieces(),
+                pace.firstMillis(),
+                pace.longestPauseMillis(),
+                spentBefore,
+                exchange.ageMillis());
+    }
+
     void ended(String outcome, int status, int tries) {
         metrics.ended(route.name(), outcome, exchange.ageMillis());
         logger.atInfo().log(
--- a/gateway/src/test/java/org/quetzalseam/gateway/PlainCallTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/PlainCallTest.java
@@ -43,6 +43,16 @@
         assertThat(one.requests().get(0).body()).isEqualTo("hi");
     }
 
+    @Test
+    void aRequestWithoutAnIdGetsWhateverTheEndpointSays() {
+        one.script((request, connection) ->
+                connection.write("HTTP/1.1 200 OK\r\nx-signature: s\r\nContent-Length: 5\r\n\r\nplain"));
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.write("GET /once/x HTTP/1.1\r\nHost: h\r\n\r\n");
+            assertThat(caller.readUntil("plain")).startsWith("HTTP/1.1 200 OK");
+        }
+    }
+
     @Test
     void aReplyToAnotherRequestIsSkipped() {
         one.script((request, connection) -> {
