--- /dev/null
+++ b/core/src/test/java/org/quetzalseam/core/fleet/MemberTableTest.java
@@ -0,0 +1,57 @@
+package org.quetzalseam.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class MemberTableTest {
+    private static final long GRACE = 1_000;
+
+    private final MemberTable table = new MemberTable(GRACE);
+
+    private static Member member(String id, boolean leaving) {
+        return new Member(id, "s", "10.0.0.1", 80, "z", 4, leaving, Stage.WHOLE);
+    }
+
+    @Test
+    void whatIsMissingInAListingIsGoneAtOnce() {
+        table.replaceAll(List.of(member("a", false), member("b", false)), 0, false);
+        table.replaceAll(List.of(member("b", false)), 1, false);
+        assertThat(table.all()).extracting(Member::id).containsExactly("b");
+    }
+
+    @Test
+    void whatLapsedWhileTheStoreWasAwayIsKeptForItsGrace() {
+        table.put(member("a", false));
+        table.remove("a", 0, true);
+        assertThat(table.expire(GRACE - 1)).isEmpty();
+        assertThat(table.all()).hasSize(1);
+        assertThat(table.expire(GRACE)).containsExactly("a");
+        assertThat(table.all()).isEmpty();
+    }
+
+    @Test
+    void whatRegistersAgainInTimeStays() {
+        table.put(member("a", false));
+        table.remove("a", 0, true);
+        table.put(member("a", false));
+        assertThat(table.expire(10 * GRACE)).isEmpty();
+        assertThat(table.all()).hasSize(1);
+    }
+
+    @Test
+    void whatHadSaidThatItLeavesIsGoneAtOnceInAnyCase() {
+        table.put(member("a", true));
+        table.remove("a", 0, true);
+        assertThat(table.all()).isEmpty();
+    }
+
+    @Test
+    void aSecondListingDoesNotProlongTheGrace() {
+        table.put(member("a", false));
+        table.replaceAll(List.of(), 0, true);
+        table.replaceAll(List.of(), GRACE - 1, true);
+        assertThat(table.expire(GRACE)).containsExactly("a");
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalseam/core/generation/OrderLeaseTest.java
@@ -0,0 +1,81 @@
+package org.quetzalseam.core.generation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class OrderLeaseTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final long RENEW = 4_000;
+    private static final long QUIET = 5_000;
+
+    private final OrderLease lease = new OrderLease("me", RENEW, QUIET);
+
+    private void hold() {
+        lease.seen("me", 1, 10, 0);
+        lease.taken(false, 0);
+    }
+
+    @Test
+    void anOrderLeavesOnlyRightAfterAConfirmedRenewal() {
+        hold();
+        assertThat(lease.mayOrder(0, 0)).isFalse();
+        lease.renewed(0, 0);
+        assertThat(lease.mayOrder(SECOND / 2, 500)).isTrue();
+        assertThat(lease.mayOrder(2 * SECOND, 2_000)).isFalse();
+    }
+
+    @Test
+    void aMachineThatWasSuspendedAfterItsRenewalMayNotOrder() {
+        hold();
+        lease.renewed(0, 0);
+        assertThat(lease.mayOrder(SECOND / 10, 60_000))
+                .as("the monotonic clock doesn't count the suspension, the time of day does")
+                .isFalse();
+    }
+
+    @Test
+    void aTimeOfDayThatJumpsBackStopsOrdersToo() {
+        hold();
+        lease.renewed(0, 100_000);
+        assertThat(lease.mayOrder(SECOND / 10, 50_000)).isFalse();
+    }
+
+    @Test
+    void aNewHolderWaitsUntilOrdersOfTheOneBeforeAreLongPast() {
+        lease.seen("me", 2, 11, 0);
+        lease.taken(true, 0);
+        lease.renewed(SECOND, 1_000);
+        assertThat(lease.mayOrder(SECOND, 1_000)).isFalse();
+        lease.renewed(6 * SECOND, 6_000);
+        assertThat(lease.mayOrder(6 * SECOND, 6_000)).isTrue();
+    }
+
+    @Test
+    void aLeaseIsTakenOverOnlyWhenItsRevisionStandsStillForLong() {
+        lease.seen("other", 1, 10, 0);
+        assertThat(lease.lapsed(11 * SECOND)).isFalse();
+        lease.seen("other", 1, 11, 11 * SECOND);
+        assertThat(lease.lapsed(22 * SECOND)).isFalse();
+        lease.seen("other", 1, 11, 22 * SECOND);
+        assertThat(lease.lapsed(24 * SECOND))
+                .as("the same revision again is no sign of life")
+                .isTrue();
+    }
+
+    @Test
+    void whoSeesAnotherHolderStopsOrdering() {
+        hold();
+        lease.renewed(0, 0);
+        lease.seen("other", 2, 12, 0);
+        assertThat(lease.held()).isFalse();
+        assertThat(lease.mayOrder(0, 0)).isFalse();
+    }
+
+    @Test
+    void anOlderRevisionIsNotBelieved() {
+        lease.seen("other", 2, 12, 0);
+        lease.seen("me", 1, 10, 0);
+        assertThat(lease.held()).isFalse();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalseam/core/generation/StageSplitTest.java
@@ -0,0 +1,86 @@
+package org.quetzalseam.core.generation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.fleet.Stage;
+
+class StageSplitTest {
+    private final StageSplit split = new StageSplit(0.25);
+
+    private static List<EngineSample> engines(int prefill, int busyPrefill, int decode, double fill) {
+        List<EngineSample> engines = new ArrayList<>();
+        for (int i = 0; i < prefill; i++) {
+            engines.add(new EngineSample("p" + i, Stage.PREFILL, i < busyPrefill ? 1 : 0, 0, 0));
+        }
+        for (int i = 0; i < decode; i++) {
+            engines.add(new EngineSample("d" + i, Stage.DECODE, fill > 0 ? 5 : 0, 0, fill));
+        }
+        return engines;
+    }
+
+    private Optional<StageSplit.Change> after(int samples, List<EngineSample> engines) {
+        for (int i = 0; i < samples; i++) {
+            split.observe(engines);
+        }
+        return split.decide(engines);
+    }
+
+    @Test
+    void beforeAnyLoadTheAssumedShareIsFollowed() {
+        assertThat(after(5, engines(3, 0, 5, 0))).hasValueSatisfying(change -> {
+            assertThat(change.stage()).isEqualTo(Stage.DECODE);
+            assertThat(change.engine()).startsWith("p");
+        });
+        assertThat(after(5, engines(2, 0, 6, 0))).isEmpty();
+        assertThat(after(5, engines(1, 0, 7, 0)))
+                .hasValueSatisfying(change -> assertThat(change.stage()).isEqualTo(Stage.PREFILL));
+    }
+
+    @Test
+    void enginesThatAreStillRegisteringLeadToNoOrder() {
+        assertThat(after(2, engines(0, 0, 2, 0))).isEmpty();
+        assertThat(after(2, engines(1, 0, 3, 0))).isEmpty();
+        assertThat(after(2, engines(3, 0, 5, 0))).isEmpty();
+    }
+
+    @Test
+    void longAnswersMoveAnIdlePrefillEngineToDecoding() {
+        assertThat(after(10, engines(4, 1, 4, 0.9)))
+                .hasValueSatisfying(change -> assertThat(change.stage()).isEqualTo(Stage.DECODE));
+    }
+
+    @Test
+    void longPromptsMoveADecodeEngineWithFreeMemoryToPrefill() {
+        assertThat(after(10, engines(2, 2, 6, 0.2)))
+                .hasValueSatisfying(change -> assertThat(change.stage()).isEqualTo(Stage.PREFILL));
+    }
+
+    @Test
+    void whenBothArePressedNothingChanges() {
+        assertThat(after(10, engines(2, 2, 6, 0.95))).isEmpty();
+        assertThat(after(10, engines(3, 3, 5, 0.95))).isEmpty();
+    }
+
+    @Test
+    void theLastPrefillEngineStays() {
+        assertThat(after(10, engines(1, 0, 7, 0.99))).isEmpty();
+    }
+
+    @Test
+    void aShortBurstIsNoGrounds() {
+        after(30, engines(3, 1, 5, 0.3));
+        assertThat(after(2, engines(3, 1, 5, 1.0))).isEmpty();
+    }
+
+    @Test
+    void afterAChangeTheLoadIsSeenAnewFirst() {
+        after(10, engines(5, 1, 3, 0.9));
+        split.changed();
+        assertThat(after(3, engines(4, 1, 4, 0.9))).isEmpty();
+        assertThat(after(10, engines(4, 1, 4, 0.9))).isPresent();
+    }
+}
