Calls that an engine never answers end; endpoints that never answer are found out

Found while reading: releases, reports and orders had no time limit, so an engine that went dark and came back under the same id would have kept all control connections, and the stage keeper would have waited for its report for good. And a request that ran into its deadline didn't count against the endpoint that let it wait. Two tests failed before and pass now. What a generation holds at engines is a class of its own.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -17,6 +17,7 @@
 import org.quetzalseam.gateway.http.Connector;
 import org.quetzalseam.gateway.http.HttpConnection;
 import org.quetzalseam.gateway.http.ReplyListener;
+import org.quetzalseam.gateway.runtime.Timers;
 
 /**
  * One endpoint as this entry sees it: kept connections, work under way, and record. Used on the event loop only.
@@ -32,6 +33,7 @@
     private static final int MAX_CONTROL_CONNECTIONS = 8;
 
     private final Connector connector;
+    private final Timers timers;
     private final InetSocketAddress address;
     private final EndpointHealth health = new EndpointHealth();
     private final Deque<HttpConnection> idle = new ArrayDeque<>();
@@ -44,6 +46,7 @@
 
     Endpoint(Connector connector, Member member) {
         this.connector = connector;
+        this.timers = new Timers(connector.loop());
         this.member = member;
         this.address = new InetSocketAddress(member.host(), member.port());
     }
@@ -117,8 +120,20 @@
         return call;
     }
 
-    /** Sends a call that runs nothing: a booking, a report, an order. */
-    public EndpointCall control(FullHttpRequest request, ReplyListener replies) {
+    /**
+     * Sends a call that runs nothing: a booking, a report, an order.
+     *
+     * @param request the whole call
+     * @param limitMillis how long the reply may take; a call without one would hold its connection for good
+     * @param replies takes the reply
+     */
+    public EndpointCall control(FullHttpRequest request, long limitMillis, ReplyListener replies) {
+        EndpointCall call = beginControl(request, replies);
+        timers.after(limitMillis, call::expire);
+        return call;
+    }
+
+    private EndpointCall beginControl(FullHttpRequest request, ReplyListener replies) {
         request.headers().set(HttpHeaderNames.HOST, member.address());
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         // The connection writes head and body apart; a full request as its head would end the message twice.
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/EndpointCall.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/EndpointCall.java
@@ -67,6 +67,14 @@
         }
     }
 
+    /** Gives the call up because its time is over; unlike {@link #cancel}, this is told to who waits for the reply. */
+    void expire() {
+        if (!ended) {
+            cancel();
+            replies.failed(new CallFailure(CallFailure.Kind.TIMED_OUT, "no answer in time"));
+        }
+    }
+
     /** Stops or goes on reading the reply. */
     public void reading(boolean wanted) {
         HttpConnection used = connection;
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -27,6 +27,8 @@
     private static final long READING_MILLIS = 250;
     /** How long a caller who is late already may wait for memory, in milliseconds. */
     private static final long LATE_WAIT_MILLIS = 1_000;
+    /** Latency objectives after which an engine without a first event is taken to be silent. */
+    private static final int SILENT_TARGETS = 2;
     /** Turns from booking to decoding for one request before it is given up. */
     private static final int MAX_TURNS = 3;
 
@@ -37,13 +39,11 @@
     private final RunLog log;
     private final ReservationDesk desk;
     private final ForwardedRequest forwarded;
+    private final HeldMemory held;
     private final EventStream events = new EventStream();
     private final StreamPace pace = new StreamPace();
     private @Nullable Reservation reservation;
-    private @Nullable BookedMemory memory;
-    private @Nullable String unusedBooking;
     private @Nullable PromptReading reading;
-    private @Nullable KvCache unusedKv;
     private @Nullable EndpointCall decoding;
     private @Nullable Subscription deadlineTimer;
     private final long spentBefore;
@@ -59,6 +59,7 @@
         this.service = service;
         this.log = log;
         this.desk = context.desk(service);
+        this.held = new HeldMemory(desk);
         this.forwarded = new ForwardedRequest(exchange, context.protocol(), route);
         this.spentBefore = context.patience(route.name()).spent(exchange.facts().patienceMillis());
     }
@@ -136,8 +137,7 @@
 
     private void booked(BookedMemory booked) {
         reservation = null;
-        memory = booked;
-        unusedBooking = booked.id();
+        held.booked(booked);
         log.booked(booked.engine(), booked.tokens());
         readPrompt(booked);
     }
@@ -149,7 +149,7 @@
                 context, exchange, forwarded, service, promptTokens, log, new PromptReading.Outcome() {
                     @Override
                     public void read(Endpoint reader, String handle) {
-                        unusedKv = new KvCache(reader, handle);
+                        held.read(new KvCache(reader, handle));
                         decodeBooked(booked);
                     }
 
@@ -169,12 +169,10 @@
 
     private void decodeBooked(BookedMemory booked) {
         reading = null;
-        KvCache kv = unusedKv;
+        KvCache kv = held.use();
         String source = kv == null
                 ? null
                 : context.protocol().kvSource(kv.holder().member().address(), kv.handle());
-        unusedKv = null;
-        unusedBooking = null;
         decode(booked.engine(), source, booked.id());
     }
 
@@ -240,13 +238,13 @@
 
         @Override
         public void answered(HttpResponse head, ByteBuf body) {
-            freeMemory();
+            held.free();
             answeredWhole(engine, head, body);
         }
 
         @Override
         public void failed(CallFailure failure) {
-            freeMemory();
+            held.free();
             decodeFailed(engine, failure);
         }
     }
@@ -338,9 +336,19 @@
         }
     }
 
+    /** An engine that has let its caller wait for twice the objective without a first event counts as failing. */
+    private void noteSilence(@Nullable EndpointCall running) {
+        BookedMemory booked = held.memory();
+        boolean overdue = exchange.ageMillis() > SILENT_TARGETS * route.targetMillis();
+        if (running != null && running.active() && booked != null && pace.pieces() == 0 && overdue) {
+            booked.engine().health().failed(context.now());
+        }
+    }
+
     private void deadlinePassed() {
         EndpointCall running = decoding;
         boolean sent = mayHaveRun || (running != null && running.active() && running.sent());
+        noteSilence(running);
         stopWork();
         if (!sent) {
             giveUp("no engine in time");
@@ -355,6 +363,7 @@
     }
 
     private void callerGone() {
+        noteSilence(decoding);
         stopWork();
         over("caller-gone", 0);
     }
@@ -375,25 +384,7 @@
         if (running != null) {
             running.cancel();
         }
-        freeMemory();
-    }
-
-    private void freeMemory() {
-        BookedMemory booked = memory;
-        String booking = unusedBooking;
-        if (booked != null && booking != null) {
-            desk.giveBack(booked.engine(), booking);
-        }
-        if (booked != null) {
-            desk.freed(booked.engine(), booked.tokens());
-        }
-        KvCache kv = unusedKv;
-        if (kv != null) {
-            desk.dropKv(kv.holder(), kv.handle());
-        }
-        memory = null;
-        unusedBooking = null;
-        unusedKv = null;
+        held.free();
     }
 
     private void over(String outcome, int status) {
@@ -405,7 +396,7 @@
         if (timer != null) {
             timer.cancel();
         }
-        freeMemory();
+        held.free();
         if (pace.pieces() > 0) {
             log.streamed(pace, spentBefore);
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
@@ -13,7 +13,6 @@
 import org.quetzalseam.core.generation.MemoryBooking;
 import org.quetzalseam.core.generation.TokenDemand;
 import org.quetzalseam.gateway.endpoint.Endpoint;
-import org.quetzalseam.gateway.endpoint.EndpointCall;
 import org.quetzalseam.gateway.http.CallFailure;
 import org.quetzalseam.gateway.http.WholeReply;
 import org.quetzalseam.gateway.protocol.RequestFacts;
@@ -56,6 +55,9 @@
     /** Tokens by which engines hand out memory. */
     private static final int BLOCK_TOKENS = 16;
 
+    /** How long an engine may take to confirm that something was given back, in milliseconds; it lapses by itself soon after. */
+    private static final long GIVE_BACK_MILLIS = 1_000;
+
     private static final int MAX_REPLY_BYTES = 64 * 1024;
 
     private final RunContext context;
@@ -250,13 +252,7 @@
                     id.ifPresentOrElse(outcome::booked, outcome::full);
                 },
                 outcome::failed);
-        EndpointCall call = engine.control(context.protocol().reserve(tokens, BOOKING_MILLIS), reply);
-        context.after(ANSWER_MILLIS, () -> {
-            if (call.active()) {
-                call.cancel();
-                outcome.failed(new CallFailure(CallFailure.Kind.TIMED_OUT, "no answer to a booking"));
-            }
-        });
+        engine.control(context.protocol().reserve(tokens, BOOKING_MILLIS), ANSWER_MILLIS, reply);
     }
 
     private void refused(Reservation reservation, Endpoint engine) {
@@ -304,6 +300,7 @@
     private void control(Endpoint engine, io.netty.handler.codec.http.FullHttpRequest request, String what) {
         engine.control(
                 request,
+                GIVE_BACK_MILLIS,
                 new WholeReply(
                         MAX_REPLY_BYTES,
                         (head, body) -> body.release(),
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -48,6 +48,7 @@
     private final ForwardedRequest forwarded;
     private final Set<Endpoint> tried = new HashSet<>();
     private @Nullable EndpointCall call;
+    private @Nullable Endpoint asked;
     private @Nullable Subscription tryTimer;
     private @Nullable Subscription deadlineTimer;
     private int runs;
@@ -99,6 +100,7 @@
 
     private void send(Endpoint endpoint) {
         tried.add(endpoint);
+        asked = endpoint;
         HttpRequest head = forwarded.head(Forwarding.whole(endpoint.member().id(), forwarded.leftMillis()));
         long sentAt = context.now();
         WholeReply reply = new WholeReply(
@@ -224,6 +226,10 @@
     private void deadlinePassed() {
         EndpointCall running = call;
         boolean sent = mayHaveRun || (running != null && running.sent());
+        Endpoint silent = asked;
+        if (silent != null && running != null && running.active()) {
+            silent.health().failed(context.now());
+        }
         if (running != null) {
             running.cancel();
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
@@ -34,6 +34,9 @@
      */
     private static final long ORDER_REST_MILLIS = 14_000;
 
+    /** How long an engine may take to answer, in milliseconds: less than the time between two samples. */
+    private static final long ANSWER_MILLIS = 700;
+
     private static final int MAX_REPLY_BYTES = 64 * 1024;
     private static final int ACCEPTED = 202;
 
@@ -46,7 +49,7 @@
     private final StageSplit split;
     private final Map<String, EngineLoad> loads = new HashMap<>();
     private long restUntil;
-    private int unanswered;
+    private int awaited;
 
     StageKeeper(
             Timers timers,
@@ -72,15 +75,16 @@
     }
 
     private void sample() {
-        if (!lease.held() || unanswered > 0) {
+        if (!lease.held() || awaited > 0) {
             return;
         }
         loads.clear();
         List<Endpoint> engines = engines();
-        unanswered = engines.size();
+        awaited = engines.size();
         for (Endpoint engine : engines) {
             engine.control(
                     protocol.load(),
+                    ANSWER_MILLIS,
                     new WholeReply(
                             MAX_REPLY_BYTES,
                             (head, body) -> {
@@ -91,10 +95,17 @@
                                                 loads.put(engine.member().id(), load));
                                 sampled();
                             },
-                            failure -> sampled()));
+                            failure -> loadUnknown(engine, failure)));
         }
     }
 
+    private void loadUnknown(Endpoint engine, CallFailure failure) {
+        logger.atInfo().log(
+                "event=load-unknown service=%s endpoint=%s kind=%s",
+                service, engine.member().id(), failure.kind());
+        sampled();
+    }
+
     private List<Endpoint> engines() {
         List<Endpoint> engines = new ArrayList<>(directory.usable(service, Stage.PREFILL));
         engines.addAll(directory.usable(service, Stage.DECODE));
@@ -102,8 +113,8 @@
     }
 
     private void sampled() {
-        unanswered--;
-        if (unanswered > 0) {
+        awaited--;
+        if (awaited > 0) {
             return;
         }
         List<EngineSample> samples = new ArrayList<>();
@@ -144,6 +155,7 @@
         engine.get()
                 .control(
                         order,
+                        ANSWER_MILLIS,
                         new WholeReply(
                                 MAX_REPLY_BYTES,
                                 (head, body) -> {
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
@@ -73,7 +73,10 @@
         calling = false;
         if (failure.kind() == StoreFailure.Kind.NOT_FOUND && !lease.known()) {
             create();
+            return;
         }
+        logger.atInfo().log(
+                "event=lease-unread service=%s kind=%s detail=\"%s\"", service, failure.kind(), failure.detail());
     }
 
     private void create() {
@@ -88,7 +91,13 @@
                     lease.taken(false, timers.now());
                     logger.atInfo().log("event=lease-taken service=%s epoch=1 before=nobody", service);
                 },
-                failure -> calling = false);
+                this::createFailed);
+    }
+
+    /** Another entry may have been first; what stands in the store shows at the next turn. */
+    private void createFailed(StoreFailure failure) {
+        calling = false;
+        logger.atInfo().log("event=lease-not-created service=%s kind=%s", service, failure.kind());
     }
 
     /** Renews the lease, and calls once the store has confirmed it. */
--- a/gateway/src/test/java/org/quetzalseam/gateway/GenerationTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/GenerationTest.java
@@ -94,6 +94,22 @@
         assertThat(controls(decode, "/control/release")).containsExactly("/control/release/booking2");
     }
 
+    @Test
+    void callsThatAnEngineNeverAnswersDoNotUseUpTheConnectionsToIt() {
+        decode.script((request, connection) -> {
+            if (request.path().startsWith("/control/release")) {
+                connection.awaitClosed();
+            } else if (request.path().startsWith("/control/")) {
+                connection.answer(request, "booking" + bookings.incrementAndGet());
+            } else {
+                twoEvents(request, connection);
+            }
+        });
+        for (int i = 0; i < 12; i++) {
+            assertThat(entry.ask("/stream/x", "r" + i, SIZE)).as("stream %d", i).startsWith("HTTP/1.1 200");
+        }
+    }
+
     @Test
     void aFullEngineMeansARefusalThatHasNotRunAnything() {
         full.set(true);
--- a/gateway/src/test/java/org/quetzalseam/gateway/PlainCallTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/PlainCallTest.java
@@ -170,6 +170,21 @@
         slow.close();
     }
 
+    @Test
+    void anEndpointThatNeverAnswersIsFoundOutByTheRequestsThatItLetWait() {
+        one.script((request, connection) -> connection.awaitClosed());
+        try (TestEntry impatient = new TestEntry()) {
+            impatient.routes(100);
+            impatient.endpoints(one.member("s", Stage.WHOLE), two.member("s", Stage.WHOLE));
+            for (int i = 0; i < 60 && one.runs().size() < 3; i++) {
+                impatient.ask("/once/x", "r" + i);
+            }
+            for (int i = 0; i < 10; i++) {
+                assertThat(impatient.ask("/once/x", "s" + i)).endsWith("second");
+            }
+        }
+    }
+
     @Test
     void connectionsToAnEndpointAreKept() {
         for (int i = 0; i < 10; i++) {
