An object of the store that can't be read no longer ends the watch

Found while reading the adapter: a registration without an address threw inside the watch's callback, after which the entry heard of no change any more. Test failed before (KindWatchTest.anObjectThatCanNotBeReadDoesNotEndTheWatch).

--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -67,7 +67,7 @@
             store.list(kind, last, this::page, this::listFailed);
             return;
         }
-        listener.listed(List.copyOf(pages), justReturned());
+        guarded("all", () -> listener.listed(List.copyOf(pages), justReturned()));
         logger.atInfo().log("event=listed kind=%s objects=%d revision=%d", kind, pages.size(), page.revision());
         watch(page.revision());
     }
@@ -89,14 +89,23 @@
         heard();
         for (ObjectChanges.Change change : changes.changes()) {
             if (change.deleted()) {
-                listener.deleted(change.object(), justReturned());
+                guarded(change.object().name(), () -> listener.deleted(change.object(), justReturned()));
             } else {
-                listener.changed(change.object());
+                guarded(change.object().name(), () -> listener.changed(change.object()));
             }
         }
         watch(changes.revision());
     }
 
+    /** An object that can't be read is left aside: those behind it must still be heard of. */
+    private void guarded(String name, Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            logger.atWarning().withCause(e).log("event=object-unreadable kind=%s name=%s", kind, name);
+        }
+    }
+
     private void watchFailed(long revision, StoreFailure failure) {
         if (failure.kind() == StoreFailure.Kind.HISTORY_GONE) {
             logger.atInfo().log("event=history-gone kind=%s revision=%d", kind, revision);
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -76,6 +76,16 @@
         assertThat(seen.lines).containsExactly("listed a away=false", "listed b away=false");
     }
 
+    @Test
+    void anObjectThatCanNotBeReadDoesNotEndTheWatch() {
+        store.listed.accept(new ObjectPage(List.of(), false, 6));
+        ObjectChanges.Change bad = new ObjectChanges.Change(object(Seen.UNREADABLE, 7), false);
+        ObjectChanges.Change good = new ObjectChanges.Change(object("a", 8), false);
+        store.changed.accept(new ObjectChanges(List.of(bad, good), 8));
+        assertThat(seen.lines).last().isEqualTo("changed a");
+        assertThat(store.watchedFrom).isEqualTo(8);
+    }
+
     @Test
     void whatIsDeletedRightAfterAnOutageIsMarkedSo() {
         store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, 6));
@@ -86,6 +96,7 @@
     }
 
     private static final class Seen implements KindListener {
+        private static final String UNREADABLE = "unreadable";
         private final List<String> lines = new ArrayList<>();
 
         @Override
@@ -97,6 +108,9 @@
 
         @Override
         public void changed(StoredObject object) {
+            if (object.name().equals(UNREADABLE)) {
+                throw new IllegalArgumentException("no address");
+            }
             lines.add("changed " + object.name());
         }
 
