An entry of the daemon takes calls only when it knows its catalogue and its endpoints

Change: a starting entry waits for catalogue and links, 1.5 s at most. Test: aRestartedEntryKnowsItsCatalogueAndEndpointsBeforeItTakesCalls, failed before, passes now.

--- a/cli/src/test/java/org/quetzalseam/cli/LeavingTest.java
+++ b/cli/src/test/java/org/quetzalseam/cli/LeavingTest.java
@@ -98,6 +98,15 @@
                         .isEqualTo(Told.ANSWERED));
     }
 
+    @Test
+    void aRestartedEntryKnowsItsCatalogueAndEndpointsBeforeItTakesCalls() {
+        EntryVm vm = site.site().entries().get(0);
+        vm.stop();
+        vm.start();
+        assertThat(vm.daemon().catalogueVersion()).isPositive();
+        assertThat(vm.daemon().connectedEndpoints()).isEqualTo(6);
+    }
+
     private void awaitConnected() {
         Wait.until(
                 TestSite.LIMIT,
--- a/daemon/src/main/java/org/quetzalseam/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/EntryDaemon.java
@@ -1,8 +1,13 @@
 package org.quetzalseam.daemon;
 
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.quetzalseam.core.catalogue.CatalogueInForce;
 import org.quetzalseam.daemon.caller.CallerServer;
 import org.quetzalseam.daemon.catalogue.CatalogueStore;
@@ -28,6 +33,11 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int REVIEW_RANKS = 8;
 
+    /** How often a starting entry looks whether it is prepared: a few times within a connection's opening. */
+    private static final Duration PREPARED_LOOK = Duration.ofMillis(10);
+    /** How long it waits for that: several answers of a slow store; the balancer sends no callers meanwhile. */
+    private static final Duration PREPARED_LIMIT = Duration.ofMillis(1_500);
+
     private final Settings settings;
     private final TimerService timers;
     private final CatalogueInForce inForce = new CatalogueInForce();
@@ -62,12 +72,44 @@
         router.start();
         watches.forEach(Service::start);
         operators.start();
+        awaitPrepared();
         callers.start();
         logger.atInfo().log(
                 "event=started role=entry name=%s zone=%s port=%d operator_port=%d",
                 settings.name(), settings.zone(), callers.port(), operators.port());
     }
 
+    /**
+     * Waits for the catalogue and for links to all listed endpoints: a caller served before that would be told that a service
+     * or the holder of its key can't be reached. Whatever hasn't come within the limit isn't waited for any longer.
+     */
+    private void awaitPrepared() {
+        CompletableFuture<Void> prepared = new CompletableFuture<>();
+        TimerService.Subscription look = timers.every(PREPARED_LOOK, () -> {
+            if (isPrepared()) {
+                prepared.complete(null);
+            }
+        });
+        try {
+            prepared.get(PREPARED_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            logger.atWarning().log(
+                    "event=started-unprepared catalogue_version=%d endpoints=%d connected=%d",
+                    inForce.version(), listedEndpoints(), connectedEndpoints());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("never completed with a failure", e);
+        } finally {
+            look.cancel();
+        }
+    }
+
+    private boolean isPrepared() {
+        int listed = listedEndpoints();
+        return inForce.version() > 0 && listed > 0 && connectedEndpoints() == listed;
+    }
+
     /** Returns the port for callers. */
     public int port() {
         return callers.port();
