Replies written byte by byte for tests come from one raw server of the stand-ins

The scripted endpoint of the gateway's tests had its own reading of requests; the soak needs the same.

--- a/gateway/src/test/java/org/quetzalseam/gateway/GenerationTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/GenerationTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.standins.raw.RawRequest;
 
 class GenerationTest {
     private static final String SIZE = "x-tokens: 1000";
@@ -35,8 +36,7 @@
         decode.close();
     }
 
-    private void prefilled(ScriptedEndpoint.Request request, ScriptedEndpoint.Connection connection)
-            throws IOException {
+    private void prefilled(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
         connection.answer(request, request.path().startsWith("/control/") ? "" : "kv1");
     }
 
@@ -55,8 +55,7 @@
         };
     }
 
-    private void twoEvents(ScriptedEndpoint.Request request, ScriptedEndpoint.Connection connection)
-            throws IOException {
+    private void twoEvents(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
         connection.beginStream(request);
         connection.chunk("id: 1\ndata: a\n\n");
         connection.chunk("id: 2\ndata: b\n\n");
@@ -65,7 +64,7 @@
 
     private List<String> controls(ScriptedEndpoint endpoint, String prefix) {
         return endpoint.requests().stream()
-                .map(ScriptedEndpoint.Request::path)
+                .map(RawRequest::path)
                 .filter(path -> path.startsWith(prefix))
                 .toList();
     }
--- /dev/null
+++ b/standins/src/main/java/org/quetzalseam/standins/raw/RawConnection.java
@@ -0,0 +1,111 @@
+package org.quetzalseam.standins.raw;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** A connection whose replies are written as text. Used by the thread that serves it, but for {@link #reset}. */
+public final class RawConnection {
+    private final Socket socket;
+    private final InputStream in;
+
+    RawConnection(Socket socket) throws IOException {
+        this.socket = socket;
+        this.in = new BufferedInputStream(socket.getInputStream());
+        socket.setTcpNoDelay(true);
+    }
+
+    /** Reads the next request. Returns null when there is no more. */
+    @Nullable
+    RawRequest read() throws IOException {
+        String first = line();
+        if (first.isEmpty()) {
+            return null;
+        }
+        Map<String, String> headers = new TreeMap<>();
+        String header = line();
+        while (!header.isEmpty()) {
+            int colon = header.indexOf(':');
+            headers.put(
+                    header.substring(0, colon).toLowerCase(Locale.ROOT),
+                    header.substring(colon + 1).strip());
+            header = line();
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
+        String[] parts = first.split(" ", -1);
+        return new RawRequest(parts[0], parts[1], headers, body);
+    }
+
+    private String line() throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        int next = in.read();
+        while (next >= 0 && next != '\n') {
+            if (next != '\r') {
+                line.write(next);
+            }
+            next = in.read();
+        }
+        return line.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Writes text as it stands. */
+    public void write(String text) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    /** Writes a whole reply with a length; each header is a line without its end. */
+    public void reply(int status, String body, String... headers) throws IOException {
+        StringBuilder head = new StringBuilder("HTTP/1.1 " + status + (status == 200 ? " OK" : " Other") + "\r\n");
+        for (String header : headers) {
+            head.append(header).append("\r\n");
+        }
+        int length = body.getBytes(StandardCharsets.UTF_8).length;
+        write(head + "Content-Length: " + length + "\r\n\r\n" + body);
+    }
+
+    /** Writes a piece of a body in chunks. */
+    public void chunk(String text) throws IOException {
+        write(Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n");
+    }
+
+    /** Ends a body in chunks. */
+    public void endChunks() throws IOException {
+        write("0\r\n\r\n");
+    }
+
+    /** Ends the connection in order. */
+    public void finish() throws IOException {
+        socket.shutdownOutput();
+    }
+
+    /** Resets the connection. */
+    public void reset() {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException expected) {
+            // The connection is gone already.
+        }
+    }
+
+    /** Waits for the other side's close. Returns whether it came, with nothing before it. */
+    public boolean awaitClosed(int limitMillis) throws IOException {
+        socket.setSoTimeout(limitMillis);
+        return in.read() < 0;
+    }
+
+    void close() throws IOException {
+        socket.close();
+    }
+}
