Connections to an endpoint keep to this entry's share; those it forgets early aren't reused after such a rest

Cause: max_connections was read and nothing was held to it; an endpoint resets what is opened beyond it.

ConnectionShare gives each entry an even part of four fifths; requests go to endpoints within it, and a request for which there is none is refused at once. IdleLimit halves the rest that led to a loss, and doubles every ten seconds without one. EndpointHealth also counts failures in a row: three time-outs of a hanging endpoint, seconds apart, faded away before they made it suspect (anEndpointThatNeverAnswersIsFoundOutByTheRequestsThatItLetWait failed once on a busy machine: its three failures had faded by the next request).

--- a/core/src/main/java/org/quetzalseam/core/fleet/EndpointHealth.java
+++ b/core/src/main/java/org/quetzalseam/core/fleet/EndpointHealth.java
@@ -13,16 +13,23 @@
     private static final double HALF_LIFE_NANOS = 2e9;
     /** Assumed time of the first answer, in milliseconds; any small figure does, as it fades within ten answers. */
     private static final double FIRST_MILLIS = 10;
-    /** Failure rate from which an endpoint is used only when no better one is there: three failures in a row reach it. */
+    /** Failure rate from which an endpoint is used only when no better one is there: three failures at once reach it. */
     private static final double SUSPECT_RATE = 0.25;
+    /** Failures in a row that make it suspect however far apart they are: time-outs of few requests come seconds apart. */
+    private static final int SUSPECT_IN_A_ROW = 3;
+    /** How long after the last of them it is tried again, in nanoseconds: a typical restart. */
+    private static final long TRIED_AGAIN_NANOS = 2_000_000_000L;
 
     private double failureRate;
     private double millis = FIRST_MILLIS;
     private long updated;
+    private int failuresInARow;
+    private long failedAt;
 
     /** Notes an answer and how long it took. */
     public void succeeded(long now, double tookMillis) {
         fade(now);
+        failuresInARow = 0;
         failureRate *= 1 - NEWEST;
         millis += NEWEST * (tookMillis - millis);
     }
@@ -30,6 +37,8 @@
     /** Notes a failure that was the endpoint's. */
     public void failed(long now) {
         fade(now);
+        failuresInARow++;
+        failedAt = now;
         failureRate += NEWEST * (1 - failureRate);
     }
 
@@ -41,7 +50,8 @@
 
     /** Returns whether it fails too often to be used while a better one is there. */
     public boolean suspect(long now) {
-        return failureRate(now) >= SUSPECT_RATE;
+        boolean silent = failuresInARow >= SUSPECT_IN_A_ROW && now - failedAt < TRIED_AGAIN_NANOS;
+        return silent || failureRate(now) >= SUSPECT_RATE;
     }
 
     /** Returns the typical time to an answer, in milliseconds. */
--- a/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
+++ b/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
@@ -12,7 +12,7 @@
  */
 public final class RetryAllowance {
     /** Most entries for which the parts of the slack add up to no more than the whole: a large site of one region. */
-    private static final int ENTRIES_ASSUMED = 24;
+    static final int ENTRIES_ASSUMED = 24;
     /** Part of the budget that is used, as requests and retries fall into sliding windows that don't quite agree. */
     private static final double RATIO_USED = 0.8;
 
--- a/core/src/main/java/org/quetzalseam/core/routing/RouteTable.java
+++ b/core/src/main/java/org/quetzalseam/core/routing/RouteTable.java
@@ -1,5 +1,6 @@
 package org.quetzalseam.core.routing;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -15,16 +16,14 @@
 public final class RouteTable {
     private final long version;
     private final CallerLimits limits;
-    private final Map<String, ServiceRule> services;
+    private final List<ServiceRule> services;
     private final Map<String, Map<String, RouteRule>> byHost = new HashMap<>();
 
     /** Creates a table of one version's routes, services and limits. */
     public RouteTable(long version, List<RouteRule> routes, List<ServiceRule> services, CallerLimits limits) {
         this.version = version;
         this.limits = limits;
-        Map<String, ServiceRule> named = new HashMap<>();
-        services.forEach(service -> named.put(service.name(), service));
-        this.services = Map.copyOf(named);
+        this.services = List.copyOf(services);
         for (RouteRule route : routes) {
             byHost.computeIfAbsent(route.host(), host -> new HashMap<>()).put(route.pathPrefix(), route);
         }
@@ -40,9 +39,9 @@
         return limits;
     }
 
-    /** Returns a service's settings, if it is configured. */
-    public Optional<ServiceRule> service(String name) {
-        return Optional.ofNullable(services.get(name));
+    /** Returns the services' settings. */
+    public Collection<ServiceRule> services() {
+        return services;
     }
 
     /** Returns the number of routes. */
--- a/core/src/test/java/org/quetzalseam/core/fleet/EndpointHealthTest.java
+++ b/core/src/test/java/org/quetzalseam/core/fleet/EndpointHealthTest.java
@@ -40,4 +40,22 @@
         assertThat(health.suspect(6)).isTrue();
         assertThat(health.suspect(6 * SECOND)).isFalse();
     }
+
+    @Test
+    void threeTimeOutsInARowMakeItSuspectThoughSecondsLieBetween() {
+        health.failed(3 * SECOND);
+        health.failed(6 * SECOND);
+        health.failed(9 * SECOND);
+        assertThat(health.suspect(10 * SECOND)).isTrue();
+        assertThat(health.suspect(12 * SECOND)).isFalse();
+    }
+
+    @Test
+    void anAnswerBetweenTimeOutsClearsIt() {
+        health.failed(3 * SECOND);
+        health.failed(6 * SECOND);
+        health.succeeded(7 * SECOND, 10);
+        health.failed(9 * SECOND);
+        assertThat(health.suspect(10 * SECOND)).isFalse();
+    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -18,6 +18,7 @@
 
     private final Connector connector;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
+    private final Map<String, Integer> mostConnections = new HashMap<>();
     private boolean known;
 
     /** Creates an empty directory. */
@@ -55,7 +56,15 @@
         logger.atInfo().log(
                 "event=endpoint-added endpoint=%s service=%s address=%s zone=%s stage=%s leaving=%s",
                 member.id(), member.service(), member.address(), member.zone(), member.stage(), member.leaving());
-        return new Endpoint(connector, member);
+        Endpoint endpoint = new Endpoint(connector, member);
+        endpoint.mostConnections(mostConnections.getOrDefault(member.service(), Integer.MAX_VALUE));
+        return endpoint;
+    }
+
+    /** Sets how many connections this entry may have open to each endpoint of a service. */
+    public void mostConnections(String service, int most) {
+        mostConnections.put(service, most);
+        all(service).forEach(endpoint -> endpoint.mostConnections(most));
     }
 
     private void drop(String id) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -1,5 +1,6 @@
 package org.quetzalseam.gateway.endpoint;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -9,10 +10,12 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.fleet.EndpointHealth;
 import org.quetzalseam.core.fleet.Member;
+import org.quetzalseam.core.limits.IdleLimit;
 import org.quetzalseam.gateway.http.CallFailure;
 import org.quetzalseam.gateway.http.Connector;
 import org.quetzalseam.gateway.http.HttpConnection;
@@ -25,6 +28,7 @@
  * <p>Calls that run nothing go over connections of their own, so that a late reply to a request is never taken for theirs.
  */
 public final class Endpoint {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** How much sooner than the endpoint a kept connection is given up, so that a request doesn't cross its closing. */
     private static final long CLOSING_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     /** How long an idle connection is used when the endpoint doesn't say how long it keeps it. */
@@ -38,7 +42,9 @@
     private final EndpointHealth health = new EndpointHealth();
     private final Deque<HttpConnection> idle = new ArrayDeque<>();
     private final Deque<HttpConnection> idleControl = new ArrayDeque<>();
+    private final IdleLimit idleLimit = new IdleLimit();
     private Member member;
+    private int mostConnections = Integer.MAX_VALUE;
     private int open;
     private int openControl;
     private int outstanding;
@@ -80,9 +86,14 @@
         prefillTokens += change;
     }
 
-    /** Returns how many connections for requests are open or opening. */
-    public int connections() {
-        return open;
+    /** Sets how many connections this entry may have open. */
+    void mostConnections(int most) {
+        mostConnections = most;
+    }
+
+    /** Returns whether one more request can be sent without a connection too many. */
+    public boolean reachable() {
+        return !idle.isEmpty() || open + openControl < mostConnections;
     }
 
     /**
@@ -97,13 +108,13 @@
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         outstanding++;
         EndpointCall call = new EndpointCall(request, body, id.isEmpty() ? null : id, replies, () -> outstanding--);
-        HttpConnection kept = keptConnection(idle);
+        HttpConnection kept = usable(idle);
         if (kept != null) {
             call.begin(kept);
             return call;
         }
         open++;
-        connector.connect(address, this::idle, closed -> open--, new Connector.Opened() {
+        connector.connect(address, this::idle, this::closed, new Connector.Opened() {
             @Override
             public void connected(HttpConnection connection) {
                 if (!call.begin(connection)) {
@@ -140,7 +151,7 @@
         HttpRequest head =
                 new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers());
         EndpointCall call = new EndpointCall(head, request.content(), null, replies, () -> {});
-        HttpConnection kept = keptConnection(idleControl);
+        HttpConnection kept = usable(idleControl);
         if (kept != null) {
             call.begin(kept);
             return call;
@@ -167,30 +178,47 @@
         return call;
     }
 
+    private void closed(HttpConnection connection) {
+        open--;
+        ended(connection, idle);
+    }
+
     private void controlClosed(HttpConnection connection) {
         openControl--;
-        idleControl.remove(connection);
+        ended(connection, idleControl);
+    }
+
+    private void ended(HttpConnection connection, Deque<HttpConnection> kept) {
+        kept.remove(connection);
+        if (connection.lostAfterRest()) {
+            idleLimit.lost(connection.restedNanos(), System.nanoTime());
+            logger.atInfo().log(
+                    "event=connection-forgotten endpoint=%s rested_ms=%d",
+                    member.id(), TimeUnit.NANOSECONDS.toMillis(connection.restedNanos()));
+        }
     }
 
     private void idle(HttpConnection connection) {
         idle.addFirst(connection);
     }
 
-    private static @Nullable HttpConnection keptConnection(Deque<HttpConnection> connections) {
+    private @Nullable HttpConnection usable(Deque<HttpConnection> connections) {
         long now = System.nanoTime();
+        long longest = idleLimit.atTime(now);
         while (true) {
             HttpConnection connection = connections.pollFirst();
             if (connection == null) {
                 return null;
             }
-            if (connection.open() && now - connection.idleSince() < usableNanos(connection)) {
+            long rest = now - connection.idleSince();
+            if (connection.open() && rest < Math.min(longest, statedNanos(connection))) {
                 return connection;
             }
             connection.abort();
         }
     }
 
-    private static long usableNanos(HttpConnection connection) {
+    private static long statedNanos(HttpConnection connection) {
         long stated = connection.idleLimitNanos();
         if (stated == Long.MAX_VALUE) {
             return UNSTATED_IDLE_NANOS;
@@ -200,8 +228,8 @@
 
     /** Closes idle connections; what is under way goes on. */
     void close() {
-        idle.forEach(HttpConnection::abort);
-        idleControl.forEach(HttpConnection::abort);
+        List.copyOf(idle).forEach(HttpConnection::abort);
+        List.copyOf(idleControl).forEach(HttpConnection::abort);
         idle.clear();
         idleControl.clear();
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
@@ -44,7 +44,8 @@
     private boolean finished;
     private long idleSince;
     private long idleLimitNanos = Long.MAX_VALUE;
-    private int exchanges;
+    private long restedNanos;
+    private boolean lostAfterRest;
 
     /**
      * Creates a handler for a new channel.
@@ -90,15 +91,20 @@
         skipping = false;
         finished = false;
         reusable = true;
-        exchanges++;
+        restedNanos = idleSince == 0 ? 0 : System.nanoTime() - idleSince;
         Channel open = channel();
         open.write(request);
         written = open.writeAndFlush(new DefaultLastHttpContent(body));
     }
 
-    /** Returns whether the connection carried an exchange before the present one. */
-    public boolean reused() {
-        return exchanges > 1;
+    /** Returns whether it ended before any answer to a request that came after a rest: its other side had forgotten it. */
+    public boolean lostAfterRest() {
+        return lostAfterRest;
+    }
+
+    /** Returns how long it had rested before the newest request, in nanoseconds. */
+    public long restedNanos() {
+        return restedNanos;
     }
 
     /** Returns when the last exchange ended, in monotonic nanoseconds. */
@@ -268,6 +274,7 @@
         finished = false;
         ReplyListener current = listener;
         listener = null;
+        lostAfterRest |= current != null && head == null && restedNanos > 0 && kind == Kind.CONNECTION_LOST;
         channel().close();
         if (current != null) {
             current.failed(new CallFailure(kind, detail));
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
@@ -71,7 +71,7 @@
     void start(Endpoint decoder) {
         long now = context.now();
         Optional<Endpoint> chosen = context.directory().usable(service, Stage.PREFILL).stream()
-                .filter(endpoint -> !tried.contains(endpoint))
+                .filter(endpoint -> !tried.contains(endpoint) && endpoint.reachable())
                 .min(Comparator.<Endpoint, Boolean>comparing(
                                 endpoint -> endpoint.health().suspect(now))
                         .thenComparingLong(Endpoint::prefillTokens)
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -46,6 +46,7 @@
             return;
         }
         routes = table;
+        context.services(table.services());
         logger.atInfo().log("event=desired-state version=%d routes=%d", table.version(), table.routes());
         routeEarly();
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
@@ -176,7 +176,7 @@
     }
 
     private boolean mayHaveRoom(Endpoint engine, Reservation reservation, long now) {
-        if (asked.getOrDefault(engine, 0) >= MAX_ASKED) {
+        if (asked.getOrDefault(engine, 0) >= MAX_ASKED || !engine.reachable()) {
             return false;
         }
         Refusal refusal = refusals.get(engine);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -3,11 +3,15 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.quetzalseam.core.limits.CallerPatience;
+import org.quetzalseam.core.limits.ConnectionShare;
 import org.quetzalseam.core.limits.RetryAllowance;
+import org.quetzalseam.core.routing.ServiceRule;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Directory;
 import org.quetzalseam.gateway.operator.GatewayMetrics;
@@ -23,6 +27,7 @@
     private final GatewayMetrics metrics;
     private EntrySettings settings;
     private int entries;
+    private List<ServiceRule> services = List.of();
     private final Map<String, RetryAllowance> retries = new HashMap<>();
     private final Map<String, CallerPatience> patience = new HashMap<>();
     private final Map<String, ReservationDesk> desks = new HashMap<>();
@@ -78,6 +83,18 @@
     void entries(int counted) {
         entries = counted;
         retries.values().forEach(allowance -> allowance.entries(counted));
+        shareConnections();
+    }
+
+    void services(Collection<ServiceRule> rules) {
+        services = List.copyOf(rules);
+        shareConnections();
+    }
+
+    private void shareConnections() {
+        for (ServiceRule service : services) {
+            directory.mostConnections(service.name(), ConnectionShare.of(service.maxConnections(), entries));
+        }
     }
 
     RetryAllowance retries(String service) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -80,7 +80,7 @@
                 .thenComparing(endpoint ->
                         !endpoint.member().zone().equals(context.settings().zone()))
                 .thenComparing(endpoint -> ThreadLocalRandom.current().nextInt());
-        return usable.stream().min(order);
+        return usable.stream().filter(Endpoint::reachable).min(order);
     }
 
     private static double expectedMillis(Endpoint endpoint) {
@@ -92,7 +92,7 @@
     private void sendToNext() {
         Optional<Endpoint> chosen = choose();
         if (chosen.isEmpty()) {
-            giveUp("no endpoint");
+            giveUp("no endpoint that takes another connection");
             return;
         }
         send(chosen.get());
