A leaving entry stops listening after three seconds; an address in use is named as such

Callers who connect after the balancer has had time to send them elsewhere are now turned away at once (aLeavingEntryTurnsNewConnectionsAwayLongBeforeItsTimeIsUp).

--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -26,7 +26,10 @@
     private static final String METRICS_PATH = "/metrics";
     /** How often the loop's delay is measured, in milliseconds. */
     private static final long LOOP_LOOK_MILLIS = 500;
-    /** How long a leaving entry goes on taking connections, in milliseconds: until the platform has stopped sending them. */
+    /**
+     * How long a leaving entry goes on taking connections, in milliseconds: until the platform has stopped sending them. Who
+     * still connects after that is better served elsewhere, at once, than cut off when the grace period ends.
+     */
     private static final long STILL_LISTENING_MILLIS = 3_000;
     /** How often a leaving entry looks whether it is done, in milliseconds. */
     private static final long LOOK_MILLIS = 50;
@@ -79,7 +82,11 @@
         return router;
     }
 
-    /** Listens for callers, for questions about readiness, and for those who ask for the metrics. */
+    /**
+     * Listens for callers, for questions about readiness, and for those who ask for the metrics.
+     *
+     * @throws org.quetzalseam.gateway.http.GatewayException if one of the addresses can't be listened on
+     */
     public void start(
             InetSocketAddress callerAddress, InetSocketAddress readyAddress, InetSocketAddress metricsAddress) {
         operators.page(METRICS_PATH, metrics::text);
@@ -140,11 +147,11 @@
     private void lookWhetherDone(long begun, long graceMillis, CountDownLatch done) {
         long age = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
         if (age > STILL_LISTENING_MILLIS) {
+            callers.stopListening();
             callers.closeIdle();
         }
         boolean empty = age > STILL_LISTENING_MILLIS && callers.inProgress() == 0;
         if (empty || age > graceMillis - END_MARGIN_MILLIS) {
-            callers.stopListening();
             logger.atInfo().log("event=left requests_cut=%d age_ms=%d", callers.inProgress(), age);
             done.countDown();
             return;
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.routing.CallerLimits;
+import org.quetzalseam.gateway.http.Listener;
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.protocol.RequestFacts;
 import org.quetzalseam.gateway.runtime.Timers;
@@ -82,7 +83,7 @@
                         prepare(channel);
                     }
                 });
-        listener = bootstrap.bind(address).syncUninterruptibly().channel();
+        listener = Listener.open(bootstrap, address);
         new Timers(loop).every(CHECK_MILLIS, this::checkTimes);
     }
 
@@ -177,6 +178,7 @@
     public void stopListening() {
         Channel open = listener;
         if (open != null) {
+            listener = null;
             open.close().addListener(done -> logger.atFine().log("event=listener-closed"));
         }
     }
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/Listener.java
@@ -0,0 +1,25 @@
+package org.quetzalseam.gateway.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import java.net.InetSocketAddress;
+
+/** Opens listening sockets. Stateless. */
+public final class Listener {
+    private Listener() {}
+
+    /**
+     * Listens on an address. Blocks until it does.
+     *
+     * @throws GatewayException if the address can't be listened on
+     */
+    public static Channel open(ServerBootstrap bootstrap, InetSocketAddress address) {
+        ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            String why = "can't listen on " + address + ": " + bound.cause().getMessage();
+            throw new GatewayException(GatewayException.Code.ADDRESS_UNUSABLE, why, bound.cause());
+        }
+        return bound.channel();
+    }
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/operator/OperatorServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/operator/OperatorServer.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.quetzalseam.gateway.http.Listener;
 
 /** Answers whether the process is ready, and other short questions, on addresses of their own. */
 public final class OperatorServer {
@@ -44,7 +45,7 @@
 
     /** Listens on an address; may be called for several. Blocks until it does. */
     public void start(InetSocketAddress address) {
-        new ServerBootstrap()
+        ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loop, loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -54,9 +55,8 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpServerCodec()).addLast(new Questions());
                     }
-                })
-                .bind(address)
-                .syncUninterruptibly();
+                });
+        Listener.open(bootstrap, address);
     }
 
     private final class Questions extends SimpleChannelInboundHandler<HttpObject> {
--- a/gateway/src/test/java/org/quetzalseam/gateway/PlainCallTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/PlainCallTest.java
@@ -1,13 +1,22 @@
 package org.quetzalseam.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.gateway.http.GatewayException;
 
 class PlainCallTest {
     private final TestEntry entry = new TestEntry();
@@ -16,6 +25,8 @@
     private final ScriptedEndpoint two =
             new ScriptedEndpoint("two", (request, connection) -> connection.answer(request, "second"));
 
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+
     @BeforeEach
     void start() {
         entry.routes(5_000);
@@ -27,6 +38,7 @@
         entry.close();
         one.close();
         two.close();
+        threads.shutdownNow();
     }
 
     private void useBoth() {
@@ -255,4 +267,101 @@
             left.get(10, TimeUnit.SECONDS);
         }
     }
+
+    @Test
+    @Timeout(60)
+    void anEndpointIsGivenNoMoreConnectionsThanThisEntrysShare() throws Exception {
+        CompletableFuture<Void> goOn = new CompletableFuture<>();
+        one.script((request, connection) -> {
+            goOn.join();
+            connection.answer(request, "first");
+        });
+        try (TestEntry sharing = new TestEntry()) {
+            sharing.routes(5_000, 10);
+            sharing.entries(2);
+            sharing.endpoints(one.member("s", Stage.WHOLE));
+            List<CompletableFuture<String>> answers = new ArrayList<>();
+            for (int i = 0; i < 9; i++) {
+                String id = "r" + i;
+                answers.add(CompletableFuture.supplyAsync(() -> sharing.ask("/once/x", id), threads));
+            }
+            while (answers.stream().filter(CompletableFuture::isDone).count() < 5) {
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            goOn.complete(null);
+            List<String> got = answers.stream().map(CompletableFuture::join).toList();
+            assertThat(got)
+                    .filteredOn(answer -> answer.startsWith("HTTP/1.1 200"))
+                    .hasSize(4);
+            assertThat(got)
+                    .filteredOn(answer -> answer.startsWith("HTTP/1.1 503"))
+                    .hasSize(5);
+            assertThat(one.connections()).isEqualTo(4);
+        }
+    }
+
+    @Test
+    void anEndpointThatForgetsRestingConnectionsLosesNoFurtherRequests() throws Exception {
+        Map<ScriptedEndpoint.Connection, Long> lastUsed = new ConcurrentHashMap<>();
+        one.script((request, connection) -> {
+            long now = System.nanoTime();
+            Long before = lastUsed.put(connection, now);
+            if (before != null && now - before > TimeUnit.MILLISECONDS.toNanos(200)) {
+                connection.reset();
+                return;
+            }
+            connection.answer(request, "first");
+        });
+        assertThat(entry.ask("/once/x", "r0")).startsWith("HTTP/1.1 200");
+        TimeUnit.MILLISECONDS.sleep(400);
+        assertThat(entry.ask("/once/x", "r1")).startsWith("HTTP/1.1 502");
+        for (int i = 2; i < 5; i++) {
+            assertThat(entry.ask("/once/x", "r" + i)).startsWith("HTTP/1.1 200");
+            TimeUnit.MILLISECONDS.sleep(400);
+        }
+    }
+
+    @Test
+    @Timeout(60)
+    void aLeavingEntryTurnsNewConnectionsAwayLongBeforeItsTimeIsUp() throws Exception {
+        CompletableFuture<Void> arrived = new CompletableFuture<>();
+        CompletableFuture<Void> goOn = new CompletableFuture<>();
+        one.script((request, connection) -> {
+            arrived.complete(null);
+            goOn.join();
+            connection.answer(request, "late but whole");
+        });
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.send("/once/x", "r1");
+            arrived.get(10, TimeUnit.SECONDS);
+            CompletableFuture<Void> left =
+                    CompletableFuture.runAsync(() -> entry.process().drain(60_000), threads);
+            awaitRefusedConnections();
+            assertThat(left).isNotDone();
+            goOn.complete(null);
+            assertThat(caller.readAll()).endsWith("late but whole");
+            left.get(10, TimeUnit.SECONDS);
+        }
+    }
+
+    private void awaitRefusedConnections() throws InterruptedException {
+        boolean taken = true;
+        while (taken) {
+            TimeUnit.MILLISECONDS.sleep(50);
+            try {
+                entry.caller().close();
+            } catch (IllegalStateException refused) {
+                taken = false;
+            }
+        }
+    }
+
+    @Test
+    void anAddressThatIsInUseIsNamed() {
+        try (TestEntry second = new TestEntry()) {
+            assertThatThrownBy(() -> second.process().start(entry.address(), entry.address(), entry.address()))
+                    .isInstanceOf(GatewayException.class)
+                    .hasMessageContaining(Integer.toString(entry.address().getPort()));
+        }
+    }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/ScriptedEndpoint.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.quetzalseam.core.fleet.Member;
 import org.quetzalseam.core.fleet.Stage;
@@ -18,6 +20,7 @@
     }
 
     private final RawServer server;
+    private final Map<RawConnection, Connection> connections = new ConcurrentHashMap<>();
     private final List<RawRequest> requests = new CopyOnWriteArrayList<>();
     private final String id;
     private volatile Script script;
@@ -30,7 +33,7 @@
 
     private void serve(RawRequest request, RawConnection connection) throws IOException {
         requests.add(request);
-        script.reply(request, new Connection(connection));
+        script.reply(request, connections.computeIfAbsent(connection, Connection::new));
     }
 
     void script(Script next) {
--- a/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
@@ -42,18 +42,28 @@
         }
     }
 
+    InetSocketAddress address() {
+        return address;
+    }
+
     EntryProcess process() {
         return process;
     }
 
     /** Puts three routes in force: {@code /once/}, {@code /many/} and the streams {@code /stream/} and {@code /resumable/}. */
     void routes(long timeoutMillis) {
+        routes(timeoutMillis, 100);
+    }
+
+    /** The same, before endpoints that take so many connections from all entries together. */
+    void routes(long timeoutMillis, int maxConnections) {
         List<RouteRule> rules = new ArrayList<>();
         rules.add(rule("once", CallKind.NON_IDEMPOTENT, false, timeoutMillis));
         rules.add(rule("many", CallKind.IDEMPOTENT, false, timeoutMillis));
         rules.add(rule("stream", CallKind.STREAM, false, timeoutMillis));
         rules.add(rule("resumable", CallKind.STREAM, true, timeoutMillis));
-        RouteTable table = new RouteTable(1, rules, List.of(new ServiceRule("s", 100)), CallerLimits.DEFAULT);
+        RouteTable table =
+                new RouteTable(1, rules, List.of(new ServiceRule("s", maxConnections)), CallerLimits.DEFAULT);
         onLoop(() -> process.router().update(table));
     }
 
@@ -78,6 +88,10 @@
         });
     }
 
+    void entries(int counted) {
+        onLoop(() -> process.router().entries(counted));
+    }
+
     private void onLoop(Runnable call) {
         CountDownLatch done = new CountDownLatch(1);
         process.timers().soon(() -> {
