Engines move between stages in steps of an eighth of the pool

Steps are bounded by what the others can do without, as before; a pool of up to 15 engines behaves as before. Tests: three in StageSplitTest.

--- a/core/src/main/java/org/quetzalseam/core/generation/StageSplit.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/StageSplit.java
@@ -2,7 +2,6 @@
 
 import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.quetzalseam.core.fleet.Stage;
@@ -10,9 +9,10 @@
 /**
  * Decides how many of a service's engines read prompts and how many decode. Not thread-safe.
  *
- * <p>Before any load has been seen it follows the share that the operators assume. Then it follows the load: a prefill engine
- * that the others can do without goes to decoding when decode memory is short, and back when prompts wait while decode memory
- * is free. A change takes an engine out for seconds, so a decision needs a window of samples and a clear case.
+ * <p>Before any load has been seen it follows the share that the operators assume. Then it follows the load: prefill engines
+ * that the others can do without go to decoding when decode memory is short, and back when prompts wait while decode memory
+ * is free. A change takes engines out for seconds, so a decision needs a window of samples and a clear case, and moves a part
+ * of the engines at most; in a large pool one engine at a time would follow the load in minutes.
  */
 public final class StageSplit {
     /** Weight of the newest sample: with a sample a second, about the last six seconds count. */
@@ -30,6 +30,9 @@
     /** Use of decode memory, after one engine has left, up to which one can be spared. */
     private static final double SPARE_FILL = 0.55;
 
+    /** Part of a pool's engines that change at once: what is out meanwhile must not be missed. */
+    private static final double MOVED_AT_ONCE = 0.125;
+
     private final double assumedPrefillShare;
     private double busy;
     private double fill;
@@ -92,51 +95,78 @@
         samples = 0;
     }
 
-    /** Returns the change that is called for, if any. */
-    public Optional<Change> decide(List<EngineSample> engines) {
+    /** Returns the changes that are called for, possibly none; all of them go the same way. */
+    public List<Change> decide(List<EngineSample> engines) {
         int prefill = (int) count(engines, Stage.PREFILL, false);
         int decode = (int) count(engines, Stage.DECODE, false);
         if (prefill + decode < 2) {
-            return Optional.empty();
+            return List.of();
         }
         return loadSeen ? byLoad(engines, prefill, decode) : byAssumption(engines, prefill, decode);
     }
 
-    private Optional<Change> byAssumption(List<EngineSample> engines, int prefill, int decode) {
+    private static int movedAtOnce(int engines) {
+        return Math.max(1, (int) (engines * MOVED_AT_ONCE));
+    }
+
+    private List<Change> byAssumption(List<EngineSample> engines, int prefill, int decode) {
         if (unchanged < SAME_SAMPLES) {
-            return Optional.empty();
+            return List.of();
         }
         int all = prefill + decode;
         int wanted = (int) Math.max(1, Math.min(all - 1, Math.round(all * assumedPrefillShare)));
+        int moved = Math.min(Math.abs(prefill - wanted), movedAtOnce(all));
         String reason = "assumed=" + wanted + " prefill=" + prefill + " decode=" + decode;
-        if (prefill > wanted) {
-            return change(engines, Stage.PREFILL, Stage.DECODE, reason);
-        }
-        return prefill < wanted ? change(engines, Stage.DECODE, Stage.PREFILL, reason) : Optional.empty();
+        return prefill > wanted
+                ? changes(engines, Stage.PREFILL, Stage.DECODE, moved, reason)
+                : changes(engines, Stage.DECODE, Stage.PREFILL, moved, reason);
     }
 
-    private Optional<Change> byLoad(List<EngineSample> engines, int prefill, int decode) {
+    private List<Change> byLoad(List<EngineSample> engines, int prefill, int decode) {
         if (samples < SETTLE_SAMPLES) {
-            return Optional.empty();
+            return List.of();
         }
         String reason = String.format("busy=%.2f fill=%.2f prefill=%d decode=%d", busy, fill, prefill, decode);
-        if (prefill > 1 && fill > SHORT_FILL && busy / (prefill - 1) < SPARE_PREFILL_BUSY) {
-            return change(engines, Stage.PREFILL, Stage.DECODE, reason);
+        if (fill > SHORT_FILL) {
+            return changes(engines, Stage.PREFILL, Stage.DECODE, sparePrefill(prefill, decode), reason);
+        }
+        if (prefill == 0 || busy / prefill > SHORT_PREFILL_BUSY) {
+            return changes(engines, Stage.DECODE, Stage.PREFILL, spareDecode(prefill, decode), reason);
         }
-        boolean decodeSpare = decode > 1 && fill * decode / (decode - 1) < SPARE_FILL;
-        if (decodeSpare && (prefill == 0 || busy / prefill > SHORT_PREFILL_BUSY)) {
-            return change(engines, Stage.DECODE, Stage.PREFILL, reason);
+        return List.of();
+    }
+
+    /** Returns how many prefill engines the others can do without. */
+    private int sparePrefill(int prefill, int decode) {
+        int spare = 0;
+        while (spare < movedAtOnce(prefill + decode)
+                && prefill - spare > 1
+                && busy / (prefill - spare - 1) < SPARE_PREFILL_BUSY) {
+            spare++;
+        }
+        return spare;
+    }
+
+    /** Returns how many decode engines the others can do without. */
+    private int spareDecode(int prefill, int decode) {
+        int spare = 0;
+        while (spare < movedAtOnce(prefill + decode)
+                && decode - spare > 1
+                && fill * decode / (decode - spare - 1) < SPARE_FILL) {
+            spare++;
         }
-        return Optional.empty();
+        return spare;
     }
 
-    /** The engine with the least to do changes; among equals the one with the least id, so that all would choose alike. */
-    private static Optional<Change> change(List<EngineSample> engines, Stage from, Stage to, String reason) {
+    /** The engines with the least to do change; among equals those with the least ids, so that all would choose alike. */
+    private static List<Change> changes(List<EngineSample> engines, Stage from, Stage to, int count, String reason) {
         return engines.stream()
                 .filter(engine -> engine.stage() == from)
-                .min(Comparator.comparingInt(EngineSample::running)
+                .sorted(Comparator.comparingInt(EngineSample::running)
                         .thenComparingDouble(EngineSample::fill)
                         .thenComparing(EngineSample::id))
-                .map(engine -> new Change(engine.id(), to, reason));
+                .limit(count)
+                .map(engine -> new Change(engine.id(), to, reason))
+                .toList();
     }
 }
--- a/core/src/test/java/org/quetzalseam/core/generation/StageSplitTest.java
+++ b/core/src/test/java/org/quetzalseam/core/generation/StageSplitTest.java
@@ -4,7 +4,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.quetzalseam.core.fleet.Stage;
 
@@ -22,7 +21,7 @@
         return engines;
     }
 
-    private Optional<StageSplit.Change> after(int samples, List<EngineSample> engines) {
+    private List<StageSplit.Change> after(int samples, List<EngineSample> engines) {
         for (int i = 0; i < samples; i++) {
             split.observe(engines);
         }
@@ -31,13 +30,14 @@
 
     @Test
     void beforeAnyLoadTheAssumedShareIsFollowed() {
-        assertThat(after(5, engines(3, 0, 5, 0))).hasValueSatisfying(change -> {
+        assertThat(after(5, engines(3, 0, 5, 0))).singleElement().satisfies(change -> {
             assertThat(change.stage()).isEqualTo(Stage.DECODE);
             assertThat(change.engine()).startsWith("p");
         });
         assertThat(after(5, engines(2, 0, 6, 0))).isEmpty();
         assertThat(after(5, engines(1, 0, 7, 0)))
-                .hasValueSatisfying(change -> assertThat(change.stage()).isEqualTo(Stage.PREFILL));
+                .singleElement()
+                .satisfies(change -> assertThat(change.stage()).isEqualTo(Stage.PREFILL));
     }
 
     @Test
@@ -50,13 +50,15 @@
     @Test
     void longAnswersMoveAnIdlePrefillEngineToDecoding() {
         assertThat(after(10, engines(4, 1, 4, 0.9)))
-                .hasValueSatisfying(change -> assertThat(change.stage()).isEqualTo(Stage.DECODE));
+                .singleElement()
+                .satisfies(change -> assertThat(change.stage()).isEqualTo(Stage.DECODE));
     }
 
     @Test
     void longPromptsMoveADecodeEngineWithFreeMemoryToPrefill() {
         assertThat(after(10, engines(2, 2, 6, 0.2)))
-                .hasValueSatisfying(change -> assertThat(change.stage()).isEqualTo(Stage.PREFILL));
+                .singleElement()
+                .satisfies(change -> assertThat(change.stage()).isEqualTo(Stage.PREFILL));
     }
 
     @Test
@@ -81,6 +83,25 @@
         after(10, engines(5, 1, 3, 0.9));
         split.changed();
         assertThat(after(3, engines(4, 1, 4, 0.9))).isEmpty();
-        assertThat(after(10, engines(4, 1, 4, 0.9))).isPresent();
+        assertThat(after(10, engines(4, 1, 4, 0.9))).hasSize(1);
+    }
+
+    @Test
+    void aLargePoolFollowsTheLoadInStepsOfAnEighth() {
+        List<StageSplit.Change> changes = after(10, engines(16, 3, 24, 0.9));
+        assertThat(changes)
+                .hasSize(5)
+                .allSatisfy(change -> assertThat(change.stage()).isEqualTo(Stage.DECODE));
+        assertThat(changes).extracting(StageSplit.Change::engine).doesNotHaveDuplicates();
+    }
+
+    @Test
+    void onlyAsManyEnginesMoveAsTheOthersCanDoWithout() {
+        assertThat(after(10, engines(10, 4, 30, 0.9))).hasSize(1);
+    }
+
+    @Test
+    void onlyAsManyDecodeEnginesMoveAsLeaveMemoryFree() {
+        assertThat(after(10, engines(4, 4, 36, 0.5))).hasSize(3);
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
@@ -128,13 +128,21 @@
         }
         split.observe(samples);
         if (timers.now() - restUntil >= 0) {
-            split.decide(samples).ifPresent(this::prepare);
+            List<StageSplit.Change> changes = split.decide(samples);
+            if (!changes.isEmpty()) {
+                // The orders leave in the same turn in which the store confirms the lease, or not at all.
+                lease.renew(() -> order(changes));
+            }
         }
     }
 
-    /** Renews the lease first: the order leaves in the same turn in which the store confirms it, or not at all. */
-    private void prepare(StageSplit.Change change) {
-        lease.renew(() -> order(change));
+    private void order(List<StageSplit.Change> changes) {
+        if (!lease.mayOrder()) {
+            return;
+        }
+        restUntil = timers.now() + ORDER_REST_MILLIS * 1_000_000;
+        split.changed();
+        changes.forEach(this::order);
     }
 
     private void order(StageSplit.Change change) {
@@ -142,11 +150,9 @@
                 .filter(candidate -> candidate.member().id().equals(change.engine()))
                 .findFirst();
         EngineLoad load = loads.get(change.engine());
-        if (engine.isEmpty() || load == null || !lease.mayOrder()) {
+        if (engine.isEmpty() || load == null) {
             return;
         }
-        restUntil = timers.now() + ORDER_REST_MILLIS * 1_000_000;
-        split.changed();
         logger.atInfo().log(
                 "event=stage-order service=%s endpoint=%s stage=%s epoch=%d %s",
                 service, change.engine(), change.stage(), lease.epoch(), change.reason());
