Fewer calls to the store: changes are gathered, and who looks at the lease takes an old answer

After changes a watch now pauses 150 ms, so that what comes together is asked for together; the first change is in force as soon as before. Test: changesThatComeOneAfterTheOtherAreAskedForTogether. KindWatchTest waits for the pause where it asked for the next call at once.

--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
@@ -60,10 +60,16 @@
         } else if (lease.lapsed(timers.now())) {
             takeOver();
         } else {
-            read();
+            look();
         }
     }
 
+    /** Looks whether another holder renews. An old answer at worst puts a take-over off; taking over is conditional. */
+    private void look() {
+        calling = true;
+        store.readRecent(KIND, service, this::taken, this::readFailed);
+    }
+
     private void read() {
         calling = true;
         store.read(KIND, service, this::taken, this::readFailed);
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -18,6 +18,12 @@
     static final long WAIT_MILLIS = 2_000;
     /** The same while the store is away: an answer at once, so that its return is noticed within about a second. */
     static final long AWAY_WAIT_MILLIS = 1;
+    /**
+     * How long after changes the next ones are gathered before they are asked for, in milliseconds: endpoints that start or
+     * leave together, and desired states in quick succession, then cost one call instead of one each. Small beside the time
+     * in which a change must be in force.
+     */
+    static final long GATHER_MILLIS = 150;
     /** First pause after a failure, in milliseconds; it doubles up to the longest. */
     private static final long FIRST_PAUSE_MILLIS = 100;
 
@@ -94,7 +100,7 @@
                 guarded(change.object().name(), () -> listener.changed(change.object()));
             }
         }
-        watch(changes.revision());
+        timers.after(changes.changes().isEmpty() ? 0 : GATHER_MILLIS, () -> watch(changes.revision()));
     }
 
     /** An object that can't be read is left aside: those behind it must still be heard of. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectStore.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectStore.java
@@ -19,6 +19,9 @@
     /** Reads an object. */
     void read(String kind, String name, Consumer<StoredObject> done, Consumer<StoreFailure> failed);
 
+    /** Reads an object as it was some seconds ago at most, which costs the platform less. */
+    void readRecent(String kind, String name, Consumer<StoredObject> done, Consumer<StoreFailure> failed);
+
     /** Creates an object; a conflict says that there is one of that name. */
     void create(String kind, String name, JsonNode spec, Consumer<StoredObject> done, Consumer<StoreFailure> failed);
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -54,6 +54,7 @@
                 .isEqualTo(KindWatch.AWAY_WAIT_MILLIS);
         assertThat(store.watchedFrom).isEqualTo(6);
         store.changed.accept(new ObjectChanges(List.of(), 7));
+        pass(0);
         assertThat(store.waitMillis).isEqualTo(KindWatch.WAIT_MILLIS);
     }
 
@@ -83,9 +84,24 @@
         ObjectChanges.Change good = new ObjectChanges.Change(object("a", 8), false);
         store.changed.accept(new ObjectChanges(List.of(bad, good), 8));
         assertThat(seen.lines).last().isEqualTo("changed a");
+        pass(KindWatch.GATHER_MILLIS);
         assertThat(store.watchedFrom).isEqualTo(8);
     }
 
+    @Test
+    void changesThatComeOneAfterTheOtherAreAskedForTogether() {
+        store.listed.accept(new ObjectPage(List.of(), false, 6));
+        int calls = store.calls;
+        ObjectChanges.Change first = new ObjectChanges.Change(object("a", 7), false);
+        store.changed.accept(new ObjectChanges(List.of(first), 7));
+        assertThat(seen.lines).as("the first change is in force at once").last().isEqualTo("changed a");
+        pass(KindWatch.GATHER_MILLIS - 1);
+        assertThat(store.calls).isEqualTo(calls);
+        pass(1);
+        assertThat(store.calls).isEqualTo(calls + 1);
+        assertThat(store.watchedFrom).isEqualTo(7);
+    }
+
     @Test
     void whatIsDeletedRightAfterAnOutageIsMarkedSo() {
         store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, 6));
@@ -159,6 +175,11 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public void readRecent(String kind, String name, Consumer<StoredObject> done, Consumer<StoreFailure> failure) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public void create(
                 String kind, String name, JsonNode spec, Consumer<StoredObject> done, Consumer<StoreFailure> failure) {
