Logs say what forbade another try; metrics of pauses, failed tries, prompts read in vain and store calls

A broken-off request's log didn't tell whether its route, its tries or the retry budget kept it from going on: 'tries-end' does.

--- a/gateway/src/main/java/org/quetzalseam/gateway/operator/GatewayMetrics.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/operator/GatewayMetrics.java
@@ -55,6 +55,10 @@
     }
 
     private void count(String metric, String nameTag, String name, String valueTag, String value) {
+        count(metric, nameTag, name, valueTag, value, 1);
+    }
+
+    private void count(String metric, String nameTag, String name, String valueTag, String value, int by) {
         String label = bounded(name);
         counters.computeIfAbsent(
                         metric + label + "/" + value,
@@ -62,7 +66,7 @@
                                 .tag(nameTag, label)
                                 .tag(valueTag, value)
                                 .register(registry))
-                .increment();
+                .increment(by);
     }
 
     /** Notes a request's end: how, and how long after its arrival. */
@@ -76,6 +80,26 @@
         timer("quetzalseam.first.event", route).record(Duration.ofMillis(millis));
     }
 
+    /** Notes the longest pause between two events of a stream. */
+    public void longestPause(String route, long millis) {
+        timer("quetzalseam.longest.pause", route).record(Duration.ofMillis(millis));
+    }
+
+    /** Counts a try that an endpoint turned away, or that failed, by how. */
+    public void tried(String service, String outcome) {
+        count("quetzalseam.failed.tries", "service", service, "outcome", outcome);
+    }
+
+    /** Counts prompt tokens that were read and of which no whole answer came. */
+    public void promptInVain(String service, int tokens) {
+        count("quetzalseam.prompt.tokens", "service", service, "use", "in-vain", tokens);
+    }
+
+    /** Counts a call to the platform's store by what it asked for and how it ended. */
+    public void storeCall(String kind, String outcome) {
+        count("quetzalseam.store.calls", "kind", kind, "outcome", outcome);
+    }
+
     /** Notes how long a generation waited for decode memory. */
     public void bookingWait(String route, long millis) {
         timer("quetzalseam.booking.wait", route).record(Duration.ofMillis(millis));
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Comparator;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.fleet.Stage;
 import org.quetzalseam.core.generation.TokenDemand;
@@ -23,10 +22,6 @@
  * engine, and its events are passed on as they come. Used on the event loop only.
  */
 final class GenerationRun {
-    /** Time from a booking to the first event, in milliseconds, that a wait for memory must leave within the objective. */
-    private static final long READING_MILLIS = 250;
-    /** How long a caller who is late already may wait for memory, in milliseconds. */
-    private static final long LATE_WAIT_MILLIS = 1_000;
     /** Latency objectives after which an engine without a first event is taken to be silent. */
     private static final int SILENT_TARGETS = 2;
     /** Turns from booking to decoding for one request before it is given up. */
@@ -42,7 +37,7 @@
     private final HeldMemory held;
     private final EventStream events = new EventStream();
     private final StreamPace pace = new StreamPace();
-    private @Nullable Reservation reservation;
+    private @Nullable MemoryWait waiting;
     private @Nullable PromptReading reading;
     private @Nullable EndpointCall decoding;
     private @Nullable Subscription deadlineTimer;
@@ -50,6 +45,7 @@
     private int turns;
     private int runs;
     private boolean mayHaveRun;
+    private boolean promptRead;
     private boolean over;
 
     GenerationRun(RunContext context, Exchange exchange, RouteRule route, String service, RunLog log) {
@@ -82,39 +78,21 @@
     }
 
     private void bookMemory(TokenDemand demand) {
-        int tokens = desk.booking().tokens(demand);
-        long now = context.now();
-        long inTime = route.targetMillis() - READING_MILLIS - exchange.ageMillis() - spentBefore;
-        long wait = Math.min(inTime > 0 ? inTime : LATE_WAIT_MILLIS, forwarded.leftMillis());
-        Reservation wanted = new Reservation(
-                tokens,
-                desk.booking().room(demand),
-                desk.booking().cost(demand),
-                now + TimeUnit.MILLISECONDS.toNanos(inTime),
-                now + TimeUnit.MILLISECONDS.toNanos(wait),
-                new Reservation.Outcome() {
+        MemoryWait wait = new MemoryWait(
+                context, exchange, route, service, forwarded, spentBefore, log, new MemoryWait.Outcome() {
                     @Override
-                    public void granted(Endpoint engine, String id) {
-                        booked(new BookedMemory(engine, id, tokens));
+                    public void booked(BookedMemory memory) {
+                        memoryBooked(memory);
                     }
 
                     @Override
                     public void refused(String why) {
-                        notBooked(why);
+                        waiting = null;
                         giveUp(why);
                     }
                 });
-        reservation = wanted;
-        desk.enter(wanted);
-    }
-
-    private void notBooked(String why) {
-        Reservation wanted = reservation;
-        if (wanted != null) {
-            int engines = context.directory().usable(service, Stage.DECODE).size();
-            log.notBooked(wanted, engines, spentBefore, why);
-            reservation = null;
-        }
+        waiting = wait;
+        wait.start(demand);
     }
 
     /** A stream that says nothing of its size goes to the engine with the least work of this entry. */
@@ -135,8 +113,8 @@
                         .thenComparingInt(Endpoint::outstanding));
     }
 
-    private void booked(BookedMemory booked) {
-        reservation = null;
+    private void memoryBooked(BookedMemory booked) {
+        waiting = null;
         held.booked(booked);
         log.booked(booked.engine(), booked.tokens());
         readPrompt(booked);
@@ -150,6 +128,7 @@
                     @Override
                     public void read(Endpoint reader, String handle) {
                         held.read(new KvCache(reader, handle));
+                        promptRead = true;
                         decodeBooked(booked);
                     }
 
@@ -232,6 +211,7 @@
             runs++;
             engine.health().succeeded(context.now(), engine.health().millis());
             desk.ended(exchange.ageMillis(), exchange.facts(), events.events());
+            promptRead = false;
             over("answered", HttpResponseStatus.OK.code());
             exchange.end();
         }
@@ -254,7 +234,7 @@
         int status = head.status().code();
         if (facts.notRun()) {
             body.release();
-            log.step("rejected", engine, "status=" + status);
+            log.rejected(engine, status);
             turnAgain("the engine turned it away");
             return;
         }
@@ -285,6 +265,7 @@
     /** The engine has not run it: it may be booked, read and sent again. */
     private void turnAgain(String why) {
         if (turns < MAX_TURNS && takeRetry()) {
+            inVain();
             takeTurn();
         } else {
             giveUp(why);
@@ -294,12 +275,13 @@
     /** The engine may have run it: it may go on only where its route says so. */
     private void goOnElsewhere(Endpoint engine, String why) {
         events.restart();
-        boolean allowed = route.mayRepeat() && runs < route.maxAttempts() && turns < MAX_TURNS;
-        if (allowed && takeRetry()) {
+        AnotherTry next = turns < MAX_TURNS ? context.anotherTry(route, service, runs) : AnotherTry.TRIES_USED_UP;
+        if (next == AnotherTry.ALLOWED) {
             log.step("resume", engine, "after=" + events.lastId() + " why=\"" + why + "\"");
+            inVain();
             takeTurn();
         } else {
-            unknown(why);
+            unknown(why, next);
         }
     }
 
@@ -307,7 +289,8 @@
         return context.takeRetry(service);
     }
 
-    private void unknown(String why) {
+    private void unknown(String why, AnotherTry denied) {
+        log.triesEnd(why, denied);
         over("broken-off", HttpResponseStatus.BAD_GATEWAY.code());
         if (exchange.begun()) {
             exchange.cut(why);
@@ -322,7 +305,7 @@
             return;
         }
         if (mayHaveRun) {
-            unknown(why);
+            unknown(why, AnotherTry.TRIES_USED_UP);
             return;
         }
         over("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code());
@@ -370,10 +353,10 @@
 
     /** Ends what runs, waits or is held for this request anywhere. */
     private void stopWork() {
-        Reservation wanted = reservation;
-        if (wanted != null) {
-            desk.leave(wanted);
-            reservation = null;
+        MemoryWait wait = waiting;
+        if (wait != null) {
+            wait.cancel();
+            waiting = null;
         }
         PromptReading prompt = reading;
         if (prompt != null) {
@@ -387,6 +370,15 @@
         held.free();
     }
 
+    /** Notes that the prompt was read and nothing whole came of it. */
+    private void inVain() {
+        TokenDemand demand = exchange.facts().demand();
+        if (promptRead && demand != null) {
+            log.readInVain(demand.prompt());
+        }
+        promptRead = false;
+    }
+
     private void over(String outcome, int status) {
         if (over) {
             return;
@@ -397,6 +389,7 @@
             timer.cancel();
         }
         held.free();
+        inVain();
         if (pace.pieces() > 0) {
             log.streamed(pace, spentBefore);
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -11,6 +11,7 @@
 import org.quetzalseam.core.limits.CallerPatience;
 import org.quetzalseam.core.limits.ConnectionShare;
 import org.quetzalseam.core.limits.RetryAllowance;
+import org.quetzalseam.core.routing.RouteRule;
 import org.quetzalseam.core.routing.ServiceRule;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Directory;
@@ -80,6 +81,17 @@
         return allowed;
     }
 
+    /** Decides whether a request that has run so often may be sent again, and takes the retry if so. */
+    AnotherTry anotherTry(RouteRule route, String service, int runs) {
+        if (!route.mayRepeat()) {
+            return AnotherTry.NOT_IDEMPOTENT;
+        }
+        if (runs >= route.maxAttempts()) {
+            return AnotherTry.TRIES_USED_UP;
+        }
+        return takeRetry(service) ? AnotherTry.ALLOWED : AnotherTry.BUDGET_SPENT;
+    }
+
     void entries(int counted) {
         entries = counted;
         retries.values().forEach(allowance -> allowance.entries(counted));
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -50,6 +50,7 @@
     }
 
     void streamed(StreamPace pace, long spentBefore) {
+        metrics.longestPause(route.name(), pace.longestPauseMillis());
         logger.atInfo().log(
                 "event=stream-ended request=%s events=%d first_event_ms=%d longest_pause_ms=%d spent_before_ms=%d age_ms=%d",
                 exchange.facts().id(),
@@ -60,6 +61,20 @@
                 exchange.ageMillis());
     }
 
+    /** Tells why a request that may have run isn't sent again. */
+    void triesEnd(String why, AnotherTry denied) {
+        logger.atInfo().log(
+                "event=tries-end request=%s why=\"%s\" denied=%s age_ms=%d",
+                exchange.facts().id(), why, denied, exchange.ageMillis());
+    }
+
+    void readInVain(int tokens) {
+        metrics.promptInVain(service, tokens);
+        logger.atInfo().log(
+                "event=prompt-in-vain request=%s tokens=%d age_ms=%d",
+                exchange.facts().id(), tokens, exchange.ageMillis());
+    }
+
     void ended(String outcome, int status, int tries) {
         metrics.ended(route.name(), outcome, exchange.ageMillis());
         logger.atInfo().log(
@@ -67,6 +82,12 @@
                 exchange.facts().id(), route.name(), service, version, outcome, status, tries, exchange.ageMillis());
     }
 
+    /** Notes that an endpoint has turned the request away, which says that it has not run. */
+    void rejected(Endpoint endpoint, int status) {
+        metrics.tried(service, "REJECTED");
+        step("rejected", endpoint, "status=" + status);
+    }
+
     void step(String step, Endpoint endpoint, String detail) {
         logger.atInfo().log(
                 "event=%s request=%s endpoint=%s age_ms=%d %s",
@@ -74,6 +95,7 @@
     }
 
     void callFailed(String call, Endpoint endpoint, CallFailure failure) {
+        metrics.tried(service, failure.kind().name());
         logger.atInfo().log(
                 "event=call-failed call=%s request=%s endpoint=%s age_ms=%d kind=%s detail=\"%s\"",
                 call,
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -156,7 +156,7 @@
         } else {
             endpoint.health().succeeded(context.now(), (context.now() - sentAt) / 1e6);
         }
-        if (serverFault && route.mayRepeat() && runs < route.maxAttempts() && takeRetry()) {
+        if (serverFault && context.anotherTry(route, service, runs) == AnotherTry.ALLOWED) {
             body.release();
             log.step("retry", endpoint, "status=" + answer.status().code());
             sendToNext();
@@ -168,7 +168,7 @@
 
     private void rejected(Endpoint endpoint, int status) {
         rejections++;
-        log.step("rejected", endpoint, "status=" + status);
+        log.rejected(endpoint, status);
         if (rejections < MAX_REJECTIONS && takeRetry()) {
             sendToNext();
         } else {
@@ -203,11 +203,13 @@
 
     /** The request may have run, and there is no answer that can be passed on. */
     private void unproved(Endpoint endpoint, String why) {
-        if (route.mayRepeat() && runs < route.maxAttempts() && takeRetry()) {
+        AnotherTry next = context.anotherTry(route, service, runs);
+        if (next == AnotherTry.ALLOWED) {
             log.step("retry", endpoint, "why=\"" + why + "\"");
             sendToNext();
             return;
         }
+        log.triesEnd(why, next);
         over("unknown", HttpResponseStatus.BAD_GATEWAY.code());
         context.fail(exchange, HttpResponseStatus.BAD_GATEWAY, "the endpoint gave no whole answer");
     }
