--- a/gateway/src/main/java/org/quetzalseam/gateway/log/LogSetup.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/log/LogSetup.java
@@ -10,19 +10,32 @@
 public final class LogSetup {
     private static final Logger OURS = Logger.getLogger("org.quetzalseam");
 
+    /** How much is logged. */
+    public enum Detail {
+        /** Each decision that touches a request, and all below. */
+        INFO,
+        /** Only what an operator should look at. */
+        WARNING
+    }
+
     private LogSetup() {}
 
-    /** Logs events of the given level and above. Returns the handler, which is closed when the process ends. */
-    public static Handler toStandardOutput(Level level) {
+    /** Logs everything until told otherwise. Returns the handler, which is closed when the process ends. */
+    public static Handler toStandardOutput() {
         Logger root = Logger.getLogger("");
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
         Handler handler = new AsyncLogHandler(new FileOutputStream(FileDescriptor.out));
-        handler.setLevel(level);
+        handler.setLevel(Level.INFO);
         root.addHandler(handler);
         root.setLevel(Level.WARNING);
-        OURS.setLevel(level);
+        OURS.setLevel(Level.INFO);
         return handler;
     }
+
+    /** Sets how much is logged from now on. */
+    public static void detail(Detail detail) {
+        OURS.setLevel(detail == Detail.INFO ? Level.INFO : Level.WARNING);
+    }
 }
