Tests of the lease on orders, whose machine's clocks can be set, and one store in memory for tests

StageLease had no test but the model's: ten now, among them a frozen holder, a lost renewal, a lost creation, a suspended machine whose steady clock stood still, a store that declines. Timers take their clocks, which are the machine's by default.

--- a/gateway/src/main/java/org/quetzalseam/gateway/runtime/Timers.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/runtime/Timers.java
@@ -4,21 +4,42 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /** Timed calls on one event loop. A call that throws is logged; one that repeats goes on. */
 public final class Timers {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final EventLoop loop;
+    private final LongSupplier steadyNanos;
+    private final LongSupplier wallMillis;
 
-    /** Creates timers of an event loop. */
+    /** Creates timers of an event loop, by the machine's clocks. */
     public Timers(EventLoop loop) {
+        this(loop, System::nanoTime, System::currentTimeMillis);
+    }
+
+    /**
+     * Creates timers of an event loop.
+     *
+     * @param loop the event loop
+     * @param steadyNanos the monotonic clock
+     * @param wallMillis the time of day, which may jump
+     */
+    public Timers(EventLoop loop, LongSupplier steadyNanos, LongSupplier wallMillis) {
         this.loop = loop;
+        this.steadyNanos = steadyNanos;
+        this.wallMillis = wallMillis;
     }
 
     /** Returns the monotonic time in nanoseconds. */
     public long now() {
-        return System.nanoTime();
+        return steadyNanos.getAsLong();
+    }
+
+    /** Returns the time of day in milliseconds; it may jump. */
+    public long wallMillis() {
+        return wallMillis.getAsLong();
     }
 
     /** Calls as soon as what the loop is doing now has ended. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
@@ -45,7 +45,7 @@
     }
 
     boolean mayOrder() {
-        return lease.mayOrder(timers.now(), System.currentTimeMillis());
+        return lease.mayOrder(timers.now(), timers.wallMillis());
     }
 
     /** Renews, looks at or takes over the lease, whichever is due. */
@@ -113,7 +113,7 @@
         }
         calling = true;
         long steady = timers.now();
-        long wall = System.currentTimeMillis();
+        long wall = timers.wallMillis();
         store.replace(
                 KIND,
                 service,
--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/StageLeaseTest.java
@@ -0,0 +1,169 @@
+package org.quetzalseam.gateway.stage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.MemoryStore;
+
+class StageLeaseTest {
+    private static final String KIND = "quetzalseam-leases";
+
+    private final MemoryStore store = new MemoryStore();
+    private final Clock first = new Clock();
+    private final Clock second = new Clock();
+    private final StageLease one = lease("one", first);
+    private final StageLease other = lease("other", second);
+    private final AtomicInteger orders = new AtomicInteger();
+
+    /** A machine's clocks. */
+    private static final class Clock {
+        private long steadyNanos = 1;
+        private long wallMillis = 1_000_000;
+
+        void pass(long millis) {
+            steadyNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+            wallMillis += millis;
+        }
+    }
+
+    private StageLease lease(String name, Clock clock) {
+        Timers timers = new Timers(new EmbeddedChannel().eventLoop(), () -> clock.steadyNanos, () -> clock.wallMillis);
+        return new StageLease(timers, store, "s", name);
+    }
+
+    private void pass(long millis) {
+        first.pass(millis);
+        second.pass(millis);
+    }
+
+    /** Lets both look once, and lets the time between two looks pass. */
+    private void turn(StageLease... looking) {
+        for (StageLease lease : looking) {
+            lease.keep();
+        }
+        pass(StageLease.RENEW_MILLIS);
+    }
+
+    private void orderBy(StageLease lease) {
+        lease.renew(() -> {
+            if (lease.mayOrder()) {
+                orders.incrementAndGet();
+            }
+        });
+    }
+
+    @Test
+    void oneOfTwoHoldsIt() {
+        turn(one, other);
+        turn(one, other);
+        assertThat(one.held()).isTrue();
+        assertThat(other.held()).isFalse();
+    }
+
+    @Test
+    void aHolderThatRenewsKeepsIt() {
+        for (int i = 0; i < 20; i++) {
+            turn(one, other);
+        }
+        assertThat(one.held()).isTrue();
+        assertThat(other.held()).isFalse();
+    }
+
+    @Test
+    void aSilentHoldersLeaseIsTakenOverUnderAHigherEpoch() {
+        turn(one, other);
+        for (int i = 0; i < 6; i++) {
+            turn(other);
+        }
+        assertThat(other.held()).isTrue();
+        assertThat(other.epoch()).isEqualTo(2);
+    }
+
+    @Test
+    void aNewHolderGivesNoOrderWhileOneOfTheLastHolderMayBeOnItsWay() {
+        turn(one, other);
+        for (int i = 0; i < 5 && !other.held(); i++) {
+            turn(other);
+            // The turn in which it takes over is the one to look at.
+            if (other.held()) {
+                second.pass(-StageLease.RENEW_MILLIS);
+            }
+        }
+        assertThat(other.held()).isTrue();
+        orderBy(other);
+        assertThat(orders).hasValue(0);
+        pass(10_000);
+        orderBy(other);
+        assertThat(orders).hasValue(1);
+    }
+
+    @Test
+    void aHolderThatWasReplacedWhileItWasFrozenGivesNoOrder() {
+        turn(one, other);
+        orderBy(one);
+        assertThat(orders).hasValue(1);
+        for (int i = 0; i < 6; i++) {
+            turn(other);
+        }
+        assertThat(one.held()).as("it can't know yet").isTrue();
+        orderBy(one);
+        assertThat(orders).hasValue(1);
+        assertThat(one.held()).isFalse();
+    }
+
+    @Test
+    void anOrderDoesNotLeaveOnAnOldRenewal() {
+        turn(one);
+        one.renew(() -> {});
+        assertThat(one.mayOrder()).isTrue();
+        first.pass(1_500);
+        assertThat(one.mayOrder()).isFalse();
+    }
+
+    @Test
+    void aMachineThatWasSuspendedGivesNoOrderThoughItsSteadyClockStoodStill() {
+        turn(one);
+        one.renew(() -> {});
+        first.wallMillis += 5_000;
+        assertThat(one.mayOrder()).isFalse();
+    }
+
+    @Test
+    void aRenewalWhoseAnswerIsLostIsNoGroundsForAnOrder() {
+        turn(one);
+        store.losingAnswers(true);
+        orderBy(one);
+        assertThat(orders).hasValue(0);
+        store.losingAnswers(false);
+        orderBy(one);
+        assertThat(orders).hasValue(1);
+    }
+
+    @Test
+    void aLeaseWhoseCreationWasNotAnsweredIsFoundToBeHeld() {
+        store.losingAnswers(true);
+        turn(one);
+        assertThat(store.spec(KIND, "s")).isNotNull();
+        store.losingAnswers(false);
+        turn(one);
+        assertThat(one.held()).isTrue();
+    }
+
+    @Test
+    void whileTheStoreDeclinesNobodyTakesOver() {
+        turn(one, other);
+        store.declining(true);
+        for (int i = 0; i < 10; i++) {
+            turn(one, other);
+        }
+        assertThat(other.held()).isFalse();
+        store.declining(false);
+        turn(one, other);
+        assertThat(one.held()).isTrue();
+        assertThat(other.held()).isFalse();
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
@@ -0,0 +1,138 @@
+package org.quetzalseam.gateway.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/** A store in memory that answers at once, unless a test has it decline calls or lose the answers of writes. */
+public final class MemoryStore implements ObjectStore {
+    private final Map<String, StoredObject> objects = new TreeMap<>();
+    private long revision;
+    private int lists;
+    private boolean declining;
+    private boolean losingAnswers;
+
+    /** Has calls declined, or no longer. */
+    public void declining(boolean now) {
+        declining = now;
+    }
+
+    /** Has writes done without an answer that tells so, or no longer. */
+    public void losingAnswers(boolean now) {
+        losingAnswers = now;
+    }
+
+    /** Returns how often a kind was listed. */
+    public int lists() {
+        return lists;
+    }
+
+    /** Returns an object's content. */
+    public @Nullable JsonNode spec(String kind, String name) {
+        StoredObject object = objects.get(kind + "/" + name);
+        return object == null ? null : object.spec();
+    }
+
+    /** Writes an object, whatever it was before. */
+    public StoredObject put(String kind, String name, JsonNode spec) {
+        revision++;
+        StoredObject object = new StoredObject(name, revision, spec);
+        objects.put(kind + "/" + name, object);
+        return object;
+    }
+
+    private boolean declined(Consumer<StoreFailure> failed) {
+        if (declining) {
+            failed.accept(new StoreFailure(StoreFailure.Kind.DECLINED, "status 503"));
+        }
+        return declining;
+    }
+
+    private void written(StoredObject object, Consumer<StoredObject> done, Consumer<StoreFailure> failed) {
+        if (losingAnswers) {
+            failed.accept(new StoreFailure(StoreFailure.Kind.UNKNOWN, "reset"));
+        } else {
+            done.accept(object);
+        }
+    }
+
+    @Override
+    public void list(String kind, @Nullable String after, Consumer<ObjectPage> done, Consumer<StoreFailure> failed) {
+        lists++;
+        if (declined(failed)) {
+            return;
+        }
+        List<StoredObject> found = new ArrayList<>();
+        objects.forEach((path, object) -> {
+            if (path.startsWith(kind + "/")) {
+                found.add(object);
+            }
+        });
+        done.accept(new ObjectPage(found, false, revision));
+    }
+
+    @Override
+    public void listRecent(String kind, Consumer<ObjectPage> done, Consumer<StoreFailure> failed) {
+        list(kind, null, done, failed);
+    }
+
+    @Override
+    public void watch(
+            String kind, long from, long waitMillis, Consumer<ObjectChanges> done, Consumer<StoreFailure> failed) {
+        throw new UnsupportedOperationException("this store is not watched");
+    }
+
+    @Override
+    public void read(String kind, String name, Consumer<StoredObject> done, Consumer<StoreFailure> failed) {
+        if (declined(failed)) {
+            return;
+        }
+        StoredObject object = objects.get(kind + "/" + name);
+        if (object == null) {
+            failed.accept(new StoreFailure(StoreFailure.Kind.NOT_FOUND, "status 404"));
+        } else {
+            done.accept(object);
+        }
+    }
+
+    @Override
+    public void readRecent(String kind, String name, Consumer<StoredObject> done, Consumer<StoreFailure> failed) {
+        read(kind, name, done, failed);
+    }
+
+    @Override
+    public void create(
+            String kind, String name, JsonNode spec, Consumer<StoredObject> done, Consumer<StoreFailure> failed) {
+        if (declined(failed)) {
+            return;
+        }
+        if (objects.containsKey(kind + "/" + name)) {
+            failed.accept(new StoreFailure(StoreFailure.Kind.CONFLICT, "status 409"));
+            return;
+        }
+        written(put(kind, name, spec), done, failed);
+    }
+
+    @Override
+    public void replace(
+            String kind,
+            String name,
+            long expected,
+            JsonNode spec,
+            Consumer<StoredObject> done,
+            Consumer<StoreFailure> failed) {
+        if (declined(failed)) {
+            return;
+        }
+        StoredObject present = objects.get(kind + "/" + name);
+        if (present == null || present.revision() != expected) {
+            failed.accept(new StoreFailure(StoreFailure.Kind.CONFLICT, "status 409"));
+            return;
+        }
+        written(put(kind, name, spec), done, failed);
+    }
+}
