--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -152,6 +152,7 @@
         }
         boolean empty = age > STILL_LISTENING_MILLIS && callers.inProgress() == 0;
         if (empty || age > graceMillis - END_MARGIN_MILLIS) {
+            callers.logUnfinished();
             logger.atInfo().log("event=left requests_cut=%d age_ms=%d", callers.inProgress(), age);
             done.countDown();
             return;
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
@@ -43,7 +43,8 @@
     private @Nullable HttpRequest head;
     private @Nullable ByteBuf body;
     private boolean discarding;
-    private long quietSince = System.nanoTime();
+    private final long openedAt = System.nanoTime();
+    private long quietSince = openedAt;
     private boolean receiving;
 
     CallerConnection(CallerServer server, Channel channel) {
@@ -166,7 +167,7 @@
         if (server.leaving()) {
             exchange.closeAfter();
         }
-        server.begin(exchange);
+        server.begin(exchange, openedAt);
     }
 
     /** Asks for the connection to be closed after the answer in progress, if its head isn't written yet. */
@@ -177,6 +178,14 @@
         }
     }
 
+    void logUnfinished() {
+        Exchange exchange = current;
+        if (exchange != null) {
+            exchange.logUnfinished();
+        }
+        waiting.forEach(Exchange::logUnfinished);
+    }
+
     private void exchangeEnded() {
         if (current == null) {
             return;
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
@@ -17,6 +17,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.routing.CallerLimits;
@@ -50,6 +51,7 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private @Nullable Channel listener;
     private boolean leaving;
+    private long leftAt;
     private int inProgress;
 
     /**
@@ -134,8 +136,14 @@
         connections.remove(connection);
     }
 
-    void begin(Exchange exchange) {
+    void begin(Exchange exchange, long connectionOpenedAt) {
         inProgress++;
+        if (leaving) {
+            long now = System.nanoTime();
+            logger.atInfo().log(
+                    "event=taken-while-leaving request=%s since_signal_ms=%d connection_ms=%d",
+                    exchange.facts().id(), millisBetween(leftAt, now), millisBetween(connectionOpenedAt, now));
+        }
         try {
             router.accept(exchange);
         } catch (RuntimeException e) {
@@ -145,6 +153,10 @@
         }
     }
 
+    private static long millisBetween(long earlier, long later) {
+        return TimeUnit.NANOSECONDS.toMillis(later - earlier);
+    }
+
     void ended() {
         inProgress--;
     }
@@ -162,6 +174,7 @@
     /** Announces on every answer from now on that its connection closes. */
     public void leave() {
         leaving = true;
+        leftAt = System.nanoTime();
         connections.forEach(CallerConnection::closeAfterCurrent);
     }
 
@@ -174,12 +187,19 @@
         }
     }
 
+    /** Notes in the log each request that the end of the process cuts, for its caller's complaint to be understood. */
+    public void logUnfinished() {
+        connections.forEach(CallerConnection::logUnfinished);
+    }
+
     /** Takes no more connections. */
     public void stopListening() {
         Channel open = listener;
         if (open != null) {
             listener = null;
-            open.close().addListener(done -> logger.atFine().log("event=listener-closed"));
+            open.close()
+                    .addListener(done -> logger.atInfo().log(
+                            "event=listener-closed since_signal_ms=%d", millisBetween(leftAt, System.nanoTime())));
         }
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
@@ -230,6 +230,11 @@
         finish();
     }
 
+    void logUnfinished() {
+        logger.atWarning().log(
+                "event=cut-by-stop request=%s age_ms=%d answer_begun=%s", facts.id(), ageMillis(), begun);
+    }
+
     private void finish() {
         body.release();
         onEnd.run();
