--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/LeavingEntryTest.java
@@ -0,0 +1,134 @@
+package org.quetzalseam.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.standins.raw.RawRequest;
+
+/**
+ * What an entry still takes after it has been told to stop.
+ *
+ * <p>Seen: all entries of a site were stopped a second apart. One took a stream 3.02 s after its signal, between two looks at
+ * whether it should still listen, and cut it 4.6 s later, when its grace period of 8 s ended, though engine and network were
+ * well. Streams of that length were usual: several that had just ended had lasted longer than what was left to this one. The
+ * cause: the end of listening was the only bound, and nothing compared what a request would take with the time left for it.
+ * Proof: the entry's log has the stream booked 3.024 s after {@code leaving} and {@code requests_cut=1} at the end.
+ */
+@Timeout(60)
+class LeavingEntryTest {
+    private static final String SIZE = "x-tokens: 1000";
+    /** How long each stream of the engine lasts, in milliseconds. */
+    private static final long STREAM_MILLIS = 1_500;
+    /** Streams from which the entry can learn how long they last. */
+    private static final int LEARNT_FROM = 20;
+    /** The grace period, in milliseconds: long enough for one stream that begins at once, too short for one begun later. */
+    private static final long GRACE_MILLIS = 2_500;
+
+    private final TestEntry entry = new TestEntry();
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final ScriptedEndpoint engine = new ScriptedEndpoint("engine", this::slowStream);
+    private final ScriptedEndpoint service = new ScriptedEndpoint("service", (request, connection) -> {
+        connection.answer(request, "quick");
+    });
+
+    @BeforeEach
+    void start() {
+        entry.routes(5_000, 1_000);
+        entry.endpoints(engine.member("s", Stage.DECODE), service.member("s", Stage.WHOLE));
+    }
+
+    @AfterEach
+    void stop() {
+        entry.close();
+        engine.close();
+        service.close();
+        threads.shutdownNow();
+    }
+
+    private void slowStream(RawRequest request, ScriptedEndpoint.Connection connection) throws java.io.IOException {
+        if (request.path().startsWith("/control/")) {
+            connection.answer(request, "booking");
+            return;
+        }
+        connection.beginStream(request);
+        connection.chunk("id: 1\ndata: a\n\n");
+        sleep(STREAM_MILLIS);
+        connection.chunk("id: 2\ndata: b\n\n");
+        connection.endStream();
+    }
+
+    private static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void learnHowLongStreamsLast() {
+        List<CompletableFuture<String>> answers = new ArrayList<>();
+        for (int i = 0; i < LEARNT_FROM; i++) {
+            String id = "learnt" + i;
+            answers.add(CompletableFuture.supplyAsync(() -> entry.ask("/stream/x", id, SIZE), threads));
+        }
+        answers.forEach(answer -> assertThat(answer.join()).endsWith("0\r\n\r\n"));
+    }
+
+    /** Ends the process as the signal to stop does: what is still under way after the grace period is cut. */
+    private CompletableFuture<Void> leave() {
+        return CompletableFuture.runAsync(
+                () -> {
+                    entry.process().drain(GRACE_MILLIS);
+                    entry.process().stop();
+                },
+                threads);
+    }
+
+    @Test
+    void aStreamThatWouldOutlastTheGracePeriodIsRefusedInsteadOfCut() {
+        learnHowLongStreamsLast();
+        CompletableFuture<Void> left = leave();
+        sleep(1_300);
+        int runsBefore = engine.runs().size();
+        String answer = entry.ask("/stream/x", "late", SIZE);
+        assertThat(answer).startsWith("HTTP/1.1 503").contains("x-come-back: ").contains("connection: close");
+        assertThat(engine.runs()).as("nothing of it has run").hasSize(runsBefore);
+        left.join();
+    }
+
+    @Test
+    void aStreamThatSurelyEndsInTheGracePeriodIsStillTaken() {
+        learnHowLongStreamsLast();
+        CompletableFuture<Void> left = leave();
+        sleep(100);
+        assertThat(entry.ask("/stream/x", "soon", SIZE))
+                .startsWith("HTTP/1.1 200")
+                .endsWith("0\r\n\r\n");
+        left.join();
+    }
+
+    @Test
+    void aRequestWhoseLastBytesComeLateInTheGracePeriodIsRefusedInsteadOfCut() {
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.write(
+                    "POST /stream/x HTTP/1.1\r\nHost: h\r\nx-id: slow\r\n" + SIZE + "\r\nContent-Length: 2\r\n\r\nh");
+            sleep(100);
+            CompletableFuture<Void> left = leave();
+            sleep(1_300);
+            caller.write("i");
+            assertThat(caller.readAll()).startsWith("HTTP/1.1 503").contains("x-come-back: ");
+            left.join();
+        }
+        assertThat(engine.runs()).isEmpty();
+    }
+}
