A leaving entry takes what ends in its grace period and refuses the rest as not run

Cause of the incident: the end of listening, three seconds after the signal, was the only bound; nothing compared a request with the time left, on whichever connection it came. Class: work admitted by a bound on something else (a socket) than on the work itself.

The bound on its time is learnt by route (AnswerTime), or is its deadline. Refusals say when to come back: at once elsewhere while the balancer may not have noticed, later when this entry's successor is there. Listening goes on until the end, as where all entries leave nobody else would answer. What is still under way at the very end gets the truest answer there is instead of a closed connection.

--- /dev/null
+++ b/core/src/main/java/org/quetzalseam/core/drain/GracePeriod.java
@@ -0,0 +1,87 @@
+package org.quetzalseam.core.drain;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The time between the signal to stop and the end of the process. Decides by what is left of it which requests are still taken,
+ * when those that aren't may come back, and when the process may end before its time. Not thread-safe.
+ *
+ * <p>A request that can't end in what is left is refused at once, as not run: taken, it would be cut at the end, and its caller
+ * could not know whether it has run. Callers are not turned away for any other reason: where all entries of a site leave together,
+ * nobody else would take them.
+ */
+public final class GracePeriod {
+    /**
+     * How long callers are still sent here who could go elsewhere, in nanoseconds: the balancer asks once a second, and takes an
+     * entry out after two answers that it isn't ready.
+     */
+    private static final long NOTICE_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /**
+     * How sure the end of a request must be while the balancer hasn't noticed, in standard deviations: nine in ten. A refusal
+     * costs the caller one of few tries, a cut stream all of what it has waited for.
+     */
+    private static final double LIKELY = 1.28;
+    /** The same afterwards, in standard deviations: all but about one in a thousand, as many may come until the end. */
+    private static final double SURE = 3;
+    /** How long no request has been taken when the balancer is taken to have nobody left to send, in nanoseconds. */
+    private static final long QUIET_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** Time kept from the grace period for last words and the end of the process, in nanoseconds. */
+    private static final long END_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    /** When to come back if another entry takes the request, in milliseconds: a new connection is enough. */
+    private static final long ELSEWHERE_MILLIS = 100;
+    /** From the end of a process until its successor gets callers, in milliseconds: 1.2 s to start, a second to be noticed. */
+    private static final long RESTART_MILLIS = 2_200;
+
+    private final long begunAt;
+    private final long endsAt;
+    private long takenAt;
+
+    /** Begins at the given time; it and all others are monotonic, in nanoseconds. */
+    public GracePeriod(long begunAt, long graceNanos) {
+        this.begunAt = begunAt;
+        this.endsAt = begunAt + graceNanos - END_MARGIN_NANOS;
+        this.takenAt = begunAt;
+    }
+
+    /** Returns how long requests may still run, in milliseconds; not above 0 when all must have ended. */
+    public long leftMillis(long now) {
+        return TimeUnit.NANOSECONDS.toMillis(endsAt - now);
+    }
+
+    /** Returns how sure the end of a request must be for it to be taken, in standard deviations. */
+    public double certainty(long now) {
+        return noticed(now) ? SURE : LIKELY;
+    }
+
+    /** Decides whether a request that ends within the given time is still taken, and notes it if so. */
+    public boolean take(long now, long boundMillis) {
+        if (boundMillis > leftMillis(now)) {
+            return false;
+        }
+        takenAt = now;
+        return true;
+    }
+
+    /**
+     * Returns when a refused caller finds an entry that takes it, in milliseconds. Who is still sent here after the balancer must
+     * have noticed finds no other one: this entry's successor is the next that is known of.
+     */
+    public long comeBackMillis(long now) {
+        return noticed(now) ? Math.max(0, leftMillis(now)) + RESTART_MILLIS : ELSEWHERE_MILLIS;
+    }
+
+    /** Returns whether the balancer must have noticed that this entry leaves. */
+    public boolean noticed(long now) {
+        return now - begunAt > NOTICE_NANOS;
+    }
+
+    /** Returns whether whatever is still under way has to end now. */
+    public boolean over(long now) {
+        return now - endsAt >= 0;
+    }
+
+    /** Returns whether nothing is left to do: nothing is under way, and nobody is sent here any more. */
+    public boolean mayEndEarly(long now, int requestsUnderWay) {
+        return requestsUnderWay == 0 && noticed(now) && now - takenAt > QUIET_NANOS;
+    }
+}
--- a/core/src/main/java/org/quetzalseam/core/generation/OutputLengthModel.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/OutputLengthModel.java
@@ -6,7 +6,8 @@
  * <p>The logarithm of the length is taken to depend linearly on that of the estimate, with a normal error: a straight line,
  * fitted by least squares over the lengths seen, older ones fading. An estimate far from the usual is mostly an estimate that
  * is far off, so the line is flatter than the identity, and the error about it is smaller than that of the estimate itself.
- * Lengths may be counted in any unit, such as events: the estimates are right in the median, which gives the tokens in a unit.
+ * Lengths may be counted in any unit, such as events or milliseconds: the estimates are right in the median, which gives the tokens
+ * in a unit.
  */
 public final class OutputLengthModel {
     /** Weight that the past keeps with each new length: about the last two hundred count. */
@@ -56,6 +57,17 @@
         return Math.exp(usual + slope() * (x - usual) + deviations * Math.sqrt(error()));
     }
 
+    /**
+     * Returns what a generation stays below, in the unit in which lengths were noted; something must have been noted before.
+     *
+     * @param estimate the caller's estimate, in tokens
+     * @param deviations how many standard deviations above the median
+     */
+    public double length(double estimate, double deviations) {
+        double x = Math.log(Math.max(1, estimate));
+        return Math.exp(meanLength + slope() * (x - meanEstimate) + deviations * Math.sqrt(error()));
+    }
+
     private double slope() {
         double assumed = ASSUMED_WEIGHT * ASSUMED_VARIANCE;
         return (products + ASSUMED_SLOPE * assumed) / (estimateSquares + assumed);
--- /dev/null
+++ b/core/src/test/java/org/quetzalseam/core/drain/AnswerTimeTest.java
@@ -0,0 +1,48 @@
+package org.quetzalseam.core.drain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class AnswerTimeTest {
+    private static final int ANSWERS = 400;
+    private static final double SURE = 3;
+
+    private final AnswerTime times = new AnswerTime();
+
+    @Test
+    void nothingIsForetoldFromAHandfulOfAnswers() {
+        for (int i = 0; i < 7; i++) {
+            times.ended(1, 100);
+        }
+        assertThat(times.boundMillis(1, SURE)).isEqualTo(Long.MAX_VALUE);
+    }
+
+    @Test
+    void answersThatTakeAboutTheSameTimeAreBoundClosely() {
+        for (int i = 0; i < ANSWERS; i++) {
+            times.ended(1, 90 + i % 20);
+        }
+        assertThat(times.boundMillis(1, SURE)).isBetween(105L, 150L);
+    }
+
+    /** Sizes of two orders of magnitude, estimates right in the median and off by half an octave: few outlast their bound. */
+    @Test
+    void theBoundFollowsTheCallersEstimate() {
+        Random random = new Random(7);
+        for (int i = 0; i < ANSWERS; i++) {
+            double size = Math.exp(4 + 1.2 * random.nextGaussian());
+            times.ended(size * Math.exp(0.35 * random.nextGaussian()), Math.round(40 * size));
+        }
+        assertThat(times.boundMillis(10, SURE)).isLessThan(times.boundMillis(500, SURE) / 10);
+        int outlasted = 0;
+        for (int i = 0; i < 10_000; i++) {
+            double size = Math.exp(4 + 1.2 * random.nextGaussian());
+            if (40 * size > times.boundMillis(size * Math.exp(0.35 * random.nextGaussian()), SURE)) {
+                outlasted++;
+            }
+        }
+        assertThat(outlasted).isLessThan(50);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalseam/core/drain/GracePeriodTest.java
@@ -0,0 +1,74 @@
+package org.quetzalseam.core.drain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class GracePeriodTest {
+    private static final long BEGUN = 1_000_000_000L;
+
+    private final GracePeriod grace = new GracePeriod(BEGUN, TimeUnit.SECONDS.toNanos(8));
+
+    private static long after(long millis) {
+        return BEGUN + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    @Test
+    void whatEndsInTheTimeLeftIsTakenHoweverLateItComes() {
+        assertThat(grace.take(after(0), 7_600)).isTrue();
+        assertThat(grace.take(after(7_000), 500)).isTrue();
+    }
+
+    @Test
+    void whatWouldOutlastTheTimeLeftIsNotTakenHoweverEarlyItComes() {
+        assertThat(grace.take(after(0), 7_601)).isFalse();
+        assertThat(grace.take(after(3_020), 4_600)).isFalse();
+        assertThat(grace.take(after(7_000), 700)).isFalse();
+    }
+
+    @Test
+    void whatNothingIsKnownOfIsNotTaken() {
+        assertThat(grace.take(after(0), Long.MAX_VALUE)).isFalse();
+    }
+
+    @Test
+    void theEndOfARequestHasToBeSurerOnceTheBalancerMustHaveNoticed() {
+        assertThat(grace.certainty(after(3_500))).isGreaterThan(grace.certainty(after(500)));
+    }
+
+    @Test
+    void whoIsRefusedAtFirstIsSentElsewhereAndLaterToTheSuccessor() {
+        assertThat(grace.comeBackMillis(after(500))).isLessThan(300);
+        assertThat(grace.comeBackMillis(after(5_000))).isGreaterThan(grace.leftMillis(after(5_000)));
+        assertThat(grace.comeBackMillis(after(9_000))).isPositive();
+    }
+
+    @Test
+    void itEndsEarlyOnlyWhenNothingIsUnderWayAndNobodyComesAnyMore() {
+        assertThat(grace.mayEndEarly(after(2_000), 0))
+                .as("callers may still be sent")
+                .isFalse();
+        assertThat(grace.mayEndEarly(after(3_500), 1))
+                .as("something is under way")
+                .isFalse();
+        assertThat(grace.mayEndEarly(after(3_500), 0)).isTrue();
+        grace.take(after(3_400), 10);
+        assertThat(grace.mayEndEarly(after(3_500), 0))
+                .as("somebody has just come")
+                .isFalse();
+        assertThat(grace.mayEndEarly(after(4_500), 0)).isTrue();
+    }
+
+    @Test
+    void callersWhoAreRefusedDoNotKeepItFromEnding() {
+        grace.take(after(3_400), 60_000);
+        assertThat(grace.mayEndEarly(after(3_500), 0)).isTrue();
+    }
+
+    @Test
+    void itIsOverBeforeTheProcessIsKilled() {
+        assertThat(grace.over(after(7_500))).isFalse();
+        assertThat(grace.over(after(7_600))).isTrue();
+    }
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -1,11 +1,9 @@
 package org.quetzalseam.gateway;
 
-import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.quetzalseam.gateway.caller.CallerServer;
 import org.quetzalseam.gateway.endpoint.Directory;
@@ -22,19 +20,9 @@
  * #router} and {@link #directory}, on the thread of its {@link #timers}.
  */
 public final class EntryProcess {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final String METRICS_PATH = "/metrics";
     /** How often the loop's delay is measured, in milliseconds. */
     private static final long LOOP_LOOK_MILLIS = 500;
-    /**
-     * How long a leaving entry goes on taking connections, in milliseconds: until the platform has stopped sending them. Who
-     * still connects after that is better served elsewhere, at once, than cut off when the grace period ends.
-     */
-    private static final long STILL_LISTENING_MILLIS = 3_000;
-    /** How often a leaving entry looks whether it is done, in milliseconds. */
-    private static final long LOOK_MILLIS = 50;
-    /** Time kept from the platform's grace period for the end of the process, in milliseconds. */
-    private static final long END_MARGIN_MILLIS = 400;
 
     private final NioEventLoopGroup group;
     private final EventLoop loop;
@@ -128,36 +116,7 @@
     /** Leaves: tells that it isn't ready, ends what it has taken, and returns when that is done or time is up. */
     public void drain(long graceMillis) {
         leaving = true;
-        long begun = System.nanoTime();
-        CountDownLatch done = new CountDownLatch(1);
-        timers.soon(() -> {
-            logger.atInfo().log("event=leaving requests=%d", callers.inProgress());
-            callers.leave();
-            lookWhetherDone(begun, graceMillis, done);
-        });
-        try {
-            if (!done.await(graceMillis, TimeUnit.MILLISECONDS)) {
-                logger.atWarning().log("event=left-late grace_ms=%d", graceMillis);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void lookWhetherDone(long begun, long graceMillis, CountDownLatch done) {
-        long age = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
-        if (age > STILL_LISTENING_MILLIS) {
-            callers.stopListening();
-            callers.closeIdle();
-        }
-        boolean empty = age > STILL_LISTENING_MILLIS && callers.inProgress() == 0;
-        if (empty || age > graceMillis - END_MARGIN_MILLIS) {
-            callers.logUnfinished();
-            logger.atInfo().log("event=left requests_cut=%d age_ms=%d", callers.inProgress(), age);
-            done.countDown();
-            return;
-        }
-        timers.after(LOOK_MILLIS, () -> lookWhetherDone(begun, graceMillis, done));
+        new Departure(timers, callers, router).run(graceMillis);
     }
 
     /** Drops everything at once. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
@@ -78,13 +78,10 @@
         }
     }
 
-    /** Returns whether nothing is asked or being asked on the connection. */
-    boolean idle() {
-        return current == null && waiting.isEmpty() && !receiving && head == null;
-    }
-
-    long quietSince() {
-        return quietSince;
+    /** Returns whether nothing is asked or being asked on the connection, nor has been for the given time. */
+    boolean idleFor(long nanos, long now) {
+        boolean idle = current == null && waiting.isEmpty() && !receiving && head == null;
+        return idle && now - quietSince > nanos;
     }
 
     void close() {
@@ -178,12 +175,14 @@
         }
     }
 
-    void logUnfinished() {
+    /** The process ends: what is being answered ends now, and what waits behind it is never begun. */
+    void processStops() {
+        waiting.forEach(Exchange::processStops);
+        waiting.clear();
         Exchange exchange = current;
         if (exchange != null) {
-            exchange.logUnfinished();
+            exchange.processStops();
         }
-        waiting.forEach(Exchange::logUnfinished);
     }
 
     private void exchangeEnded() {
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
@@ -43,6 +43,8 @@
     private static final long LARGE_BODY_BYTES = 1024 * 1024;
     /** Requests under way above which large bodies are refused, to bound the memory they take. */
     private static final int BUSY_REQUESTS = 200;
+    /** Rest after which a leaving entry closes a connection, in nanoseconds: many round trips of a caller in the same region. */
+    private static final long IDLE_WHILE_LEAVING_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final EventLoop loop;
     private final Protocol protocol;
@@ -178,18 +180,22 @@
         connections.forEach(CallerConnection::closeAfterCurrent);
     }
 
-    /** Closes connections on which nothing is asked. */
+    /**
+     * Closes connections on which nothing has been asked for a while, so that their callers connect elsewhere. One that has just
+     * been opened or used stays, as its next request may be on its way.
+     */
     public void closeIdle() {
+        long now = System.nanoTime();
         for (CallerConnection connection : List.copyOf(connections)) {
-            if (connection.idle()) {
+            if (connection.idleFor(IDLE_WHILE_LEAVING_NANOS, now)) {
                 connection.close();
             }
         }
     }
 
-    /** Notes in the log each request that the end of the process cuts, for its caller's complaint to be understood. */
-    public void logUnfinished() {
-        connections.forEach(CallerConnection::logUnfinished);
+    /** Ends what is still being answered, as the process ends. */
+    public void endAll() {
+        List.copyOf(connections).forEach(CallerConnection::processStops);
     }
 
     /** Takes no more connections. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
@@ -46,6 +46,7 @@
     private boolean ended;
     private @Nullable Runnable whenGone;
     private @Nullable Runnable whenWritable;
+    private @Nullable Runnable whenStopped;
 
     Exchange(Channel channel, HttpRequest request, ByteBuf body, RequestFacts facts, Runnable onEnd) {
         this.channel = channel;
@@ -102,6 +103,11 @@
         whenWritable = call;
     }
 
+    /** Sets what is called if the process ends before the answer does; it has to end the answer at once. */
+    public void whenStopped(Runnable call) {
+        whenStopped = call;
+    }
+
     /** Returns whether the caller takes what is written as fast as it comes. */
     public boolean writable() {
         return channel.isWritable();
@@ -230,9 +236,18 @@
         finish();
     }
 
-    void logUnfinished() {
+    /** The process ends: the caller gets the truest answer that there is by now. */
+    void processStops() {
+        if (ended) {
+            return;
+        }
         logger.atWarning().log(
                 "event=cut-by-stop request=%s age_ms=%d answer_begun=%s", facts.id(), ageMillis(), begun);
+        Runnable call = whenStopped;
+        if (call != null) {
+            call.run();
+        }
+        cut("the process stops");
     }
 
     private void finish() {
--- a/gateway/src/main/java/org/quetzalseam/gateway/protocol/RequestFacts.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/protocol/RequestFacts.java
@@ -15,4 +15,13 @@
         String id,
         long patienceMillis,
         @Nullable TokenDemand demand,
-        @Nullable String resumesAfter) {}
+        @Nullable String resumesAfter) {
+    /** Size that is given for a request that doesn't say any: the same for all of them. */
+    private static final double NO_ESTIMATE = 1;
+
+    /** Returns the caller's estimate of the answer's size, to compare requests of one route by. */
+    public double estimate() {
+        TokenDemand size = demand;
+        return size == null ? NO_ESTIMATE : size.expectedOutput();
+    }
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.drain.GracePeriod;
 import org.quetzalseam.core.routing.CallKind;
 import org.quetzalseam.core.routing.CallerLimits;
 import org.quetzalseam.core.routing.RouteRule;
@@ -78,6 +79,14 @@
         return table == null ? CallerLimits.DEFAULT : table.limits();
     }
 
+    /** From now on takes only what can end in the rest of the grace period. */
+    public void leave(GracePeriod period) {
+        context.leave(period);
+        List<Exchange> waiting = List.copyOf(early);
+        early.clear();
+        waiting.forEach(this::refuseEarly);
+    }
+
     /** Answers a request. */
     public void route(Exchange exchange) {
         RouteTable table = routes;
@@ -99,21 +108,24 @@
 
     /** A process that has just started is asked before it has heard from the store; its callers needn't come back for that. */
     private void waitForRoutes(Exchange exchange) {
-        if (early.size() >= MAX_EARLY) {
-            context.refuse(exchange, "not ready yet", STARTING_MILLIS);
+        if (early.size() >= MAX_EARLY || context.leaving()) {
+            refuseEarly(exchange);
             return;
         }
         early.add(exchange);
         exchange.whenGone(() -> early.remove(exchange));
         context.after(START_WAIT_MILLIS, () -> {
             if (early.remove(exchange)) {
-                logger.atInfo().log(
-                        "event=refused-early request=%s", exchange.facts().id());
-                context.refuse(exchange, "not ready yet", STARTING_MILLIS);
+                refuseEarly(exchange);
             }
         });
     }
 
+    private void refuseEarly(Exchange exchange) {
+        logger.atInfo().log("event=refused-early request=%s", exchange.facts().id());
+        context.refuse(exchange, "not ready yet", STARTING_MILLIS);
+    }
+
     /** Routes the requests that came before the routes and the endpoints were known. Call it when either has been learnt. */
     public void routeEarly() {
         if (!ready() || early.isEmpty()) {
@@ -125,6 +137,10 @@
     }
 
     private void start(Exchange exchange, RouteRule route, long version) {
+        if (!context.endsInTime(exchange, route)) {
+            context.refuse(exchange, RunContext.STOPS_SOONER, 0);
+            return;
+        }
         String service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
         context.retries(service).request(context.now());
         RunLog log = new RunLog(context.metrics(), exchange, route, service, version);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -1,5 +1,6 @@
 package org.quetzalseam.gateway.route;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -8,6 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.drain.AnswerTime;
+import org.quetzalseam.core.drain.GracePeriod;
 import org.quetzalseam.core.limits.CallerPatience;
 import org.quetzalseam.core.limits.ConnectionShare;
 import org.quetzalseam.core.limits.RetryAllowance;
@@ -22,15 +26,22 @@
 
 /** What all requests of an entry share. Used on the event loop only. */
 final class RunContext {
+    /** Why a leaving entry doesn't begin a request. */
+    static final String STOPS_SOONER = "this entry stops before the answer would end";
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     private final Timers timers;
     private final Protocol protocol;
     private final Directory directory;
     private final GatewayMetrics metrics;
     private EntrySettings settings;
     private int entries;
+    private @Nullable GracePeriod grace;
     private List<ServiceRule> services = List.of();
     private final Map<String, RetryAllowance> retries = new HashMap<>();
     private final Map<String, CallerPatience> patience = new HashMap<>();
+    private final Map<String, AnswerTime> answerTimes = new HashMap<>();
     private final Map<String, ReservationDesk> desks = new HashMap<>();
 
     RunContext(Timers timers, Protocol protocol, Directory directory, EntrySettings settings, GatewayMetrics metrics) {
@@ -128,6 +139,41 @@
         return patience.computeIfAbsent(route, name -> new CallerPatience());
     }
 
+    /** Notes that the process has been told to stop. */
+    void leave(GracePeriod period) {
+        grace = period;
+    }
+
+    boolean leaving() {
+        return grace != null;
+    }
+
+    /**
+     * Returns whether a request that begins now ends before this process does. One that doesn't would be cut, and its caller
+     * couldn't tell whether it has run; refused, it goes elsewhere.
+     */
+    boolean endsInTime(Exchange exchange, RouteRule route) {
+        GracePeriod period = grace;
+        if (period == null) {
+            return true;
+        }
+        long limit = new ForwardedRequest(exchange, protocol, route).leftMillis();
+        long usual = answerTime(route).boundMillis(exchange.facts().estimate(), period.certainty(now()));
+        long bound = Math.min(limit, usual);
+        if (period.take(now(), bound)) {
+            return true;
+        }
+        logger.atInfo().log(
+                "event=refused-leaving request=%s bound_ms=%d left_ms=%d age_ms=%d",
+                exchange.facts().id(), bound, period.leftMillis(now()), exchange.ageMillis());
+        return false;
+    }
+
+    /** Returns what is known of the time that a route's answers take. */
+    AnswerTime answerTime(RouteRule route) {
+        return answerTimes.computeIfAbsent(route.name(), name -> new AnswerTime());
+    }
+
     ReservationDesk desk(String service) {
         return desks.computeIfAbsent(service, name -> new ReservationDesk(this, name));
     }
@@ -135,8 +181,10 @@
     /** Refuses a request that has not run and won't, and says when to come back. */
     void refuse(Exchange exchange, String why, long comeBackMillis) {
         metrics.refused(why);
+        GracePeriod period = grace;
+        long comeBack = period == null ? comeBackMillis : Math.max(comeBackMillis, period.comeBackMillis(now()));
         HttpHeaders headers = new DefaultHttpHeaders();
-        protocol.comeBackAfter(headers, comeBackMillis);
+        protocol.comeBackAfter(headers, comeBack);
         exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, why, headers);
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -67,6 +67,7 @@
 
     void start() {
         exchange.whenGone(this::callerGone);
+        exchange.whenStopped(this::processStops);
         deadlineTimer = context.after(forwarded.leftMillis(), this::deadlinePassed);
         sendToNext();
     }
@@ -163,6 +164,7 @@
             return;
         }
         over("answered", answer.status().code());
+        context.answerTime(route).ended(exchange.facts().estimate(), exchange.ageMillis());
         exchange.answer(answer, body);
     }
 
@@ -243,6 +245,19 @@
         }
     }
 
+    private void processStops() {
+        EndpointCall running = call;
+        if (running != null) {
+            running.cancel();
+        }
+        if (mayHaveRun || (running != null && running.sent())) {
+            over("stopped", HttpResponseStatus.BAD_GATEWAY.code());
+            context.fail(exchange, HttpResponseStatus.BAD_GATEWAY, "this entry stops");
+        } else {
+            giveUp("this entry stops");
+        }
+    }
+
     private void callerGone() {
         EndpointCall running = call;
         if (running != null) {
