--- a/core/src/main/java/org/quetzalseam/core/drain/GracePeriod.java
+++ b/core/src/main/java/org/quetzalseam/core/drain/GracePeriod.java
@@ -34,18 +34,32 @@
 
     private final long begunAt;
     private final long endsAt;
+    private final long turnEndsAt;
     private long takenAt;
 
-    /** Begins at the given time; it and all others are monotonic, in nanoseconds. */
-    public GracePeriod(long begunAt, long graceNanos) {
+    /**
+     * Begins a grace period. Times are monotonic, in nanoseconds.
+     *
+     * @param begunAt when the process was told to stop
+     * @param graceNanos how long after that it is killed
+     * @param rank this process's place among those that serve the same callers, from 0
+     * @param processes how many of them there are
+     */
+    public GracePeriod(long begunAt, long graceNanos, int rank, int processes) {
         this.begunAt = begunAt;
         this.endsAt = begunAt + graceNanos - END_MARGIN_NANOS;
+        long shared = Math.max(0, endsAt - begunAt - NOTICE_NANOS);
+        this.turnEndsAt = endsAt - shared + shared * (rank + 1) / processes;
         this.takenAt = begunAt;
     }
 
-    /** Returns how long requests may still run, in milliseconds; not above 0 when all must have ended. */
+    /**
+     * Returns how long requests may still run that are taken now, in milliseconds; not above 0 when none is. Once the balancer must
+     * have noticed, callers come only where all leave: then the processes give up taking one after the other, in the order of
+     * their ranks, so that the first are back before the last have gone.
+     */
     public long leftMillis(long now) {
-        return TimeUnit.NANOSECONDS.toMillis(endsAt - now);
+        return TimeUnit.NANOSECONDS.toMillis((noticed(now) ? turnEndsAt : endsAt) - now);
     }
 
     /** Returns how sure the end of a request must be for it to be taken, in standard deviations. */
@@ -82,6 +96,7 @@
 
     /** Returns whether nothing is left to do: nothing is under way, and nobody is sent here any more. */
     public boolean mayEndEarly(long now, int requestsUnderWay) {
-        return requestsUnderWay == 0 && noticed(now) && now - takenAt > QUIET_NANOS;
+        boolean nobodyComes = now - takenAt > QUIET_NANOS || now - turnEndsAt >= 0;
+        return requestsUnderWay == 0 && noticed(now) && nobodyComes;
     }
 }
--- a/core/src/test/java/org/quetzalseam/core/drain/GracePeriodTest.java
+++ b/core/src/test/java/org/quetzalseam/core/drain/GracePeriodTest.java
@@ -8,7 +8,7 @@
 class GracePeriodTest {
     private static final long BEGUN = 1_000_000_000L;
 
-    private final GracePeriod grace = new GracePeriod(BEGUN, TimeUnit.SECONDS.toNanos(8));
+    private final GracePeriod grace = new GracePeriod(BEGUN, TimeUnit.SECONDS.toNanos(8), 0, 1);
 
     private static long after(long millis) {
         return BEGUN + TimeUnit.MILLISECONDS.toNanos(millis);
--- a/gateway/src/main/java/org/quetzalseam/gateway/Departure.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/Departure.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.quetzalseam.core.drain.GracePeriod;
 import org.quetzalseam.gateway.caller.CallerServer;
+import org.quetzalseam.gateway.entry.EntryCount;
 import org.quetzalseam.gateway.route.RequestRouter;
 import org.quetzalseam.gateway.runtime.Timers;
 
@@ -28,9 +29,10 @@
     }
 
     /** Returns when nothing is under way any more, or the time is up. */
-    void run(long graceMillis) {
+    void run(long graceMillis, EntryCount entries) {
         long begunAt = timers.now();
-        GracePeriod grace = new GracePeriod(begunAt, TimeUnit.MILLISECONDS.toNanos(graceMillis));
+        GracePeriod grace =
+                new GracePeriod(begunAt, TimeUnit.MILLISECONDS.toNanos(graceMillis), entries.rank(), entries.entries());
         timers.soon(() -> {
             logger.atInfo().log("event=leaving requests=%d", callers.inProgress());
             callers.leave();
--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.quetzalseam.gateway.caller.CallerServer;
 import org.quetzalseam.gateway.endpoint.Directory;
+import org.quetzalseam.gateway.entry.EntryCount;
 import org.quetzalseam.gateway.http.Connector;
 import org.quetzalseam.gateway.operator.GatewayMetrics;
 import org.quetzalseam.gateway.operator.OperatorServer;
@@ -34,6 +35,7 @@
     private final OperatorServer operators;
     private final Connector connector;
     private volatile boolean leaving;
+    private volatile EntryCount entries = EntryCount.ALONE;
     private long loopLookedAt;
     private long loopDelayMillis;
 
@@ -108,6 +110,12 @@
         loopLookedAt = now;
     }
 
+    /** Takes the number of entries, which share budgets and leave in turn. */
+    public void counted(EntryCount count) {
+        entries = count;
+        router.entries(count.entries());
+    }
+
     /** Returns the metrics, for what is measured outside the entry's own parts. */
     public GatewayMetrics metrics() {
         return metrics;
@@ -116,7 +124,7 @@
     /** Leaves: tells that it isn't ready, ends what it has taken, and returns when that is done or time is up. */
     public void drain(long graceMillis) {
         leaving = true;
-        new Departure(timers, callers, router).run(graceMillis);
+        new Departure(timers, callers, router).run(graceMillis, entries);
     }
 
     /** Drops everything at once. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryCensus.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryCensus.java
@@ -2,7 +2,8 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.flogger.FluentLogger;
-import java.util.function.IntConsumer;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectPage;
 import org.quetzalseam.gateway.store.ObjectStore;
@@ -29,9 +30,9 @@
     private final Timers timers;
     private final ObjectStore store;
     private final String self;
-    private final IntConsumer counted;
+    private final Consumer<EntryCount> counted;
     private boolean registered;
-    private int known;
+    private @Nullable EntryCount known;
     private int turnsLeft;
 
     /**
@@ -40,9 +41,9 @@
      * @param timers the event loop's timers
      * @param store the platform's store
      * @param self this entry's name
-     * @param counted takes the number of entries, whenever it has changed
+     * @param counted takes the number of entries and this one's rank, whenever either has changed
      */
-    public EntryCensus(Timers timers, ObjectStore store, String self, IntConsumer counted) {
+    public EntryCensus(Timers timers, ObjectStore store, String self, Consumer<EntryCount> counted) {
         this.timers = timers;
         this.store = store;
         this.self = self;
@@ -61,7 +62,8 @@
         } else if (turnsLeft > 0) {
             turnsLeft--;
         } else {
-            turnsLeft = known / ENTRIES_A_COUNT;
+            EntryCount last = known;
+            turnsLeft = last == null ? 0 : last.entries() / ENTRIES_A_COUNT;
             count();
         }
     }
@@ -93,11 +95,15 @@
 
     private void page(ObjectPage page) {
         int entries = page.objects().size();
-        if (entries == 0 || entries == known) {
+        int before = (int) page.objects().stream()
+                .filter(object -> object.name().compareTo(self) < 0)
+                .count();
+        EntryCount count = new EntryCount(entries, Math.min(before, entries - 1));
+        if (entries == 0 || count.equals(known)) {
             return;
         }
-        known = entries;
-        logger.atInfo().log("event=entries-counted entries=%d", entries);
-        counted.accept(entries);
+        known = count;
+        logger.atInfo().log("event=entries-counted entries=%d rank=%d", entries, count.rank());
+        counted.accept(count);
     }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/entry/EntryCensusTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/entry/EntryCensusTest.java
@@ -18,7 +18,7 @@
 
     private void start() {
         channel.freezeTime();
-        new EntryCensus(new Timers(channel.eventLoop()), store, "self", counted::add).start();
+        new EntryCensus(new Timers(channel.eventLoop()), store, "self", count -> counted.add(count.entries())).start();
     }
 
     /** Puts the names of other entries in the store. */
