Entries that leave together give up taking callers one after the other

Cause: entries told to stop within a second or two all end at the end of their grace periods, and while they start nobody listens. GracePeriod shares the time after the balancer's notice among the entries by the rank of their names in the store, which each knows already; no message and no call more.

--- a/core/src/test/java/org/quetzalseam/core/drain/GracePeriodTest.java
+++ b/core/src/test/java/org/quetzalseam/core/drain/GracePeriodTest.java
@@ -66,6 +66,28 @@
         assertThat(grace.mayEndEarly(after(3_500), 0)).isTrue();
     }
 
+    /** Four processes told to stop at once: each begins its end 1.15 s after the one before, so the first is back before the last goes. */
+    @Test
+    void processesThatLeaveTogetherGiveUpTakingOneAfterTheOther() {
+        GracePeriod first = new GracePeriod(BEGUN, TimeUnit.SECONDS.toNanos(8), 0, 4);
+        GracePeriod last = new GracePeriod(BEGUN, TimeUnit.SECONDS.toNanos(8), 3, 4);
+        assertThat(first.leftMillis(after(2_000)))
+                .as("at first all take what they can")
+                .isEqualTo(5_600);
+        assertThat(first.take(after(4_000), 100)).isTrue();
+        assertThat(first.take(after(4_200), 100)).isFalse();
+        assertThat(first.mayEndEarly(after(4_200), 0)).isTrue();
+        assertThat(first.over(after(4_200))).as("what is under way may go on").isFalse();
+        assertThat(last.take(after(7_400), 100)).isTrue();
+        assertThat(last.mayEndEarly(after(7_500), 0)).isFalse();
+    }
+
+    @Test
+    void aGracePeriodShorterThanTheBalancersNoticeIsNotShared() {
+        GracePeriod shorter = new GracePeriod(BEGUN, TimeUnit.SECONDS.toNanos(2), 0, 400);
+        assertThat(shorter.take(after(1_400), 100)).isTrue();
+    }
+
     @Test
     void itIsOverBeforeTheProcessIsKilled() {
         assertThat(grace.over(after(7_500))).isFalse();
--- a/gateway/src/test/java/org/quetzalseam/gateway/entry/EntryCensusTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/entry/EntryCensusTest.java
@@ -14,11 +14,16 @@
 class EntryCensusTest {
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final List<Integer> counted = new ArrayList<>();
+    private final List<Integer> ranks = new ArrayList<>();
     private final MemoryStore store = new MemoryStore();
 
     private void start() {
         channel.freezeTime();
-        new EntryCensus(new Timers(channel.eventLoop()), store, "self", count -> counted.add(count.entries())).start();
+        new EntryCensus(new Timers(channel.eventLoop()), store, "self", count -> {
+                    counted.add(count.entries());
+                    ranks.add(count.rank());
+                })
+                .start();
     }
 
     /** Puts the names of other entries in the store. */
@@ -45,6 +50,15 @@
         assertThat(counted).containsExactly(5, 6);
     }
 
+    @Test
+    void theRankIsTheNamesPlaceAmongTheOthers() {
+        others(3);
+        store.put("quetzalseam-entries", "the-last", JsonNodeFactory.instance.objectNode());
+        start();
+        passSeconds(1);
+        assertThat(ranks).containsExactly(3);
+    }
+
     @Test
     void countingCostsALargeSiteNoMoreASecondThanASmallOne() {
         others(399);
