Failing tests of a leaving entry's end: pipelined callers, slow readers, a second signal, a resumed stream, HTTP/1.0, quick failures

- A request that waits behind another one on its connection takes the connection at the end: the one before it gets no answer.
- An answer still being written isn't counted as under way: the process ends early and the caller has half of it (3.6 of 7.3 MB).
- Behind such an answer that announces its close the next request of the connection is run, and its answer has nowhere to go.
- A second signal moves the time by which requests must end (the grace period anew), but not the end of the process: a stream is taken and cut.
- A begun stream whose engine fails is measured as a whole one before it goes on elsewhere, and cut though its rest would fit.
- A cut answer that has neither length nor chunks (HTTP/1.0) ends in order, as if complete.
- Failures count as answers: twenty quick ones make a long call look short; it is taken, cut and answered 502 instead of refused.

--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/EndOfLeavingTest.java
@@ -0,0 +1,292 @@
+package org.quetzalseam.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.standins.raw.RawRequest;
+
+/** What becomes of the requests that a leaving entry has, when it ends and when something goes wrong before that. */
+@Timeout(60)
+class EndOfLeavingTest {
+    private static final String SIZE = "x-tokens: 1000";
+    /** How long each whole stream of the engine lasts, in milliseconds. */
+    private static final long STREAM_MILLIS = 1_500;
+    /** Streams from which the entry can learn how long they last. */
+    private static final int LEARNT_FROM = 20;
+    /** The grace period, in milliseconds: long enough for one stream that begins at once, too short for one begun later. */
+    private static final long GRACE_MILLIS = 3_000;
+    /** A body that doesn't fit the buffers between an entry and a caller who doesn't read. */
+    private static final int LARGE_BYTES = 7 * 1024 * 1024;
+    /** What a caller who reads late lets in before that, in bytes. */
+    private static final int SMALL_WINDOW = 16 * 1024;
+
+    private final TestEntry entry = new TestEntry();
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final CompletableFuture<Void> arrived = new CompletableFuture<>();
+    private final CompletableFuture<Void> goOn = new CompletableFuture<>();
+    private final ScriptedEndpoint engine = new ScriptedEndpoint("engine", this::slowStream);
+    private final ScriptedEndpoint service = new ScriptedEndpoint("service", this::largeAnswer);
+
+    @BeforeEach
+    void start() {
+        entry.routes(20_000, 1_000);
+        entry.endpoints(engine.member("s", Stage.DECODE), service.member("s", Stage.WHOLE));
+    }
+
+    @AfterEach
+    void stop() {
+        goOn.complete(null);
+        entry.close();
+        engine.close();
+        service.close();
+        threads.shutdownNow();
+    }
+
+    private void slowStream(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
+        if (request.path().startsWith("/control/")) {
+            connection.answer(request, "booking");
+            return;
+        }
+        connection.beginStream(request);
+        connection.chunk("id: 1\ndata: a\n\n");
+        sleep(STREAM_MILLIS);
+        connection.chunk("id: 2\ndata: b\n\n");
+        connection.endStream();
+    }
+
+    private void largeAnswer(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
+        arrived.complete(null);
+        goOn.join();
+        connection.answer(request, "x".repeat(LARGE_BYTES));
+    }
+
+    private static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void learnHowLongStreamsLast(String path) {
+        List<CompletableFuture<String>> answers = new ArrayList<>();
+        for (int i = 0; i < LEARNT_FROM; i++) {
+            String id = "learnt" + i;
+            answers.add(CompletableFuture.supplyAsync(() -> entry.ask(path, id, SIZE), threads));
+        }
+        answers.forEach(answer -> assertThat(answer.join()).endsWith("0\r\n\r\n"));
+    }
+
+    /** Ends the process as the signal to stop does: what is still under way after the grace period is cut. */
+    private CompletableFuture<Void> leave(long graceMillis) {
+        return CompletableFuture.runAsync(
+                () -> {
+                    entry.process().drain(graceMillis);
+                    entry.process().stop();
+                },
+                threads);
+    }
+
+    private static String call(String id) {
+        return "POST /once/x HTTP/1.1\r\nHost: h\r\nx-id: " + id + "\r\nx-patience: 20000\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    private Socket callerWhoReadsLate() throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(SMALL_WINDOW);
+        InetSocketAddress address = entry.address();
+        socket.connect(address);
+        return socket;
+    }
+
+    private static void write(Socket caller, String text) throws IOException {
+        caller.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns how many bytes come, and whether they end with a reset. */
+    private static long readAll(Socket caller) throws IOException {
+        InputStream in = caller.getInputStream();
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        try {
+            in.transferTo(all);
+        } catch (IOException reset) {
+            // What came before it counts.
+        }
+        return all.size();
+    }
+
+    /** The one behind waits for its turn and is never begun: it must not take the connection from the one before it. */
+    @Test
+    void whoIsCutAtTheEndIsToldSoThoughAnotherRequestWaitsBehind() throws Exception {
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.write(call("first") + call("second"));
+            arrived.get(10, TimeUnit.SECONDS);
+            CompletableFuture<Void> left = leave(800);
+            assertThat(caller.readAll()).startsWith("HTTP/1.1 502").contains("this entry stops");
+            left.join();
+        }
+        assertThat(service.runs()).hasSize(1);
+    }
+
+    /** The answer has been handed to the connection, not to the caller: the process mustn't end with it. */
+    @Test
+    void anAnswerThatItsCallerReadsSlowlyIsWholeThoughNothingElseIsUnderWay() throws Exception {
+        try (Socket caller = callerWhoReadsLate()) {
+            write(caller, call("slow"));
+            goOn.complete(null);
+            arrived.get(10, TimeUnit.SECONDS);
+            CompletableFuture<Void> left = leave(12_000);
+            sleep(5_000);
+            assertThat(readAll(caller)).isGreaterThan(LARGE_BYTES);
+            left.join();
+        }
+    }
+
+    /** Its answer could not be given any more: the connection is announced to close. */
+    @Test
+    void aRequestBehindAnAnswerThatClosesTheConnectionIsNotRun() throws Exception {
+        service.script((request, connection) -> connection.answer(request, "quick"));
+        for (int i = 0; i < LEARNT_FROM; i++) {
+            assertThat(entry.ask("/once/x", "learnt" + i)).startsWith("HTTP/1.1 200");
+        }
+        service.script(this::largeAnswer);
+        try (Socket caller = callerWhoReadsLate()) {
+            write(caller, call("first") + call("second"));
+            arrived.get(10, TimeUnit.SECONDS);
+            CompletableFuture<Void> left = leave(8_000);
+            sleep(200);
+            goOn.complete(null);
+            sleep(1_000);
+            assertThat(readAll(caller)).as("the first answer is whole").isGreaterThan(LARGE_BYTES);
+            left.join();
+        }
+        assertThat(service.runs())
+                .extracting(run -> run.header("x-id"))
+                .contains("first")
+                .doesNotContain("second");
+    }
+
+    /** What is left of it is shorter than a whole one, and it can't be refused any more: its caller has a part of it. */
+    @Test
+    void aStreamThatHasBegunGoesOnAtAnotherEngineThoughAWholeOneWouldNotEndInTime() throws Exception {
+        learnHowLongStreamsLast("/resumable/x");
+        engine.script((request, connection) -> {
+            if (request.path().startsWith("/control/")) {
+                connection.answer(request, "booking");
+                return;
+            }
+            connection.beginStream(request);
+            if (!request.headers().containsKey("x-resume")) {
+                connection.chunk("id: 1\ndata: a\n\n");
+                sleep(STREAM_MILLIS);
+                connection.reset();
+                return;
+            }
+            connection.chunk("id: 2\ndata: b\n\n");
+            connection.endStream();
+        });
+        CompletableFuture<String> answer =
+                CompletableFuture.supplyAsync(() -> entry.ask("/resumable/x", "broken", SIZE), threads);
+        sleep(200);
+        CompletableFuture<Void> left = leave(GRACE_MILLIS);
+        assertThat(answer.join()).contains("id: 1").contains("id: 2").endsWith("0\r\n\r\n");
+        left.join();
+    }
+
+    /** A connection that ends without an answer says nothing: its request must not have reached anybody. */
+    @Test
+    void whoGetsNoAnswerAtTheEndHasNotRun() {
+        service.script((request, connection) -> connection.answer(request, "quick"));
+        learnHowLongStreamsLast("/stream/x");
+        for (int i = 0; i < LEARNT_FROM; i++) {
+            assertThat(entry.ask("/once/x", "learnt" + i)).startsWith("HTTP/1.1 200");
+        }
+        CompletableFuture<Void> left = leave(GRACE_MILLIS);
+        List<CompletableFuture<List<String>>> answers = new ArrayList<>();
+        while (!left.isDone()) {
+            answers.add(ask("/once/x", "call" + answers.size()));
+            answers.add(ask("/stream/x", "stream" + answers.size()));
+            sleep(5);
+        }
+        List<String> ran = new ArrayList<>();
+        engine.runs().forEach(run -> ran.add(run.header("x-id")));
+        service.runs().forEach(run -> ran.add(run.header("x-id")));
+        assertThat(answers).extracting(CompletableFuture::join).allSatisfy(answer -> {
+            if (!answer.get(1).startsWith("HTTP/1.1 ")) {
+                assertThat(ran).doesNotContain(answer.get(0));
+            }
+        });
+    }
+
+    /** Returns the id and the answer, empty where the entry has gone. */
+    private CompletableFuture<List<String>> ask(String path, String id) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return List.of(id, entry.ask(path, id, SIZE));
+                    } catch (IllegalStateException gone) {
+                        return List.of(id, "");
+                    }
+                },
+                threads);
+    }
+
+    @Test
+    void aSecondSignalDoesNotPutOffTheTimeByWhichRequestsMustEnd() {
+        learnHowLongStreamsLast("/stream/x");
+        CompletableFuture<Void> left = leave(GRACE_MILLIS);
+        sleep(1_300);
+        CompletableFuture<Void> again = leave(GRACE_MILLIS);
+        sleep(100);
+        assertThat(entry.ask("/stream/x", "late", SIZE)).startsWith("HTTP/1.1 503");
+        left.join();
+        again.join();
+    }
+
+    /** Without a length or chunks its end is the connection's: an orderly one would say that it is complete. */
+    @Test
+    void anAnswerThatOnlyTheConnectionEndsDoesNotLookCompleteWhenItIsCut() throws Exception {
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.write(
+                    "POST /stream/x HTTP/1.0\r\nHost: h\r\nx-id: old\r\n" + SIZE + "\r\nContent-Length: 0\r\n\r\n");
+            assertThat(caller.readUntil("data: a\n\n")).startsWith("HTTP/1.1 200");
+            CompletableFuture<Void> left = leave(600);
+            assertThat(caller.readAll()).endsWith("[reset]");
+            left.join();
+        }
+    }
+
+    /** Failures come faster than what they stand for: they tell nothing of how long a good answer takes. */
+    @Test
+    void failuresThatComeQuicklyDoNotMakeALongCallLookShort() {
+        service.script((request, connection) -> connection.write("HTTP/1.1 500 Failed\r\nx-id: "
+                + request.header("x-id") + "\r\nx-signature: s\r\nContent-Length: 0\r\n\r\n"));
+        for (int i = 0; i < LEARNT_FROM; i++) {
+            entry.ask("/once/x", "failed" + i);
+        }
+        service.script((request, connection) -> {
+            sleep(STREAM_MILLIS);
+            connection.answer(request, "good");
+        });
+        CompletableFuture<Void> left = leave(1_500);
+        sleep(100);
+        assertThat(entry.ask("/once/x", "long")).startsWith("HTTP/1.1 503");
+        left.join();
+    }
+}
