An answer is under way until it is written; nothing takes the connection from under it

Cause: an exchange counted as over once its answer was handed to the connection. With a caller who reads slowly the entry then counted itself empty and ended after 3.1 s of a grace period of 12 s (3.6 of 7.3 MB had come), and the next request of the connection was run behind an answer that announces the connection's close. Requests that wait behind another one closed the connection at the end, and by the way counted the one before them as ended, which so got no answer. One that throws at the end kept all others from theirs.

Mend: an exchange ends when its answer is written or the connection is gone; an answer that isn't read is bound by the idle limit, as before. What waits is dropped without closing. A cut body that only the connection's end would end (HTTP/1.0) is reset, as its orderly end would look complete. Being told to leave twice changes nothing.

--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
@@ -67,7 +67,12 @@
 
     /** Closes the connection when it has been quiet for longer than the limits allow. */
     void checkTime(long now) {
-        if (current != null || !waiting.isEmpty()) {
+        Exchange exchange = current;
+        if (exchange != null) {
+            closeUnread(exchange, now);
+            return;
+        }
+        if (!waiting.isEmpty()) {
             return;
         }
         long limitMillis =
@@ -78,6 +83,14 @@
         }
     }
 
+    /** A caller who doesn't read an answer is quiet too. */
+    private void closeUnread(Exchange exchange, long now) {
+        long limit = TimeUnit.MILLISECONDS.toNanos(server.limits().idleMillis());
+        if (exchange.ended() && now - exchange.endedAt() > limit) {
+            channel.close();
+        }
+    }
+
     /** Returns whether nothing is asked or being asked on the connection, nor has been for the given time. */
     boolean idleFor(long nanos, long now) {
         boolean idle = current == null && waiting.isEmpty() && !receiving && head == null;
@@ -177,14 +190,19 @@
 
     /** The process ends: what is being answered ends now, and what waits behind it is never begun. */
     void processStops() {
-        waiting.forEach(Exchange::processStops);
-        waiting.clear();
+        // What waits goes quietly: closing for its sake would take the connection from the answer before it.
+        dropWaiting();
         Exchange exchange = current;
         if (exchange != null) {
             exchange.processStops();
         }
     }
 
+    private void dropWaiting() {
+        waiting.forEach(Exchange::drop);
+        waiting.clear();
+    }
+
     private void exchangeEnded() {
         if (current == null) {
             return;
@@ -192,6 +210,10 @@
         current = null;
         quietSince = System.nanoTime();
         server.ended();
+        if (discarding) {
+            channel.close();
+            return;
+        }
         // On a turn of its own, as the answer may be given from within the arrival of the next request.
         channel.eventLoop().execute(this::beginNext);
     }
@@ -273,7 +295,6 @@
         if (exchange != null) {
             exchange.callerGone();
         }
-        waiting.forEach(Exchange::callerGone);
-        waiting.clear();
+        dropWaiting();
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
@@ -175,6 +175,9 @@
 
     /** Announces on every answer from now on that its connection closes. */
     public void leave() {
+        if (leaving) {
+            return;
+        }
         leaving = true;
         leftAt = System.nanoTime();
         connections.forEach(CallerConnection::closeAfterCurrent);
@@ -195,7 +198,14 @@
 
     /** Ends what is still being answered, as the process ends. */
     public void endAll() {
-        List.copyOf(connections).forEach(CallerConnection::processStops);
+        for (CallerConnection connection : List.copyOf(connections)) {
+            try {
+                connection.processStops();
+            } catch (RuntimeException e) {
+                logger.atSevere().withCause(e).log("event=request-failed detail=\"at the end of the process\"");
+                connection.close();
+            }
+        }
     }
 
     /** Takes no more connections. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -44,6 +45,7 @@
     private boolean begun;
     private boolean chunked;
     private boolean ended;
+    private long endedAt;
     private @Nullable Runnable whenGone;
     private @Nullable Runnable whenWritable;
     private @Nullable Runnable whenStopped;
@@ -88,6 +90,11 @@
         return ended;
     }
 
+    /** Returns when the answer was over, in monotonic nanoseconds; the caller may still be reading it. */
+    long endedAt() {
+        return endedAt;
+    }
+
     /** Returns whether the beginning of an answer has been given. */
     public boolean begun() {
         return begun;
@@ -129,7 +136,7 @@
         if (ended) {
             return;
         }
-        ended = true;
+        over();
         Runnable call = whenGone;
         if (call != null) {
             call.run();
@@ -166,7 +173,7 @@
     private void writeWhole(DefaultFullHttpResponse answer) {
         begun = true;
         boolean close = markClosing(answer.headers());
-        ended = true;
+        over();
         ChannelFuture written = channel.writeAndFlush(answer);
         closeOrGoOn(written, close);
     }
@@ -183,7 +190,8 @@
         if (close) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
-        finish();
+        // Until it is written the request is under way: neither the process nor the next request may come between.
+        written.addListener(done -> finish());
     }
 
     /** Begins an answer whose body follows in pieces. */
@@ -220,7 +228,7 @@
         if (ended) {
             return;
         }
-        ended = true;
+        over();
         ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         closeOrGoOn(written, closing);
     }
@@ -231,14 +239,31 @@
             return;
         }
         logger.atInfo().log("event=answer-cut request=%s age_ms=%d why=%s", facts.id(), ageMillis(), why);
-        ended = true;
+        over();
+        if (begun && !chunked && channel.isActive()) {
+            // Only the connection's end ends this body: a reset can't be taken for it.
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         channel.close();
         finish();
     }
 
+    /** Drops a request that has never been begun. */
+    void drop() {
+        over();
+        body.release();
+    }
+
+    private void over() {
+        ended = true;
+        endedAt = System.nanoTime();
+    }
+
     /** The process ends: the caller gets the truest answer that there is by now. */
     void processStops() {
         if (ended) {
+            logger.atWarning().log(
+                    "event=cut-by-stop request=%s age_ms=%d answer_begun=true unread=true", facts.id(), ageMillis());
             return;
         }
         logger.atWarning().log(
