A second signal to stop doesn't put off the time by which requests must end

Cause: each signal made a new grace period, and the newest one decided what is taken, while the process ended by the first: the bound on the work was again not the end that is known. Before: a stream of 1.5 s was taken 1.2 s before the end and cut; after: refused.

--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -139,9 +139,11 @@
         return patience.computeIfAbsent(route, name -> new CallerPatience());
     }
 
-    /** Notes that the process has been told to stop. */
+    /** Notes that the process has been told to stop. Being told again doesn't put the end off. */
     void leave(GracePeriod period) {
-        grace = period;
+        if (grace == null) {
+            grace = period;
+        }
     }
 
     boolean leaving() {
