Tests of a leaving entry's early end: a request still being sent (fails), and nothing left to do (passes)

An entry that counts only whole requests ends while a caller is still sending one: reset after 3.1 s of a grace period of 8 s, where a refusal with a time to come back was possible.

--- a/gateway/src/test/java/org/quetzalseam/gateway/EndOfLeavingTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/EndOfLeavingTest.java
@@ -158,6 +158,39 @@
         }
     }
 
+    /** Its caller sends a long prompt: it gets an answer or a refusal while there is time for one, not a lost connection. */
+    @Test
+    void aRequestThatIsStillBeingSentKeepsTheEntryFromEndingEarly() throws Exception {
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.write("POST /once/x HTTP/1.1\r\nHost: h\r\nx-id: long\r\nContent-Length: 2\r\n\r\nh");
+            sleep(100);
+            CompletableFuture<Void> left = leave(8_000);
+            sleep(4_000);
+            caller.write("i");
+            assertThat(caller.readAll()).startsWith("HTTP/1.1 503").contains("x-come-back: ");
+            left.join();
+        }
+    }
+
+    @Test
+    void anEntryThatHasNothingLeftToDoEndsLongBeforeItsTimeIsUp() throws Exception {
+        service.script((request, connection) -> {
+            arrived.complete(null);
+            goOn.join();
+            connection.answer(request, "late but whole");
+        });
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.write(call("last"));
+            arrived.get(10, TimeUnit.SECONDS);
+            CompletableFuture<Void> left = leave(60_000);
+            sleep(4_000);
+            assertThat(left).as("something is under way").isNotDone();
+            goOn.complete(null);
+            assertThat(caller.readAll()).endsWith("late but whole");
+            left.get(5, TimeUnit.SECONDS);
+        }
+    }
+
     /** Its answer could not be given any more: the connection is announced to close. */
     @Test
     void aRequestBehindAnAnswerThatClosesTheConnectionIsNotRun() throws Exception {
