--- a/gateway/src/main/java/org/quetzalseam/gateway/Departure.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/Departure.java
@@ -48,7 +48,7 @@
 
     private void look(GracePeriod grace, long begunAt) {
         long now = timers.now();
-        if (grace.over(now) || grace.mayEndEarly(now, callers.inProgress())) {
+        if (grace.over(now) || grace.mayEndEarly(now, callers.inProgress() + callers.arriving())) {
             end(TimeUnit.NANOSECONDS.toMillis(now - begunAt));
             return;
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
@@ -97,6 +97,11 @@
         return idle && now - quietSince > nanos;
     }
 
+    /** Returns whether a request has begun to come and isn't whole yet. */
+    boolean receiving() {
+        return receiving;
+    }
+
     void close() {
         channel.close();
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
@@ -168,6 +168,11 @@
         return inProgress;
     }
 
+    /** Returns how many requests are being sent by their callers, not whole yet. */
+    public int arriving() {
+        return (int) connections.stream().filter(CallerConnection::receiving).count();
+    }
+
     /** Returns how many connections are open. */
     public int connections() {
         return connections.size();
