Failing test: a full service's caller is told to wait for the successor of an entry that would serve it sooner

Once the balancer must have noticed, every refusal of a leaving entry, for whatever reason, names the successor's time: 4848 ms for a service that is full and says 300 ms. The entry goes on serving such calls until its end.

--- a/gateway/src/test/java/org/quetzalseam/gateway/EndOfLeavingTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/EndOfLeavingTest.java
@@ -242,6 +242,33 @@
         left.join();
     }
 
+    /** A full service has room again long before this entry ends, which still takes such calls. */
+    @Test
+    void whoFindsAServiceFullIsNotToldToWaitForTheSuccessorOfAnEntryThatWouldServeItSooner() {
+        service.script((request, connection) -> connection.answer(request, "quick"));
+        for (int i = 0; i < LEARNT_FROM; i++) {
+            assertThat(entry.ask("/once/x", "learnt" + i)).startsWith("HTTP/1.1 200");
+        }
+        CompletableFuture<Void> left = leave(8_000);
+        service.script((request, connection) -> connection.reject(request));
+        for (int i = 0; i < 33; i++) {
+            entry.ask("/once/x", "kept" + i);
+            sleep(100);
+        }
+        String refused = entry.ask("/once/x", "full");
+        service.script((request, connection) -> connection.answer(request, "quick"));
+        assertThat(refused).startsWith("HTTP/1.1 503").contains("the service is full");
+        assertThat(comeBackMillis(refused)).isLessThan(1_000);
+        assertThat(entry.ask("/once/x", "again")).startsWith("HTTP/1.1 200");
+        left.join();
+    }
+
+    private static long comeBackMillis(String answer) {
+        String name = "x-come-back: ";
+        int at = answer.indexOf(name) + name.length();
+        return Long.parseLong(answer.substring(at, answer.indexOf('\r', at)));
+    }
+
     /** A connection that ends without an answer says nothing: its request must not have reached anybody. */
     @Test
     void whoGetsNoAnswerAtTheEndHasNotRun() {
