--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
@@ -168,6 +168,11 @@
         return inProgress;
     }
 
+    /** Returns how many requests are being sent by their callers, not whole yet. */
+    public int arriving() {
+        return (int) connections.stream().filter(CallerConnection::receiving).count();
+    }
+
     /** Returns how many connections are open. */
     public int connections() {
         return connections.size();
@@ -175,6 +180,9 @@
 
     /** Announces on every answer from now on that its connection closes. */
     public void leave() {
+        if (leaving) {
+            return;
+        }
         leaving = true;
         leftAt = System.nanoTime();
         connections.forEach(CallerConnection::closeAfterCurrent);
@@ -195,7 +203,14 @@
 
     /** Ends what is still being answered, as the process ends. */
     public void endAll() {
-        List.copyOf(connections).forEach(CallerConnection::processStops);
+        for (CallerConnection connection : List.copyOf(connections)) {
+            try {
+                connection.processStops();
+            } catch (RuntimeException e) {
+                logger.atSevere().withCause(e).log("event=request-failed detail=\"at the end of the process\"");
+                connection.close();
+            }
+        }
     }
 
     /** Takes no more connections. */
