--- a/core/src/main/java/org/quetzalseam/core/drain/GracePeriod.java
+++ b/core/src/main/java/org/quetzalseam/core/drain/GracePeriod.java
@@ -77,11 +77,24 @@
     }
 
     /**
-     * Returns when a refused caller finds an entry that takes it, in milliseconds. Who is still sent here after the balancer must
-     * have noticed finds no other one: this entry's successor is the next that is known of.
+     * Returns when a caller finds an entry that takes it who is refused because this one stops, in milliseconds. Who is still sent
+     * here after the balancer must have noticed finds no other one: this entry's successor is the next that is known of. Those who
+     * are refused until then come back over as long a time as they were refused in, as the successor has just started.
+     *
+     * @param now the time
+     * @param draw a number drawn evenly from 0 to 1
      */
-    public long comeBackMillis(long now) {
-        return noticed(now) ? Math.max(0, leftMillis(now)) + RESTART_MILLIS : ELSEWHERE_MILLIS;
+    public long comeBackMillis(long now, double draw) {
+        if (!noticed(now)) {
+            return ELSEWHERE_MILLIS;
+        }
+        long refusing = TimeUnit.NANOSECONDS.toMillis(Math.max(0, turnEndsAt - begunAt - NOTICE_NANOS));
+        return Math.max(0, leftMillis(now)) + RESTART_MILLIS + (long) (draw * refusing);
+    }
+
+    /** Returns when a caller may come back whom this entry would take after the given time if it were still there. */
+    public long comeBackMillis(long now, double draw, long otherwiseMillis) {
+        return otherwiseMillis < leftMillis(now) ? otherwiseMillis : comeBackMillis(now, draw);
     }
 
     /** Returns whether the balancer must have noticed that this entry leaves. */
--- a/core/src/test/java/org/quetzalseam/core/drain/GracePeriodTest.java
+++ b/core/src/test/java/org/quetzalseam/core/drain/GracePeriodTest.java
@@ -39,9 +39,15 @@
 
     @Test
     void whoIsRefusedAtFirstIsSentElsewhereAndLaterToTheSuccessor() {
-        assertThat(grace.comeBackMillis(after(500))).isLessThan(300);
-        assertThat(grace.comeBackMillis(after(5_000))).isGreaterThan(grace.leftMillis(after(5_000)));
-        assertThat(grace.comeBackMillis(after(9_000))).isPositive();
+        assertThat(grace.comeBackMillis(after(500), 0.5)).isLessThan(300);
+        assertThat(grace.comeBackMillis(after(5_000), 0)).isGreaterThan(grace.leftMillis(after(5_000)));
+        assertThat(grace.comeBackMillis(after(9_000), 0)).isPositive();
+    }
+
+    @Test
+    void whoWouldBeTakenHereAgainNeedNotWaitForTheSuccessor() {
+        assertThat(grace.comeBackMillis(after(5_000), 0, 300)).isEqualTo(300);
+        assertThat(grace.comeBackMillis(after(7_500), 0, 300)).isGreaterThan(1_000);
     }
 
     @Test
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -109,9 +109,10 @@
         waiting = null;
         held.booked(booked);
         log.booked(booked.engine(), booked.tokens());
-        if (!context.endsInTime(exchange, route)) {
+        if (!mayHaveRun && !context.endsInTime(exchange, route)) {
             // Nothing has run so far: the last moment at which a refusal is true.
-            giveUp(RunContext.STOPS_SOONER);
+            over("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+            context.refuseLeaving(exchange);
             return;
         }
         bookedAtMillis = exchange.ageMillis();
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -138,7 +138,7 @@
 
     private void start(Exchange exchange, RouteRule route, long version) {
         if (!context.endsInTime(exchange, route)) {
-            context.refuse(exchange, RunContext.STOPS_SOONER, 0);
+            context.refuseLeaving(exchange);
             return;
         }
         String service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -8,6 +8,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.drain.AnswerTime;
@@ -27,7 +29,7 @@
 /** What all requests of an entry share. Used on the event loop only. */
 final class RunContext {
     /** Why a leaving entry doesn't begin a request. */
-    static final String STOPS_SOONER = "this entry stops before the answer would end";
+    private static final String STOPS_SOONER = "this entry stops before the answer would end";
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -180,11 +182,24 @@
         return desks.computeIfAbsent(service, name -> new ReservationDesk(this, name));
     }
 
+    /** Refuses a request because this entry stops before it would end. */
+    void refuseLeaving(Exchange exchange) {
+        GracePeriod period = Objects.requireNonNull(grace, "not leaving");
+        refusal(exchange, STOPS_SOONER, period.comeBackMillis(now(), draw()));
+    }
+
     /** Refuses a request that has not run and won't, and says when to come back. */
     void refuse(Exchange exchange, String why, long comeBackMillis) {
-        metrics.refused(why);
         GracePeriod period = grace;
-        long comeBack = period == null ? comeBackMillis : Math.max(comeBackMillis, period.comeBackMillis(now()));
+        refusal(exchange, why, period == null ? comeBackMillis : period.comeBackMillis(now(), draw(), comeBackMillis));
+    }
+
+    private static double draw() {
+        return ThreadLocalRandom.current().nextDouble();
+    }
+
+    private void refusal(Exchange exchange, String why, long comeBack) {
+        metrics.refused(why);
         HttpHeaders headers = new DefaultHttpHeaders();
         protocol.comeBackAfter(headers, comeBack);
         exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, why, headers);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -164,7 +164,10 @@
             return;
         }
         over("answered", answer.status().code());
-        context.answerTime(route).ended(exchange.facts().estimate(), exchange.ageMillis());
+        if (!serverFault) {
+            // A failure may come sooner than the answer that it stands for.
+            context.answerTime(route).ended(exchange.facts().estimate(), exchange.ageMillis());
+        }
         exchange.answer(answer, body);
     }
 
