A leaving entry that serves a call again soon says so instead of naming its successor

Whatever is refused because it would outlast the entry, or would find room only at its end, still waits for the successor.

--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -183,13 +183,22 @@
     /** Refuses a request that has not run and won't, and says when to come back. */
     void refuse(Exchange exchange, String why, long comeBackMillis) {
         metrics.refused(why);
-        GracePeriod period = grace;
-        long comeBack = period == null ? comeBackMillis : Math.max(comeBackMillis, period.comeBackMillis(now()));
         HttpHeaders headers = new DefaultHttpHeaders();
-        protocol.comeBackAfter(headers, comeBack);
+        protocol.comeBackAfter(headers, comeBack(why, comeBackMillis));
         exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, why, headers);
     }
 
+    private long comeBack(String why, long millis) {
+        GracePeriod period = grace;
+        if (period == null) {
+            return millis;
+        }
+        // Whoever waits for room needs about as long again once there is some; if that fits, this entry is the next to
+        // serve it.
+        boolean servedHere = !why.equals(STOPS_SOONER) && 2 * millis <= period.leftMillis(now());
+        return servedHere ? millis : Math.max(millis, period.comeBackMillis(now()));
+    }
+
     /** Tells of a failure that says nothing of whether the request has run. */
     void fail(Exchange exchange, HttpResponseStatus status, String why) {
         exchange.answer(status, why, new DefaultHttpHeaders());
