--- a/core/src/main/java/org/quetzalseam/core/drain/GracePeriod.java
+++ b/core/src/main/java/org/quetzalseam/core/drain/GracePeriod.java
@@ -92,9 +92,12 @@
         return Math.max(0, leftMillis(now)) + RESTART_MILLIS + (long) (draw * refusing);
     }
 
-    /** Returns when a caller may come back whom this entry would take after the given time if it were still there. */
-    public long comeBackMillis(long now, double draw, long otherwiseMillis) {
-        return otherwiseMillis < leftMillis(now) ? otherwiseMillis : comeBackMillis(now, draw);
+    /**
+     * Returns when a caller may come back who found no room that this entry expects to have after the given time. Who waits so long
+     * for room needs about as long again once there is some; where both fit, this entry serves it sooner than its successor.
+     */
+    public long comeBackMillis(long now, double draw, long roomMillis) {
+        return 2 * roomMillis <= leftMillis(now) ? roomMillis : comeBackMillis(now, draw);
     }
 
     /** Returns whether the balancer must have noticed that this entry leaves. */
