An entry that is told port 0 listens on a port of the system's choice and tells which

In a run of all tests GenerationTest failed once with 'can't listen on localhost/127.0.0.1:38135: Address already in use'. Cause: TestEntry found a free port by opening and closing a socket and listened on it later; in between, the system gave the port to another process's outgoing connection. Ruled out: an entry left over from another test (each closes its own, and the port was of the range for outgoing connections).

TestEntry asks for port 0, so nothing is found first and used later. The same pattern stood nowhere else: the stand-ins and the daemon bind port 0 and keep it, and cli's DaemonProcess reads the ports from event=started.

--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -71,17 +71,19 @@
     }
 
     /**
-     * Listens for callers, for questions about readiness, and for those who ask for the metrics.
+     * Listens for callers, for questions about readiness, and for those who ask for the metrics. An address with port 0 gets a port
+     * of the system's choice.
      *
+     * @return the addresses with their real ports
      * @throws org.quetzalseam.gateway.http.GatewayException if one of the addresses can't be listened on
      */
-    public void start(
+    public ListeningAddresses start(
             InetSocketAddress callerAddress, InetSocketAddress readyAddress, InetSocketAddress metricsAddress) {
         operators.page(METRICS_PATH, metrics::text);
         registerGauges();
-        operators.start(readyAddress);
-        operators.start(metricsAddress);
-        callers.start(callerAddress);
+        InetSocketAddress ready = operators.start(readyAddress);
+        InetSocketAddress metricsPage = operators.start(metricsAddress);
+        return new ListeningAddresses(callers.start(callerAddress), ready, metricsPage);
     }
 
     private void registerGauges() {
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
@@ -71,8 +71,8 @@
         this.router = router;
     }
 
-    /** Listens on the address. Blocks until it does. */
-    public void start(InetSocketAddress address) {
+    /** Listens on the address. Blocks until it does, and returns the address with its real port. */
+    public InetSocketAddress start(InetSocketAddress address) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loop, loop)
                 .channel(NioServerSocketChannel.class)
@@ -87,8 +87,10 @@
                         prepare(channel);
                     }
                 });
-        listener = Listener.open(bootstrap, address);
+        Channel opened = Listener.open(bootstrap, address);
+        listener = opened;
         new Timers(loop).every(CHECK_MILLIS, this::checkTimes);
+        return Listener.address(opened);
     }
 
     private void prepare(Channel channel) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/Listener.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/Listener.java
@@ -10,7 +10,7 @@
     private Listener() {}
 
     /**
-     * Listens on an address. Blocks until it does.
+     * Listens on an address; on a port of the system's choice where its port is 0. Blocks until it does.
      *
      * @throws GatewayException if the address can't be listened on
      */
@@ -22,4 +22,9 @@
         }
         return bound.channel();
     }
+
+    /** Returns the address that an opened channel listens on, with the port that it really has. */
+    public static InetSocketAddress address(Channel opened) {
+        return (InetSocketAddress) opened.localAddress();
+    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/operator/OperatorServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/operator/OperatorServer.java
@@ -43,8 +43,8 @@
         pages.put(path, text);
     }
 
-    /** Listens on an address; may be called for several. Blocks until it does. */
-    public void start(InetSocketAddress address) {
+    /** Listens on an address; may be called for several. Blocks until it does, and returns the address with its real port. */
+    public InetSocketAddress start(InetSocketAddress address) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loop, loop)
                 .channel(NioServerSocketChannel.class)
@@ -56,7 +56,7 @@
                         channel.pipeline().addLast(new HttpServerCodec()).addLast(new Questions());
                     }
                 });
-        Listener.open(bootstrap, address);
+        return Listener.address(Listener.open(bootstrap, address));
     }
 
     private final class Questions extends SimpleChannelInboundHandler<HttpObject> {
--- a/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
@@ -5,7 +5,6 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -25,25 +24,21 @@
     private static final int TIME_OUT_MILLIS = 10_000;
 
     private final EntryProcess process;
-    private final InetSocketAddress address;
+    private final ListeningAddresses listening;
 
     TestEntry() {
         EntrySettings settings = new EntrySettings("entry-1", "a", 1.0, 1_000, 10_000, 1, 2, 0.25);
         process = new EntryProcess(new TestProtocol(), settings);
-        address = freeAddress();
-        process.start(address, freeAddress(), freeAddress());
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        listening = process.start(anyPort, anyPort, anyPort);
     }
 
-    private static InetSocketAddress freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
+    InetSocketAddress address() {
+        return listening.callers();
     }
 
-    InetSocketAddress address() {
-        return address;
+    ListeningAddresses listening() {
+        return listening;
     }
 
     EntryProcess process() {
@@ -106,7 +101,7 @@
     }
 
     Caller caller() {
-        return new Caller(address);
+        return new Caller(address());
     }
 
     /** Sends one request on a connection of its own and returns all that comes back until the connection ends. */
