--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -201,21 +201,10 @@
     private void refusal(Exchange exchange, String why, long comeBack) {
         metrics.refused(why);
         HttpHeaders headers = new DefaultHttpHeaders();
-        protocol.comeBackAfter(headers, comeBack(why, comeBackMillis));
+        protocol.comeBackAfter(headers, comeBack);
         exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, why, headers);
     }
 
-    private long comeBack(String why, long millis) {
-        GracePeriod period = grace;
-        if (period == null) {
-            return millis;
-        }
-        // Whoever waits for room needs about as long again once there is some; if that fits, this entry is the next to
-        // serve it.
-        boolean servedHere = !why.equals(STOPS_SOONER) && 2 * millis <= period.leftMillis(now());
-        return servedHere ? millis : Math.max(millis, period.comeBackMillis(now()));
-    }
-
     /** Tells of a failure that says nothing of whether the request has run. */
     void fail(Exchange exchange, HttpResponseStatus status, String why) {
         exchange.answer(status, why, new DefaultHttpHeaders());
