--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/ForeignLeaseRecordTest.java
@@ -0,0 +1,126 @@
+package org.quetzalseam.gateway.stage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.MemoryStore;
+
+/** The record of the lease as another writer has left it. */
+class ForeignLeaseRecordTest {
+    private static final String KIND = "quetzalseam-leases";
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final MemoryStore store = new MemoryStore();
+    private long steadyNanos = 1;
+    private long wallMillis = 1_000_000;
+    private final StageLease lease = new StageLease(
+            new Timers(new EmbeddedChannel().eventLoop(), () -> steadyNanos, () -> wallMillis), store, "s", "self");
+
+    private static JsonNode json(String text) {
+        try {
+            return JSON.readTree(text);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    private void turn() {
+        lease.keep();
+        steadyNanos += TimeUnit.MILLISECONDS.toNanos(StageLease.RENEW_MILLIS);
+        wallMillis += StageLease.RENEW_MILLIS;
+    }
+
+    private long storedEpoch() {
+        JsonNode spec = store.spec(KIND, "s");
+        return spec == null ? 0 : spec.path("epoch").asLong();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "null",
+                "7",
+                "\"self\"",
+                "[]",
+                "{}",
+                "{\"holder\":\"self\"}",
+                "{\"holder\":\"self\",\"epoch\":3}",
+                "{\"holder\":\"self\",\"renewals\":0}",
+                "{\"holder\":\"self\",\"epoch\":\"3\",\"renewals\":0}",
+                "{\"holder\":\"self\",\"epoch\":3,\"renewals\":\"0\"}",
+                "{\"holder\":\"self\",\"epoch\":3.5,\"renewals\":0}",
+                "{\"holder\":\"self\",\"epoch\":-3,\"renewals\":0}",
+                "{\"holder\":\"self\",\"epoch\":0,\"renewals\":0}",
+                "{\"holder\":\"self\",\"epoch\":92233720368547758070,\"renewals\":0}",
+                "{\"holder\":\"self\",\"epoch\":9223372036854775807,\"renewals\":0}",
+                "{\"holder\":[\"self\"],\"epoch\":3,\"renewals\":0}",
+                "{\"holder\":\"\",\"epoch\":3,\"renewals\":0}"
+            })
+    void aRecordThatCanNotBeReadGivesNobodyTheLeaseAndIsTakenOverOnceItHasStoodStill(String record) {
+        for (int i = 0; i < 5; i++) {
+            store.put(KIND, "s", json("{\"holder\":\"old\",\"epoch\":" + (i + 1) + ",\"renewals\":0}"));
+        }
+        store.put(KIND, "s", json(record));
+        for (int i = 0; i < 3; i++) {
+            assertThatCode(this::turn).doesNotThrowAnyException();
+            assertThat(lease.held()).isFalse();
+            assertThat(lease.mayOrder()).isFalse();
+        }
+        for (int i = 0; i < 3; i++) {
+            turn();
+        }
+        assertThat(lease.held()).isTrue();
+        assertThat(lease.epoch())
+                .as("above the epochs of before, which it never saw")
+                .isGreaterThan(5);
+        assertThat(storedEpoch()).isEqualTo(lease.epoch());
+    }
+
+    @Test
+    void aRecordThatIsRewrittenAllTheTimeIsNeverTakenOver() {
+        for (int i = 0; i < 20; i++) {
+            store.put(KIND, "s", json("{\"holder\":" + i + "}"));
+            turn();
+            assertThat(lease.held()).isFalse();
+        }
+    }
+
+    @Test
+    void aHolderWhoseRecordAnotherWriterSpoilsLosesItAndComesBackUnderAHigherEpoch() {
+        turn();
+        turn();
+        assertThat(lease.held()).isTrue();
+        long before = lease.epoch();
+        store.put(KIND, "s", json("{\"holder\":\"self\",\"epoch\":\"x\",\"renewals\":0}"));
+        turn();
+        assertThat(lease.held()).isFalse();
+        for (int i = 0; i < 6; i++) {
+            turn();
+        }
+        assertThat(lease.held()).isTrue();
+        assertThat(lease.epoch()).isGreaterThan(before);
+    }
+
+    @Test
+    void aRecordWithALowerEpochThanOneSeenIsNoRecord() {
+        store.put(KIND, "s", json("{\"holder\":\"old\",\"epoch\":40,\"renewals\":0}"));
+        turn();
+        store.put(KIND, "s", json("{\"holder\":\"self\",\"epoch\":2,\"renewals\":0}"));
+        turn();
+        assertThat(lease.held()).isFalse();
+        for (int i = 0; i < 6; i++) {
+            turn();
+        }
+        assertThat(lease.held()).isTrue();
+        assertThat(lease.epoch()).isGreaterThan(40);
+    }
+}
