--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/LeaseRecord.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/LeaseRecord.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.quetzalseam.gateway.store.ObjectFields;
 
 /**
  * The lease's record in the store. Immutable.
@@ -12,11 +13,18 @@
  * @param renewals how often it has been renewed; makes each renewal a change
  */
 record LeaseRecord(String holder, long epoch, long renewals) {
+    /** Largest number in a record: each of its writers can still count on from there, as can readers that know doubles only. */
+    private static final long MAX_COUNT = (1L << 53) - 1;
+
+    /**
+     * Reads a record.
+     *
+     * @throws org.quetzalseam.gateway.store.UnreadableException if it isn't one that an entry has written
+     */
     static LeaseRecord of(JsonNode spec) {
+        ObjectFields fields = new ObjectFields("lease", spec);
         return new LeaseRecord(
-                spec.path("holder").asText(),
-                spec.path("epoch").asLong(),
-                spec.path("renewals").asLong());
+                fields.name("holder"), fields.whole("epoch", 1, MAX_COUNT), fields.whole("renewals", 0, MAX_COUNT));
     }
 
     ObjectNode json() {
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
@@ -3,9 +3,11 @@
 import com.google.common.flogger.FluentLogger;
 import org.quetzalseam.core.generation.OrderLease;
 import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.ObjectFaults;
 import org.quetzalseam.gateway.store.ObjectStore;
 import org.quetzalseam.gateway.store.StoreFailure;
 import org.quetzalseam.gateway.store.StoredObject;
+import org.quetzalseam.gateway.store.UnreadableException;
 
 /** The lease, in the platform's store, on ordering one service's engines between stages. Used on the event loop only. */
 final class StageLease {
@@ -19,13 +21,17 @@
      * known to assume, and than an order may be on its way.
      */
     private static final long QUIET_MILLIS = 5_000;
+    /** Stands for a record that can't be read. */
+    private static final LeaseRecord NOBODYS = new LeaseRecord("", 0, 0);
 
     private final Timers timers;
     private final ObjectStore store;
     private final String service;
     private final String self;
     private final OrderLease lease;
-    private LeaseRecord record = new LeaseRecord("", 0, 0);
+    private final ObjectFaults faults = new ObjectFaults(KIND);
+    private LeaseRecord record = NOBODYS;
+    private long highestEpoch;
     private boolean calling;
 
     StageLease(Timers timers, ObjectStore store, String service, String self) {
@@ -88,16 +94,7 @@
     private void create() {
         calling = true;
         LeaseRecord first = new LeaseRecord(self, 1, 0);
-        store.create(
-                KIND,
-                service,
-                first.json(),
-                object -> {
-                    taken(object);
-                    lease.taken(false, timers.now());
-                    logger.atInfo().log("event=lease-taken service=%s epoch=1 before=nobody", service);
-                },
-                this::createFailed);
+        store.create(KIND, service, first.json(), object -> won(object, false, "nobody"), this::createFailed);
     }
 
     /** Another entry may have been first; what stands in the store shows at the next turn. */
@@ -130,31 +127,71 @@
     private void takeOver() {
         calling = true;
         String before = record.holder();
-        LeaseRecord mine = new LeaseRecord(self, record.epoch() + 1, 0);
+        LeaseRecord mine = new LeaseRecord(self, nextEpoch(), 0);
         store.replace(
-                KIND,
-                service,
-                lease.revision(),
-                mine.json(),
-                object -> {
-                    taken(object);
-                    lease.taken(true, timers.now());
-                    logger.atInfo().log(
-                            "event=lease-taken service=%s epoch=%d before=%s", service, mine.epoch(), before);
-                },
-                this::writeFailed);
+                KIND, service, lease.revision(), mine.json(), object -> won(object, true, before), this::writeFailed);
+    }
+
+    /**
+     * Returns an epoch above all that were ever given, also above those that this process has not seen and that the record
+     * doesn't tell any more: none is above the revision at which it was written.
+     */
+    private long nextEpoch() {
+        return lease.revision() + 1;
+    }
+
+    /** Notes a record that this process has written in place of nobody's or another one's. */
+    private void won(StoredObject object, boolean after, String before) {
+        taken(object);
+        if (lease.held()) {
+            lease.taken(after, timers.now());
+            logger.atInfo().log("event=lease-taken service=%s epoch=%d before=%s", service, lease.epoch(), before);
+        }
     }
 
     private void taken(StoredObject object) {
         calling = false;
+        if (object.revision() < lease.revision()) {
+            // An old answer: what is known already is newer.
+            return;
+        }
         boolean heldBefore = lease.held();
-        record = LeaseRecord.of(object.spec());
+        record = read(object);
+        highestEpoch = Math.max(highestEpoch, record.epoch());
         lease.seen(record.holder(), record.epoch(), object.revision(), timers.now());
+        if (!heldBefore && lease.held()) {
+            // Nothing tells yet that no order of a holder before is on its way.
+            lease.taken(true, timers.now());
+        }
         if (heldBefore && !lease.held()) {
             logger.atInfo().log("event=lease-lost service=%s to=%s epoch=%d", service, record.holder(), record.epoch());
         }
     }
 
+    /**
+     * Reads the record. One that can't be read is another writer's, as is one whose epoch is below one that was seen, or above
+     * what entries can have reached by its revision. It is nobody's: whoever held the lease has lost it, and it is taken over like that of a holder that has gone silent. To leave it for good
+     * would keep the engines as they are until an operator sees it; to replace it at once would race with an order that the
+     * last holder gave before it could notice.
+     */
+    private LeaseRecord read(StoredObject object) {
+        try {
+            LeaseRecord found = LeaseRecord.of(object.spec());
+            if (found.epoch() < highestEpoch || found.epoch() > object.revision()) {
+                throw new UnreadableException(
+                        UnreadableException.Code.NOT_ALLOWED,
+                        "lease.epoch",
+                        highestEpoch + " to its revision " + object.revision(),
+                        Long.toString(found.epoch()));
+            }
+            faults.readable(service);
+            return found;
+        } catch (UnreadableException e) {
+            faults.unreadable(service, e);
+            return NOBODYS;
+        }
+    }
+
     /** The write may have had its effect all the same: what stands in the store is read before anything else. */
     private void writeFailed(StoreFailure failure) {
         logger.atInfo().log(
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -3,7 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.runtime.Timers;
 
 /**
@@ -62,22 +64,36 @@
 
     private void listAll() {
         pages.clear();
-        store.list(kind, null, this::page, this::listFailed);
+        listFrom(null);
     }
 
-    private void page(ObjectPage page) {
-        heard();
+    private void listFrom(@Nullable String after) {
+        store.list(kind, after, page -> page(page, after), this::listFailed);
+    }
+
+    private void page(ObjectPage page, @Nullable String after) {
         pages.addAll(page.objects());
-        if (page.more() && !page.objects().isEmpty()) {
-            String last = page.objects().get(page.objects().size() - 1).name();
-            store.list(kind, last, this::page, this::listFailed);
+        if (page.more()) {
+            nextPage(page, after);
             return;
         }
+        heard();
         guarded("all", () -> listener.listed(List.copyOf(pages), justReturned()));
         logger.atInfo().log("event=listed kind=%s objects=%d revision=%d", kind, pages.size(), page.revision());
         watch(page.revision());
     }
 
+    /** Part of a list would make the rest look gone: where no name leads on from a page, all is asked for again. */
+    private void nextPage(ObjectPage page, @Nullable String after) {
+        Optional<String> last = page.lastName();
+        if (last.isEmpty() || last.get().equals(after)) {
+            listFailed(new StoreFailure(StoreFailure.Kind.UNREADABLE, "a page without a name to go on from"));
+            return;
+        }
+        heard();
+        listFrom(last.get());
+    }
+
     private void listFailed(StoreFailure failure) {
         afterPause(failure, this::listAll);
     }
@@ -87,11 +103,11 @@
                 kind,
                 revision,
                 away ? AWAY_WAIT_MILLIS : WAIT_MILLIS,
-                this::changes,
+                changes -> changes(revision, changes),
                 failure -> watchFailed(revision, failure));
     }
 
-    private void changes(ObjectChanges changes) {
+    private void changes(long from, ObjectChanges changes) {
         heard();
         for (ObjectChanges.Change change : changes.changes()) {
             if (change.deleted()) {
@@ -100,7 +116,8 @@
                 guarded(change.object().name(), () -> listener.changed(change.object()));
             }
         }
-        timers.after(changes.changes().isEmpty() ? 0 : GATHER_MILLIS, () -> watch(changes.revision()));
+        long next = Math.max(from, changes.revision());
+        timers.after(changes.changes().isEmpty() ? 0 : GATHER_MILLIS, () -> watch(next));
     }
 
     /** An object that can't be read is left aside: those behind it must still be heard of. */
@@ -118,7 +135,9 @@
             listAll();
             return;
         }
-        afterPause(failure, () -> watch(revision));
+        // The same changes would be as unreadable again; a list tells what came of them.
+        boolean listAgain = failure.kind() == StoreFailure.Kind.UNREADABLE;
+        afterPause(failure, listAgain ? this::listAll : () -> watch(revision));
     }
 
     private void afterPause(StoreFailure failure, Runnable next) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectPage.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectPage.java
@@ -1,6 +1,7 @@
 package org.quetzalseam.gateway.store;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A page of a listing. Immutable.
@@ -9,4 +10,12 @@
  * @param more whether another page follows
  * @param revision the store's revision that the page shows
  */
-public record ObjectPage(List<StoredObject> objects, boolean more, long revision) {}
+public record ObjectPage(List<StoredObject> objects, boolean more, long revision) {
+    /** Returns the name of the last object that has one. */
+    public Optional<String> lastName() {
+        return objects.stream()
+                .map(StoredObject::name)
+                .filter(name -> !name.isEmpty())
+                .reduce((name, next) -> next);
+    }
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/StoreFailure.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/StoreFailure.java
@@ -17,6 +17,8 @@
         NOT_FOUND,
         /** No usable answer: a write may have had its effect, or may have it later. */
         UNKNOWN,
+        /** An answer that can't be read: asked the same way again, the store may give the same one. */
+        UNREADABLE,
         /** The store declined: nothing was done. */
         DECLINED
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/StoredObject.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/StoredObject.java
@@ -5,8 +5,11 @@
 /**
  * One object of the store. Immutable.
  *
- * @param name its name, unique in its kind
- * @param revision the store's revision at its last change
- * @param spec its content
+ * @param name its name, unique in its kind; empty where none could be read
+ * @param revision the store's revision at its last change, or {@link #UNKNOWN_REVISION}
+ * @param spec its content as its writer left it, of any type; a missing node where it could not be read
  */
-public record StoredObject(String name, long revision, JsonNode spec) {}
+public record StoredObject(String name, long revision, JsonNode spec) {
+    /** Stands for a revision that could not be read: less than any of the store's. */
+    public static final long UNKNOWN_REVISION = -1;
+}
--- a/gateway/src/test/java/org/quetzalseam/gateway/stage/ForeignLeaseRecordTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/ForeignLeaseRecordTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.MemoryStore;
+import org.quetzalseam.gateway.store.StoredObject;
 
 /** The record of the lease as another writer has left it. */
 class ForeignLeaseRecordTest {
@@ -112,7 +113,9 @@
 
     @Test
     void aRecordWithALowerEpochThanOneSeenIsNoRecord() {
-        store.put(KIND, "s", json("{\"holder\":\"old\",\"epoch\":40,\"renewals\":0}"));
+        for (int i = 1; i <= 40; i++) {
+            store.put(KIND, "s", json("{\"holder\":\"old\",\"epoch\":" + i + ",\"renewals\":0}"));
+        }
         turn();
         store.put(KIND, "s", json("{\"holder\":\"self\",\"epoch\":2,\"renewals\":0}"));
         turn();
@@ -123,4 +126,43 @@
         assertThat(lease.held()).isTrue();
         assertThat(lease.epoch()).isGreaterThan(40);
     }
+
+    @Test
+    void aRecordWithAnEpochThatNoEntryCanHaveReachedIsNoRecord() {
+        store.put(KIND, "s", json("{\"holder\":\"self\",\"epoch\":9007199254740991,\"renewals\":0}"));
+        turn();
+        assertThat(lease.held()).isFalse();
+        for (int i = 0; i < 6; i++) {
+            turn();
+        }
+        assertThat(lease.held()).isTrue();
+        assertThat(lease.epoch()).isLessThan(10);
+    }
+
+    @Test
+    void anOldAnswerDoesNotMakeATakeOverRepeatAnEpoch() {
+        store.put(KIND, "s", json("{\"holder\":\"old\",\"epoch\":1,\"renewals\":0}"));
+        StoredObject before = store.put(KIND, "s", json("{\"holder\":\"old\",\"epoch\":1,\"renewals\":1}"));
+        store.put(KIND, "s", json("{\"holder\":\"newer\",\"epoch\":2,\"renewals\":0}"));
+        turn();
+        store.readsRecently(before);
+        for (int i = 0; i < 6 && !lease.held(); i++) {
+            turn();
+        }
+        assertThat(lease.held()).isTrue();
+        assertThat(lease.epoch()).isGreaterThan(2);
+    }
+
+    @Test
+    void whoFindsItselfHolderWithoutTheStoresWordGivesNoOrderForAWhile() {
+        store.put(KIND, "s", json("{\"holder\":\"self\",\"epoch\":1,\"renewals\":0}"));
+        lease.keep();
+        assertThat(lease.held()).isTrue();
+        lease.renew(() -> {});
+        assertThat(lease.mayOrder()).isFalse();
+        turn();
+        turn();
+        lease.renew(() -> {});
+        assertThat(lease.mayOrder()).isTrue();
+    }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
@@ -15,6 +15,7 @@
     private int lists;
     private boolean declining;
     private boolean losingAnswers;
+    private @Nullable StoredObject recent;
 
     /** Has calls declined, or no longer. */
     public void declining(boolean now) {
@@ -26,6 +27,11 @@
         losingAnswers = now;
     }
 
+    /** Has an object answered, as it was, to all who take an old answer. */
+    public void readsRecently(StoredObject object) {
+        recent = object;
+    }
+
     /** Returns how often a kind was listed. */
     public int lists() {
         return lists;
@@ -101,7 +107,12 @@
 
     @Override
     public void readRecent(String kind, String name, Consumer<StoredObject> done, Consumer<StoreFailure> failed) {
-        read(kind, name, done, failed);
+        StoredObject old = recent;
+        if (old == null) {
+            read(kind, name, done, failed);
+        } else {
+            done.accept(old);
+        }
     }
 
     @Override
