--- a/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectFields.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectFields.java
@@ -56,7 +56,7 @@
     }
 
     /** Returns whether there is a value; null, which some writers put in place of none, is none. */
-    private boolean given(String field) {
+    public boolean given(String field) {
         return node.hasNonNull(field);
     }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/entry/EntryCensusTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/entry/EntryCensusTest.java
@@ -63,4 +63,13 @@
         passSeconds(12);
         assertThat(counted).containsExactly(3);
     }
+
+    @Test
+    void aNameCountsWhateverAnotherWriterHasPutUnderIt() {
+        store.put("quetzalseam-entries", "self", JsonNodeFactory.instance.nullNode());
+        store.put("quetzalseam-entries", "other", JsonNodeFactory.instance.textNode("?"));
+        start();
+        passSeconds(6);
+        assertThat(counted).as("too high a count only makes shares smaller").containsExactly(2);
+    }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -88,6 +88,48 @@
         assertThat(store.watchedFrom).isEqualTo(8);
     }
 
+    @Test
+    void objectsWithoutANameDoNotEndTheListBeforeItsLastPage() {
+        store.listed.accept(new ObjectPage(List.of(object("a", 3), object("", -1)), true, 5));
+        assertThat(store.after).isEqualTo("a");
+        store.listed.accept(new ObjectPage(List.of(object("b", 4)), false, 6));
+        assertThat(seen.lines).containsExactly("listed a  b away=false");
+    }
+
+    @Test
+    void aPageThatLeadsNoFurtherIsNoListAndAllIsAskedForAgain() {
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, 5));
+        store.listed.accept(new ObjectPage(List.of(object("", -1)), true, 5));
+        assertThat(seen.lines).as("the rest would look gone").isEmpty();
+        pass(300);
+        assertThat(store.after).isNull();
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, 5));
+        int calls = store.calls;
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, 5));
+        assertThat(store.calls).as("the same page for ever").isEqualTo(calls);
+        assertThat(seen.lines).isEmpty();
+    }
+
+    @Test
+    void aWatchWhoseAnswerCanNotBeReadListsAnew() {
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, 6));
+        int calls = store.calls;
+        store.failed.accept(new StoreFailure(StoreFailure.Kind.UNREADABLE, "cut short"));
+        pass(100);
+        assertThat(store.calls).isEqualTo(calls + 1);
+        store.listed.accept(new ObjectPage(List.of(object("a", 3), object("b", 7)), false, 8));
+        assertThat(store.watchedFrom).isEqualTo(8);
+        assertThat(seen.lines).last().isEqualTo("listed a b away=true");
+    }
+
+    @Test
+    void aRevisionBelowTheOneAskedForDoesNotLeadTheWatchBack() {
+        store.listed.accept(new ObjectPage(List.of(), false, 6));
+        store.changed.accept(new ObjectChanges(List.of(), 2));
+        pass(0);
+        assertThat(store.watchedFrom).isEqualTo(6);
+    }
+
     @Test
     void changesThatComeOneAfterTheOtherAreAskedForTogether() {
         store.listed.accept(new ObjectPage(List.of(), false, 6));
