--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
@@ -24,6 +24,8 @@
     /** Stands for a record that can't be read. */
     private static final LeaseRecord NOBODYS = new LeaseRecord("", 0, 0);
 
+    private static final String NOBODY = "nobody";
+
     private final Timers timers;
     private final ObjectStore store;
     private final String service;
@@ -94,7 +96,7 @@
     private void create() {
         calling = true;
         LeaseRecord first = new LeaseRecord(self, 1, 0);
-        store.create(KIND, service, first.json(), object -> won(object, false, "nobody"), this::createFailed);
+        store.create(KIND, service, first.json(), object -> won(object, false, NOBODY), this::createFailed);
     }
 
     /** Another entry may have been first; what stands in the store shows at the next turn. */
@@ -126,7 +128,7 @@
 
     private void takeOver() {
         calling = true;
-        String before = record.holder();
+        String before = holder();
         LeaseRecord mine = new LeaseRecord(self, nextEpoch(), 0);
         store.replace(
                 KIND, service, lease.revision(), mine.json(), object -> won(object, true, before), this::writeFailed);
@@ -140,6 +142,10 @@
         return lease.revision() + 1;
     }
 
+    private String holder() {
+        return record.holder().isEmpty() ? NOBODY : record.holder();
+    }
+
     /** Notes a record that this process has written in place of nobody's or another one's. */
     private void won(StoredObject object, boolean after, String before) {
         taken(object);
@@ -164,15 +170,15 @@
             lease.taken(true, timers.now());
         }
         if (heldBefore && !lease.held()) {
-            logger.atInfo().log("event=lease-lost service=%s to=%s epoch=%d", service, record.holder(), record.epoch());
+            logger.atInfo().log("event=lease-lost service=%s to=%s epoch=%d", service, holder(), record.epoch());
         }
     }
 
     /**
      * Reads the record. One that can't be read is another writer's, as is one whose epoch is below one that was seen, or above
-     * what entries can have reached by its revision. It is nobody's: whoever held the lease has lost it, and it is taken over like that of a holder that has gone silent. To leave it for good
-     * would keep the engines as they are until an operator sees it; to replace it at once would race with an order that the
-     * last holder gave before it could notice.
+     * what entries can have reached by its revision. It is nobody's: whoever held the lease has lost it, and it is taken over
+     * like that of a holder that has gone silent. To leave it for good would keep the engines as they are until an operator
+     * sees it; to replace it at once would race with an order that the last holder gave before it could notice.
      */
     private LeaseRecord read(StoredObject object) {
         try {
