Model of orders: another writer may spoil the record of the lease

Who finds itself the holder waits like one that took over; without that guard the checker finds two holders that take turns.

--- a/spec/src/main/alloy/orders.als
+++ b/spec/src/main/alloy/orders.als
@@ -1,7 +1,8 @@
 /**
  * Orders to engines under a lease that is a record in the platform's store. A holder renews the record and orders only right
  * after a renewal that is confirmed; a process that finds the record unchanged for long takes it over and waits before its
- * first order. Answers of the store may come late, and processes may be suspended at any moment.
+ * first order. Answers of the store may come late, processes may be suspended, and another writer may spoil the record at any
+ * moment.
  *
  * Time is in the preconditions: what lasts at most one second has ended when something that takes several has passed.
  */
@@ -31,10 +32,18 @@
 
 pred read[p: Process] {
   of' = of ++ Known -> p -> Current
-  Believes' = (p in Holder implies Believes + p else Believes - p) and Quiet' = Quiet
+  Believes' = (p in Holder implies Believes + p else Believes - p)
+  Quiet in Quiet' and Quiet' in Quiet + p
+  (p in Holder and p not in Believes) implies p in Quiet' //@guard who finds itself the holder waits like one that took over
   keepRecord and keepTime
 }
 
+-- Another writer replaces the record: by one that names anyone, or by one that can't be read and so names nobody.
+pred spoil {
+  some r: Revision - Used { Current' = r and Used' = Used + r }
+  keepBelief and keepTime
+}
+
 -- Timing: a record that has stood still for long means that no renewal is recent and no order new.
 pred takeOver[p: Process] {
   some Known.of[p] and Known.of[p] = Current and p not in Believes
@@ -96,7 +105,7 @@
 
 fact behaviour {
   init
-  always (idle or some p: Process {
+  always (idle or spoil or some p: Process {
     read[p] or takeOver[p] or quietEnds[p] or renew[p] or confirm[p] or secondPasses[p] or order[p] or arrive[p] or orderAges[p]
   })
 }
