An endpoint's identity is its id and its start; a change from an older start replaces nothing

Cause: the platform's endpoints may start again under their id, and we took an id for one life. MemberTable keeps the newer start when a change or listing of an older one comes late. The load report is asked with the expected id, so that another endpoint at a reused address refuses instead of answering for itself.

The three tests of MemberTableTest on older starts failed before the guard: a late listing put start 1 in the place of start 2, a late change did so too, and an older start renewed a registration that had lapsed.

--- /dev/null
+++ b/core/src/main/java/org/quetzalseam/core/fleet/Incarnation.java
@@ -0,0 +1,19 @@
+package org.quetzalseam.core.fleet;
+
+/**
+ * One life of an endpoint: it may start again under its id, and then knows nothing of before. Immutable.
+ *
+ * @param id the endpoint's id
+ * @param startMillis when this life began, in Unix milliseconds of the endpoint's clock
+ */
+public record Incarnation(String id, long startMillis) {
+    /** Returns whether this life of the endpoint ended before the other began. */
+    public boolean endedBefore(Incarnation other) {
+        return id.equals(other.id) && startMillis < other.startMillis;
+    }
+
+    @Override
+    public String toString() {
+        return id + "@" + startMillis;
+    }
+}
--- a/core/src/main/java/org/quetzalseam/core/fleet/Member.java
+++ b/core/src/main/java/org/quetzalseam/core/fleet/Member.java
@@ -3,7 +3,8 @@
 /**
  * One endpoint as the platform lists it. Immutable.
  *
- * @param id names one start of the endpoint; a restart has another
+ * @param id names the endpoint; it may keep its id over a restart
+ * @param startMillis when it started, in Unix milliseconds; with the id it names one {@link Incarnation}
  * @param service the service it belongs to
  * @param host its IP address
  * @param port its port
@@ -13,7 +14,25 @@
  * @param stage the part of a generation that it takes
  */
 public record Member(
-        String id, String service, String host, int port, String zone, int slots, boolean leaving, Stage stage) {
+        String id,
+        long startMillis,
+        String service,
+        String host,
+        int port,
+        String zone,
+        int slots,
+        boolean leaving,
+        Stage stage) {
+    /** Returns which life of the endpoint this speaks of. */
+    public Incarnation incarnation() {
+        return new Incarnation(id, startMillis);
+    }
+
+    /** Returns the same endpoint, started again. */
+    public Member startedAgain(long atMillis) {
+        return new Member(id, atMillis, service, host, port, zone, slots, leaving, stage);
+    }
+
     /** Returns its address as {@code host:port}. */
     public String address() {
         return host + ":" + port;
--- a/core/src/main/java/org/quetzalseam/core/fleet/MemberTable.java
+++ b/core/src/main/java/org/quetzalseam/core/fleet/MemberTable.java
@@ -45,8 +45,12 @@
         }
     }
 
-    /** Adds or renews a member. */
+    /** Adds or renews a member. What speaks of an earlier life than the one known came late, and changes nothing. */
     public void put(Member member) {
+        Member known = members.get(member.id());
+        if (known != null && member.incarnation().endedBefore(known.incarnation())) {
+            return;
+        }
         members.put(member.id(), member);
         missingUntil.remove(member.id());
     }
--- a/core/src/test/java/org/quetzalseam/core/fleet/MemberTableTest.java
+++ b/core/src/test/java/org/quetzalseam/core/fleet/MemberTableTest.java
@@ -11,7 +11,40 @@
     private final MemberTable table = new MemberTable(GRACE);
 
     private static Member member(String id, boolean leaving) {
-        return new Member(id, "s", "10.0.0.1", 80, "z", 4, leaving, Stage.WHOLE);
+        return member(id, 1, leaving);
+    }
+
+    private static Member member(String id, long startMillis, boolean leaving) {
+        return new Member(id, startMillis, "s", "10.0.0.1", 80, "z", 4, leaving, Stage.WHOLE);
+    }
+
+    @Test
+    void aChangeFromAnOlderStartDoesNotReplaceANewerOne() {
+        table.put(member("a", 2, false));
+        table.put(member("a", 1, true));
+        assertThat(table.all()).containsExactly(member("a", 2, false));
+    }
+
+    @Test
+    void aLateListingOfAnOlderStartKeepsTheNewerOne() {
+        table.put(member("a", 2, false));
+        table.replaceAll(List.of(member("a", 1, false)), 0, false);
+        assertThat(table.all()).containsExactly(member("a", 2, false));
+    }
+
+    @Test
+    void anOlderStartDoesNotRenewARegistrationThatLapsed() {
+        table.put(member("a", 2, false));
+        table.remove("a", 0, true);
+        table.put(member("a", 1, false));
+        assertThat(table.expire(GRACE)).containsExactly("a");
+    }
+
+    @Test
+    void anEndpointThatWasLeavingIsReadyAfterItsRestart() {
+        table.put(member("a", 1, true));
+        table.put(member("a", 2, false));
+        assertThat(table.all()).containsExactly(member("a", 2, false));
     }
 
     @Test
--- a/gateway/src/main/java/org/quetzalseam/gateway/protocol/Protocol.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/protocol/Protocol.java
@@ -44,10 +44,10 @@
     /** Returns a call that drops a KV cache. */
     FullHttpRequest dropKv(String handle);
 
-    /** Returns a call that asks for an engine's load. */
-    FullHttpRequest load();
+    /** Returns a call that asks for an engine's load; another endpoint at its address refuses. */
+    FullHttpRequest reportLoad(String expectedEndpoint);
 
-    /** Returns the load from the reply to {@link #load}. */
+    /** Returns the load from the reply to {@link #reportLoad}, if it says which life of the engine it is of. */
     Optional<EngineLoad> load(String body);
 
     /** Returns a call that orders an engine to another stage. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
@@ -69,12 +69,16 @@
     }
 
     void start() {
-        lease.keep();
-        timers.every(StageLease.RENEW_MILLIS, lease::keep);
+        keepLease();
+        timers.every(StageLease.RENEW_MILLIS, this::keepLease);
         timers.every(SAMPLE_MILLIS, this::sample);
     }
 
-    private void sample() {
+    void keepLease() {
+        lease.keep();
+    }
+
+    void sample() {
         if (!lease.held() || awaited > 0) {
             return;
         }
@@ -83,7 +87,7 @@
         awaited = engines.size();
         for (Endpoint engine : engines) {
             engine.control(
-                    protocol.load(),
+                    protocol.reportLoad(engine.member().id()),
                     ANSWER_MILLIS,
                     new WholeReply(
                             MAX_REPLY_BYTES,
--- a/gateway/src/test/java/org/quetzalseam/gateway/PlainCallTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/PlainCallTest.java
@@ -211,7 +211,15 @@
         var leaving = one.member("s", Stage.WHOLE);
         entry.endpoints(
                 new org.quetzalseam.core.fleet.Member(
-                        leaving.id(), "s", leaving.host(), leaving.port(), "a", 4, true, Stage.WHOLE),
+                        leaving.id(),
+                        leaving.startMillis(),
+                        "s",
+                        leaving.host(),
+                        leaving.port(),
+                        "a",
+                        4,
+                        true,
+                        Stage.WHOLE),
                 two.member("s", Stage.WHOLE));
         for (int i = 0; i < 6; i++) {
             assertThat(entry.ask("/once/x", "r" + i)).endsWith("second");
--- a/gateway/src/test/java/org/quetzalseam/gateway/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/ScriptedEndpoint.java
@@ -19,6 +19,8 @@
         void reply(RawRequest request, Connection connection) throws IOException;
     }
 
+    private static final long FIRST_START = 1_000;
+
     private final RawServer server;
     private final Map<RawConnection, Connection> connections = new ConcurrentHashMap<>();
     private final List<RawRequest> requests = new CopyOnWriteArrayList<>();
@@ -56,7 +58,12 @@
     }
 
     Member member(String service, Stage stage) {
-        return new Member(id, service, "127.0.0.1", server.port(), "a", 4, false, stage);
+        return member(service, stage, FIRST_START);
+    }
+
+    /** Returns its registration after a start at the given time. */
+    Member member(String service, Stage stage, long startMillis) {
+        return new Member(id, startMillis, service, "127.0.0.1", server.port(), "a", 4, false, stage);
     }
 
     @Override
--- a/gateway/src/test/java/org/quetzalseam/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestProtocol.java
@@ -18,7 +18,7 @@
 import org.quetzalseam.gateway.protocol.RequestFacts;
 
 /** A plain protocol for tests, with names of its own. */
-final class TestProtocol implements Protocol {
+public final class TestProtocol implements Protocol {
     @Override
     public String idHeader() {
         return "x-id";
@@ -91,19 +91,23 @@
     }
 
     @Override
-    public FullHttpRequest load() {
+    public FullHttpRequest reportLoad(String expectedEndpoint) {
         return call(HttpMethod.GET, "/control/load");
     }
 
     @Override
     public Optional<EngineLoad> load(String body) {
-        return Optional.empty();
+        String[] bornAndOrders = body.split(" ", 2);
+        return bornAndOrders.length < 2
+                ? Optional.empty()
+                : Optional.of(new EngineLoad(
+                        Long.parseLong(bornAndOrders[0]), 0, 0, 0, 1_000, Long.parseLong(bornAndOrders[1]), false));
     }
 
     @Override
     public FullHttpRequest changeStage(
             Stage stage, String holder, long epoch, long ordersSeen, String expectedEndpoint) {
-        return call(HttpMethod.POST, "/control/stage/" + stage);
+        return call(HttpMethod.POST, "/control/stage/" + stage + "?orders=" + ordersSeen);
     }
 
     private static FullHttpRequest call(HttpMethod method, String path) {
