--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/RestartedEndpointTest.java
@@ -0,0 +1,228 @@
+package org.quetzalseam.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.standins.raw.RawRequest;
+
+/** An endpoint that starts again under its id holds and knows nothing of its earlier life. */
+class RestartedEndpointTest {
+    private static final String SIZE = "x-tokens: 1000";
+    /** Time limit of the routes, in milliseconds; what is answered in half of it didn't wait for it. */
+    private static final long TIME_OUT_MILLIS = 5_000;
+
+    private static final long SECOND_START = 2_000;
+
+    private final TestEntry entry = new TestEntry();
+    private final AtomicInteger bookings = new AtomicInteger();
+    private final AtomicInteger prompts = new AtomicInteger();
+    private final CountDownLatch arrived = new CountDownLatch(1);
+    private final ScriptedEndpoint plain =
+            new ScriptedEndpoint("plain", (request, connection) -> connection.answer(request, "answer"));
+    private final ScriptedEndpoint prefill = new ScriptedEndpoint("prefill", this::readPrompt);
+    private final ScriptedEndpoint decode = new ScriptedEndpoint("decode", this::decode);
+
+    private ScriptedEndpoint.Script stream = (request, connection) -> {
+        connection.beginStream(request);
+        connection.chunk("id: 1\ndata: a\n\n");
+        connection.endStream();
+    };
+
+    @BeforeEach
+    void start() {
+        entry.routes(TIME_OUT_MILLIS);
+        entry.endpoints(
+                plain.member("s", Stage.WHOLE), prefill.member("s", Stage.PREFILL), decode.member("s", Stage.DECODE));
+    }
+
+    @AfterEach
+    void stop() {
+        entry.close();
+        plain.close();
+        prefill.close();
+        decode.close();
+    }
+
+    private void readPrompt(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
+        connection.answer(request, request.path().startsWith("/control/") ? "" : "kv" + prompts.incrementAndGet());
+    }
+
+    private void decode(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
+        if (request.path().startsWith("/control/reserve")) {
+            connection.answer(request, "booking" + bookings.incrementAndGet());
+        } else if (request.path().startsWith("/control/")) {
+            connection.answer(request, "");
+        } else {
+            stream.reply(request, connection);
+        }
+    }
+
+    private void plainStartsAgain() {
+        entry.endpoints(
+                plain.member("s", Stage.WHOLE, SECOND_START),
+                prefill.member("s", Stage.PREFILL),
+                decode.member("s", Stage.DECODE));
+    }
+
+    private void decodeStartsAgain() {
+        entry.endpoints(
+                plain.member("s", Stage.WHOLE),
+                prefill.member("s", Stage.PREFILL),
+                decode.member("s", Stage.DECODE, SECOND_START));
+    }
+
+    private void prefillStartsAgain() {
+        entry.endpoints(
+                plain.member("s", Stage.WHOLE),
+                prefill.member("s", Stage.PREFILL, SECOND_START),
+                decode.member("s", Stage.DECODE));
+    }
+
+    /** The first life goes silent over a request; the second answers. */
+    private void silentThenAnswering(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
+        if (arrived.getCount() > 0) {
+            arrived.countDown();
+            connection.awaitClosed();
+        } else {
+            connection.answer(request, "answer");
+        }
+    }
+
+    private static String soon(CompletableFuture<String> answer) throws Exception {
+        return answer.get(TIME_OUT_MILLIS / 2, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void keptConnectionsOfTheEarlierLifeAreNotUsed() {
+        entry.ask("/once/x", "r1");
+        entry.ask("/once/x", "r2");
+        assertThat(plain.connections()).isEqualTo(1);
+        plainStartsAgain();
+        assertThat(entry.ask("/once/x", "r3")).endsWith("answer");
+        assertThat(plain.connections()).isEqualTo(2);
+    }
+
+    @Test
+    void aCallThatMayHaveRunInTheEarlierLifeIsNotSentAgainAndIsToldSoAtOnce() throws Exception {
+        plain.script(this::silentThenAnswering);
+        CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> entry.ask("/once/x", "r1"));
+        arrived.await();
+        plainStartsAgain();
+        assertThat(soon(answer)).startsWith("HTTP/1.1 502");
+        assertThat(plain.runs()).hasSize(1);
+    }
+
+    @Test
+    void anIdempotentCallGoesToTheNewLifeAtOnce() throws Exception {
+        plain.script(this::silentThenAnswering);
+        CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> entry.ask("/many/x", "r1"));
+        arrived.await();
+        plainStartsAgain();
+        assertThat(soon(answer)).startsWith("HTTP/1.1 200").endsWith("answer");
+        assertThat(plain.runs()).hasSize(2);
+    }
+
+    @Test
+    void anAnswerOfTheEarlierLifeThatWasOnItsWayIsDelivered() throws Exception {
+        CountDownLatch listed = new CountDownLatch(1);
+        plain.script((request, connection) -> {
+            arrived.countDown();
+            await(listed);
+            connection.answer(request, "late");
+        });
+        CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> entry.ask("/once/x", "r1"));
+        arrived.await();
+        plainStartsAgain();
+        listed.countDown();
+        assertThat(soon(answer)).startsWith("HTTP/1.1 200").endsWith("late");
+    }
+
+    private static void await(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("stopped", e);
+        }
+    }
+
+    /** One event in the first life, then silence; the rest in the second. */
+    private void brokenStream(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
+        connection.beginStream(request);
+        if (arrived.getCount() > 0) {
+            connection.chunk("id: 1\ndata: a\n\n");
+            arrived.countDown();
+            connection.awaitClosed();
+        } else {
+            connection.chunk("id: 2\ndata: b\n\n");
+            connection.endStream();
+        }
+    }
+
+    @Test
+    void aResumableStreamGoesOnInTheNewLife() throws Exception {
+        stream = this::brokenStream;
+        CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> entry.ask("/resumable/x", "r1", SIZE));
+        arrived.await();
+        decodeStartsAgain();
+        assertThat(soon(answer)).contains("data: a").contains("data: b").endsWith("0\r\n\r\n");
+        assertThat(decode.runs()).hasSize(2);
+        assertThat(decode.runs().get(1).header("x-resume")).isEqualTo("1");
+    }
+
+    @Test
+    void aStreamThatMayNotBeResumedBreaksOffAtOnce() throws Exception {
+        stream = this::brokenStream;
+        CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> entry.ask("/stream/x", "r1", SIZE));
+        arrived.await();
+        decodeStartsAgain();
+        assertThat(soon(answer)).contains("data: a").doesNotContain("0\r\n\r\n");
+        assertThat(decode.runs()).hasSize(1);
+    }
+
+    @Test
+    void aBookingOfTheEarlierLifeIsNeitherUsedNorGivenBack() {
+        prefill.script((request, connection) -> {
+            if (prompts.get() == 0) {
+                decodeStartsAgain();
+            }
+            readPrompt(request, connection);
+        });
+        assertThat(entry.ask("/stream/x", "r1", SIZE))
+                .startsWith("HTTP/1.1 200")
+                .contains("data: a");
+        assertThat(decode.runs())
+                .singleElement()
+                .satisfies(run -> assertThat(run.header("x-booking")).isEqualTo("booking3"));
+        List<String> released = decode.requests().stream()
+                .map(RawRequest::path)
+                .filter(path -> path.startsWith("/control/release"))
+                .toList();
+        assertThat(released).doesNotContain("/control/release/booking1");
+    }
+
+    @Test
+    void aPromptThatTheEarlierLifeReadIsReadAgain() {
+        prefill.script((request, connection) -> {
+            if (prompts.get() == 0) {
+                prefillStartsAgain();
+            }
+            readPrompt(request, connection);
+        });
+        assertThat(entry.ask("/stream/x", "r1", SIZE))
+                .startsWith("HTTP/1.1 200")
+                .contains("data: a");
+        assertThat(decode.runs())
+                .singleElement()
+                .satisfies(run -> assertThat(run.header("x-kv")).isEqualTo("kv2"));
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/StageKeeperTest.java
@@ -0,0 +1,193 @@
+package org.quetzalseam.gateway.stage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.fleet.Member;
+import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.gateway.TestProtocol;
+import org.quetzalseam.gateway.endpoint.Directory;
+import org.quetzalseam.gateway.endpoint.Endpoint;
+import org.quetzalseam.gateway.http.Connector;
+import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.MemoryStore;
+import org.quetzalseam.standins.raw.RawConnection;
+import org.quetzalseam.standins.raw.RawRequest;
+import org.quetzalseam.standins.raw.RawServer;
+
+/** What a keeper orders on the grounds of which report, over restarts of an engine. */
+class StageKeeperTest {
+    /** Samples after which an order is due by far: three of the same engines are needed. */
+    private static final int ENOUGH_SAMPLES = 8;
+    /** Between two samples, in milliseconds: many round trips on loopback. */
+    private static final long PAUSE_MILLIS = 60;
+
+    private static final long FIRST_START = 1_000;
+    private static final long SECOND_START = 2_000;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final Timers timers = new Timers(group.next());
+    private final Directory directory = new Directory(new Connector(group.next(), "x-id"));
+    private final StageKeeper keeper =
+            new StageKeeper(timers, directory, new TestProtocol(), new MemoryStore(), "s", "entry-1", 0.25);
+    private final List<String> orders = new CopyOnWriteArrayList<>();
+    /** The engine that is ordered: of two equal ones, the one with the least id. */
+    private final RawServer first = new RawServer(this::reply);
+    /** The other engine, which is asked second and so answers when the first has. */
+    private final RawServer second = new RawServer(this::replySecond);
+
+    private volatile String report = FIRST_START + " 7";
+    private volatile Runnable betweenReports = () -> {};
+
+    @BeforeEach
+    void start() throws Exception {
+        list(FIRST_START);
+        onLoop(keeper::keepLease);
+    }
+
+    @AfterEach
+    void stop() {
+        first.close();
+        second.close();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private void reply(RawRequest request, RawConnection connection) throws IOException {
+        if (request.path().startsWith("/control/stage")) {
+            orders.add(request.path());
+            connection.reply(202, "");
+        } else {
+            connection.reply(200, report);
+        }
+    }
+
+    private void replySecond(RawRequest request, RawConnection connection) throws IOException {
+        sleep();
+        betweenReports.run();
+        connection.reply(200, FIRST_START + " 0");
+    }
+
+    private static void sleep() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void onLoop(Runnable call) throws Exception {
+        group.submit(call).get(5, TimeUnit.SECONDS);
+    }
+
+    private static Member engine(String id, long startMillis, RawServer server) {
+        return new Member(id, startMillis, "s", "127.0.0.1", server.port(), "a", 4, false, Stage.DECODE);
+    }
+
+    private void list(long startMillis) throws Exception {
+        onLoop(() -> directory.update(List.of(engine("a", startMillis, first), engine("b", FIRST_START, second))));
+    }
+
+    private void listQuietly(long startMillis) {
+        try {
+            list(startMillis);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void sampleOften() throws Exception {
+        for (int i = 0; i < ENOUGH_SAMPLES; i++) {
+            onLoop(keeper::sample);
+            TimeUnit.MILLISECONDS.sleep(3 * PAUSE_MILLIS);
+        }
+    }
+
+    private long startOfFirst() throws Exception {
+        Collection<Endpoint> found = new ArrayList<>();
+        onLoop(() -> found.addAll(directory.all("s")));
+        return found.stream()
+                .map(Endpoint::member)
+                .filter(member -> member.id().equals("a"))
+                .mapToLong(Member::startMillis)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    @Test
+    void anOrderNamesTheCountThatTheEngineReported() throws Exception {
+        sampleOften();
+        assertThat(orders).containsExactly("/control/stage/PREFILL?orders=7");
+    }
+
+    @Test
+    void noOrderRestsOnTheReportOfALifeThatHasEndedSince() throws Exception {
+        betweenReports = () -> listQuietly(startAfter());
+        sampleOften();
+        assertThat(orders).isEmpty();
+    }
+
+    private long startAfter() {
+        try {
+            return startOfFirst() + 1;
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void anOrderLeavesOnlyOverTheConnectionThatBroughtItsReport() throws Exception {
+        betweenReports = () -> {
+            first.resetAll();
+            sleep();
+        };
+        sampleOften();
+        assertThat(orders).isEmpty();
+    }
+
+    @Test
+    void anOrderThatCouldNotLeaveIsGivenWithTheNextReport() throws Exception {
+        betweenReports = () -> {
+            first.resetAll();
+            sleep();
+        };
+        sampleOften();
+        betweenReports = () -> {};
+        sampleOften();
+        assertThat(orders).hasSize(1);
+    }
+
+    @Test
+    void aReportOfANewLifeWithALowerCountEndsTheEarlierOne() throws Exception {
+        onLoop(keeper::sample);
+        sleep();
+        report = SECOND_START + " 0";
+        sampleOften();
+        assertThat(startOfFirst()).isEqualTo(SECOND_START);
+        assertThat(orders).containsExactly("/control/stage/PREFILL?orders=0");
+    }
+
+    @Test
+    void aListingOfALifeThatHasEndedByTheEnginesOwnReportIsNotTaken() throws Exception {
+        report = SECOND_START + " 0";
+        sampleOften();
+        list(FIRST_START);
+        assertThat(startOfFirst()).isEqualTo(SECOND_START);
+    }
+
+    @Test
+    void aLateReportOfAnEarlierLifeIsNotTaken() throws Exception {
+        list(SECOND_START);
+        sampleOften();
+        assertThat(startOfFirst()).isEqualTo(SECOND_START);
+        assertThat(orders).isEmpty();
+    }
+}
