What rests on an endpoint's life ends with it

A later start of an id, by its registration or by its own report, gets a new Endpoint: kept connections of the earlier one are closed, health, idle-time history, refusals, bookings and load are the earlier one's and go with it, and nothing is sent through it any more. A KV handle that an ended life gives is not used.

Reports count for exactly the life that they name; an order leaves only over the connection that brought the report it rests on, since neither the id nor a count of none proves which life takes it. An order that could not leave starts no rest.

Ruled out: withholding work from a life that is known by its report alone (in an outage of the store it would stand idle).

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -12,7 +12,14 @@
 import org.quetzalseam.core.fleet.Stage;
 import org.quetzalseam.gateway.http.Connector;
 
-/** The endpoints that this entry may use, by service and stage. Used on the event loop only. */
+/**
+ * The endpoints that this entry may use, by service and stage. Used on the event loop only.
+ *
+ * <p>When a registration and an endpoint's own report name different starts, the later one holds: a start that anybody has
+ * seen has been, so the earlier life is over. What the earlier life's registration says beside its start is taken to hold for
+ * the next life until that is registered, its leaving included: an outage of the store then takes no endpoint away, and one
+ * that was leaving gets no work before the store says that it takes any.
+ */
 public final class Directory {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -37,13 +44,7 @@
         Set<String> listed = new HashSet<>();
         for (Member member : members) {
             listed.add(member.id());
-            Endpoint endpoint = endpoints.computeIfAbsent(member.id(), id -> added(member));
-            if (!endpoint.member().equals(member)) {
-                logger.atInfo().log(
-                        "event=endpoint-changed endpoint=%s service=%s leaving=%s stage=%s",
-                        member.id(), member.service(), member.leaving(), member.stage());
-            }
-            endpoint.member(member);
+            take(member);
         }
         for (String id : List.copyOf(endpoints.keySet())) {
             if (!listed.contains(id)) {
@@ -52,6 +53,47 @@
         }
     }
 
+    private void take(Member member) {
+        Endpoint known = endpoints.get(member.id());
+        if (known == null) {
+            endpoints.put(member.id(), added(member));
+        } else if (known.member().incarnation().endedBefore(member.incarnation())) {
+            startAgain(known, member, "registration");
+        } else if (!member.incarnation().endedBefore(known.member().incarnation())) {
+            renew(known, member);
+        }
+    }
+
+    private static void renew(Endpoint endpoint, Member member) {
+        if (!endpoint.member().equals(member)) {
+            logger.atInfo().log(
+                    "event=endpoint-changed endpoint=%s service=%s leaving=%s stage=%s",
+                    member.id(), member.service(), member.leaving(), member.stage());
+        }
+        endpoint.member(member);
+    }
+
+    /** Takes an endpoint's own word that it has started again since the life that is known here. */
+    public void startedAgain(Endpoint endpoint, long startMillis) {
+        Member member = endpoint.member();
+        if (endpoints.get(member.id()) == endpoint && startMillis > member.startMillis()) {
+            startAgain(endpoint, member.startedAgain(startMillis), "report");
+        }
+    }
+
+    private void startAgain(Endpoint before, Member member, String source) {
+        logger.atInfo().log(
+                "event=endpoint-started-again endpoint=%s service=%s start_ms=%d before_ms=%d source=%s outstanding=%d",
+                member.id(),
+                member.service(),
+                member.startMillis(),
+                before.member().startMillis(),
+                source,
+                before.outstanding());
+        endpoints.put(member.id(), added(member));
+        before.end();
+    }
+
     private Endpoint added(Member member) {
         logger.atInfo().log(
                 "event=endpoint-added endpoint=%s service=%s address=%s zone=%s stage=%s leaving=%s",
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -10,7 +10,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.fleet.EndpointHealth;
@@ -23,7 +25,11 @@
 import org.quetzalseam.gateway.runtime.Timers;
 
 /**
- * One endpoint as this entry sees it: kept connections, work under way, and record. Used on the event loop only.
+ * One life of an endpoint as this entry sees it: kept connections, work under way, and record. Used on the event loop only.
+ *
+ * <p>An endpoint that starts again under its id holds and knows nothing of before, so it gets a new object. Whatever rests on
+ * one life (bookings, KV caches, load, record) is kept by this object and ends with it; nothing is sent through the object of
+ * a life that is over, as it would reach the next.
  *
  * <p>Calls that run nothing go over connections of their own, so that a late reply to a request is never taken for theirs.
  */
@@ -36,6 +42,12 @@
     /** Control calls that wait for a connection; past that an engine is treated as unreachable. */
     private static final int MAX_CONTROL_CONNECTIONS = 8;
 
+    /**
+     * How long replies of an ended life that were on their way are still taken, in milliseconds: many round trips inside a
+     * region, and a small part of any time limit.
+     */
+    private static final long LAST_REPLIES_MILLIS = 300;
+
     private final Connector connector;
     private final Timers timers;
     private final InetSocketAddress address;
@@ -43,12 +55,14 @@
     private final Deque<HttpConnection> idle = new ArrayDeque<>();
     private final Deque<HttpConnection> idleControl = new ArrayDeque<>();
     private final IdleLimit idleLimit = new IdleLimit();
+    private final Set<EndpointCall> underWay = new HashSet<>();
     private Member member;
     private int mostConnections = Integer.MAX_VALUE;
     private int open;
     private int openControl;
     private int outstanding;
     private long prefillTokens;
+    private boolean ended;
 
     Endpoint(Connector connector, Member member) {
         this.connector = connector;
@@ -66,6 +80,11 @@
         member = renewed;
     }
 
+    /** Returns whether this life of the endpoint is over: it has started again. */
+    public boolean ended() {
+        return ended;
+    }
+
     /** Returns its record. */
     public EndpointHealth health() {
         return health;
@@ -107,7 +126,12 @@
     public EndpointCall send(HttpRequest request, ByteBuf body, String id, ReplyListener replies) {
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         outstanding++;
-        EndpointCall call = new EndpointCall(request, body, id.isEmpty() ? null : id, replies, () -> outstanding--);
+        EndpointCall call = new EndpointCall(request, body, id.isEmpty() ? null : id, replies, this::runEnded);
+        underWay.add(call);
+        if (ended) {
+            timers.soon(() -> refuseEnded(call));
+            return call;
+        }
         HttpConnection kept = usable(idle);
         if (kept != null) {
             call.begin(kept);
@@ -117,7 +141,7 @@
         connector.connect(address, this::idle, this::closed, new Connector.Opened() {
             @Override
             public void connected(HttpConnection connection) {
-                if (!call.begin(connection)) {
+                if (ended || !call.begin(connection)) {
                     idle(connection);
                 }
             }
@@ -144,13 +168,51 @@
         return call;
     }
 
-    private EndpointCall beginControl(FullHttpRequest request, ReplyListener replies) {
+    /**
+     * Sends a call that runs nothing over the connection that carried an earlier one, or not at all. A connection doesn't
+     * outlive the process at its other end: so the call can only reach the life of the endpoint that answered the earlier.
+     *
+     * @param earlier a call that has been answered
+     * @param request the whole call
+     * @param limitMillis how long the reply may take
+     * @param replies takes the reply
+     * @return whether the call was sent; otherwise the listener hears nothing
+     */
+    public boolean controlAfter(
+            EndpointCall earlier, FullHttpRequest request, long limitMillis, ReplyListener replies) {
+        HttpConnection proved = earlier.connection();
+        if (ended || proved == null || !idleControl.remove(proved)) {
+            request.release();
+            return false;
+        }
+        idleControl.addFirst(proved);
+        if (usable(idleControl) != proved) {
+            request.release();
+            return false;
+        }
+        EndpointCall call = controlCall(request, replies);
+        call.begin(proved);
+        timers.after(limitMillis, call::expire);
+        return true;
+    }
+
+    private EndpointCall controlCall(FullHttpRequest request, ReplyListener replies) {
         request.headers().set(HttpHeaderNames.HOST, member.address());
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         // The connection writes head and body apart; a full request as its head would end the message twice.
         HttpRequest head =
                 new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers());
-        EndpointCall call = new EndpointCall(head, request.content(), null, replies, () -> {});
+        EndpointCall call = new EndpointCall(head, request.content(), null, replies, underWay::remove);
+        underWay.add(call);
+        return call;
+    }
+
+    private EndpointCall beginControl(FullHttpRequest request, ReplyListener replies) {
+        EndpointCall call = controlCall(request, replies);
+        if (ended) {
+            refuseEnded(call);
+            return call;
+        }
         HttpConnection kept = usable(idleControl);
         if (kept != null) {
             call.begin(kept);
@@ -161,11 +223,11 @@
             return call;
         }
         openControl++;
-        connector.connect(address, idleControl::addFirst, this::controlClosed, new Connector.Opened() {
+        connector.connect(address, this::idleControl, this::controlClosed, new Connector.Opened() {
             @Override
             public void connected(HttpConnection connection) {
-                if (!call.begin(connection)) {
-                    idleControl.addFirst(connection);
+                if (ended || !call.begin(connection)) {
+                    idleControl(connection);
                 }
             }
 
@@ -199,7 +261,19 @@
     }
 
     private void idle(HttpConnection connection) {
-        idle.addFirst(connection);
+        keep(connection, idle);
+    }
+
+    private void idleControl(HttpConnection connection) {
+        keep(connection, idleControl);
+    }
+
+    private void keep(HttpConnection connection, Deque<HttpConnection> kept) {
+        if (ended) {
+            connection.abort();
+        } else {
+            kept.addFirst(connection);
+        }
     }
 
     private @Nullable HttpConnection usable(Deque<HttpConnection> connections) {
@@ -226,6 +300,27 @@
         return Math.max(stated - CLOSING_MARGIN_NANOS, stated / 2);
     }
 
+    private void runEnded(EndpointCall call) {
+        outstanding--;
+        underWay.remove(call);
+    }
+
+    private static void refuseEnded(EndpointCall call) {
+        call.refused(new CallFailure(CallFailure.Kind.NOT_CONNECTED, "the endpoint has started again"));
+    }
+
+    /**
+     * Ends this life. What has been sent may have run, and its answer can only be on its way already; what has not been sent
+     * is told so at once. Callers hear of either after this call has returned.
+     */
+    void end() {
+        ended = true;
+        close();
+        timers.soon(() ->
+                List.copyOf(underWay).stream().filter(call -> !call.sent()).forEach(Endpoint::refuseEnded));
+        timers.after(LAST_REPLIES_MILLIS, () -> List.copyOf(underWay).forEach(EndpointCall::lose));
+    }
+
     /** Closes idle connections; what is under way goes on. */
     void close() {
         List.copyOf(idle).forEach(HttpConnection::abort);
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/EndpointCall.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/EndpointCall.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.http.CallFailure;
 import org.quetzalseam.gateway.http.HttpConnection;
@@ -14,11 +15,16 @@
     private final ByteBuf body;
     private final @Nullable String id;
     private final ReplyListener replies;
-    private final Runnable onEnd;
+    private final Consumer<EndpointCall> onEnd;
     private @Nullable HttpConnection connection;
     private boolean ended;
 
-    EndpointCall(HttpRequest request, ByteBuf body, @Nullable String id, ReplyListener replies, Runnable onEnd) {
+    EndpointCall(
+            HttpRequest request,
+            ByteBuf body,
+            @Nullable String id,
+            ReplyListener replies,
+            Consumer<EndpointCall> onEnd) {
         this.request = request;
         this.body = body;
         this.id = id;
@@ -48,6 +54,12 @@
         return connection != null;
     }
 
+    /** Returns the connection that it went over, or null if it hasn't been sent. */
+    @Nullable
+    HttpConnection connection() {
+        return connection;
+    }
+
     /** Returns whether the reply is still to come. */
     public boolean active() {
         return !ended;
@@ -69,9 +81,18 @@
 
     /** Gives the call up because its time is over; unlike {@link #cancel}, this is told to who waits for the reply. */
     void expire() {
+        giveUp(new CallFailure(CallFailure.Kind.TIMED_OUT, "no answer in time"));
+    }
+
+    /** Gives the call up because the life of its endpoint that it was sent to is over: it may have run. */
+    void lose() {
+        giveUp(new CallFailure(CallFailure.Kind.CONNECTION_LOST, "the endpoint has started again"));
+    }
+
+    private void giveUp(CallFailure failure) {
         if (!ended) {
             cancel();
-            replies.failed(new CallFailure(CallFailure.Kind.TIMED_OUT, "no answer in time"));
+            replies.failed(failure);
         }
     }
 
@@ -85,7 +106,7 @@
 
     private void end() {
         ended = true;
-        onEnd.run();
+        onEnd.accept(this);
     }
 
     @Override
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
@@ -113,8 +113,10 @@
         end();
         String text = WholeReply.text(body);
         body.release();
-        Optional<String> handle =
-                answer.status().code() == 200 ? context.protocol().kvHandle(text) : Optional.empty();
+        // A handle of an ended life may be another prompt's in the next.
+        Optional<String> handle = answer.status().code() == 200 && !engine.ended()
+                ? context.protocol().kvHandle(text)
+                : Optional.empty();
         if (handle.isEmpty()) {
             log.step("prefill-refused", engine, "status=" + answer.status().code());
             askAnother(decoder);
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
@@ -12,6 +12,7 @@
 import org.quetzalseam.core.generation.StageSplit;
 import org.quetzalseam.gateway.endpoint.Directory;
 import org.quetzalseam.gateway.endpoint.Endpoint;
+import org.quetzalseam.gateway.endpoint.EndpointCall;
 import org.quetzalseam.gateway.http.CallFailure;
 import org.quetzalseam.gateway.http.WholeReply;
 import org.quetzalseam.gateway.protocol.EngineLoad;
@@ -47,7 +48,8 @@
     private final String self;
     private final StageLease lease;
     private final StageSplit split;
-    private final Map<String, EngineLoad> loads = new HashMap<>();
+    private final Map<Endpoint, EngineLoad> loads = new HashMap<>();
+    private final Map<Endpoint, EndpointCall> reports = new HashMap<>();
     private long restUntil;
     private int awaited;
 
@@ -83,10 +85,11 @@
             return;
         }
         loads.clear();
+        reports.clear();
         List<Endpoint> engines = engines();
         awaited = engines.size();
         for (Endpoint engine : engines) {
-            engine.control(
+            EndpointCall report = engine.control(
                     protocol.reportLoad(engine.member().id()),
                     ANSWER_MILLIS,
                     new WholeReply(
@@ -94,12 +97,25 @@
                             (head, body) -> {
                                 String text = WholeReply.text(body);
                                 body.release();
-                                protocol.load(text)
-                                        .ifPresent(load ->
-                                                loads.put(engine.member().id(), load));
+                                protocol.load(text).ifPresent(load -> reported(engine, load));
                                 sampled();
                             },
                             failure -> loadUnknown(engine, failure)));
+            reports.put(engine, report);
+        }
+    }
+
+    /** A report counts only for the life that it is of. A newer life's ends the earlier one, however low its counts. */
+    private void reported(Endpoint engine, EngineLoad load) {
+        long known = engine.member().startMillis();
+        if (load.startMillis() == known) {
+            loads.put(engine, load);
+        } else if (load.startMillis() > known) {
+            directory.startedAgain(engine, load.startMillis());
+        } else {
+            logger.atInfo().log(
+                    "event=load-outlived service=%s endpoint=%s start_ms=%d known_ms=%d",
+                    service, engine.member().id(), load.startMillis(), known);
         }
     }
 
@@ -123,11 +139,11 @@
         }
         List<EngineSample> samples = new ArrayList<>();
         for (Endpoint engine : engines()) {
-            EngineLoad load = loads.get(engine.member().id());
+            EngineLoad load = loads.get(engine);
             if (load != null && !load.changing()) {
                 double fill = load.memoryTotal() == 0 ? 0 : (double) load.memoryUsed() / load.memoryTotal();
-                samples.add(new EngineSample(
-                        engine.member().id(), engine.member().stage(), load.running(), load.queued(), fill));
+                samples.add(
+                        new EngineSample(name(engine), engine.member().stage(), load.running(), load.queued(), fill));
             }
         }
         split.observe(samples);
@@ -140,30 +156,55 @@
         }
     }
 
+    /** An engine that has started again is another one: what was decided for its earlier life isn't for it. */
+    private static String name(Endpoint engine) {
+        return engine.member().incarnation().toString();
+    }
+
     private void order(List<StageSplit.Change> changes) {
         if (!lease.mayOrder()) {
             return;
         }
-        restUntil = timers.now() + ORDER_REST_MILLIS * 1_000_000;
-        split.changed();
-        changes.forEach(this::order);
+        boolean sent = false;
+        for (StageSplit.Change change : changes) {
+            sent |= order(change);
+        }
+        if (sent) {
+            restUntil = timers.now() + ORDER_REST_MILLIS * 1_000_000;
+            split.changed();
+        }
     }
 
-    private void order(StageSplit.Change change) {
+    /**
+     * Sends an order to the life of the engine whose report it rests on, and to no other. Its id and the count of orders that
+     * it names don't prove which life takes it: a life that has accepted as many, none above all, would do as well. So it
+     * leaves over the connection that brought the report. Where the platform itself holds an order up past a restart, a count
+     * above zero still proves it, as nobody orders again within {@link #ORDER_REST_MILLIS}; a count of zero doesn't, and the
+     * engine may then change stage once without need.
+     *
+     * @return whether it was sent
+     */
+    private boolean order(StageSplit.Change change) {
         Optional<Endpoint> engine = engines().stream()
-                .filter(candidate -> candidate.member().id().equals(change.engine()))
+                .filter(candidate -> name(candidate).equals(change.engine()))
                 .findFirst();
-        EngineLoad load = loads.get(change.engine());
-        if (engine.isEmpty() || load == null) {
-            return;
+        if (engine.isEmpty()) {
+            return false;
         }
-        logger.atInfo().log(
-                "event=stage-order service=%s endpoint=%s stage=%s epoch=%d %s",
-                service, change.engine(), change.stage(), lease.epoch(), change.reason());
-        FullHttpRequest order =
-                protocol.changeStage(change.stage(), self, lease.epoch(), load.orders(), change.engine());
-        engine.get()
-                .control(
+        EngineLoad load = loads.get(engine.get());
+        EndpointCall report = reports.get(engine.get());
+        if (load == null || report == null) {
+            return false;
+        }
+        FullHttpRequest order = protocol.changeStage(
+                change.stage(),
+                self,
+                lease.epoch(),
+                load.orders(),
+                engine.get().member().id());
+        boolean sent = engine.get()
+                .controlAfter(
+                        report,
                         order,
                         ANSWER_MILLIS,
                         new WholeReply(
@@ -173,6 +214,10 @@
                                     answered(change, head.status().code());
                                 },
                                 failure -> unanswered(change, failure)));
+        logger.atInfo().log(
+                "event=stage-order service=%s endpoint=%s stage=%s epoch=%d sent=%s %s",
+                service, change.engine(), change.stage(), lease.epoch(), sent, change.reason());
+        return sent;
     }
 
     private void answered(StageSplit.Change change, int status) {
