--- a/core/src/main/java/org/quetzalseam/core/fleet/MemberTable.java
+++ b/core/src/main/java/org/quetzalseam/core/fleet/MemberTable.java
@@ -14,11 +14,15 @@
  * <p>While the platform's store is away, registrations lapse though their endpoints live. What is missing right after the
  * store's return is therefore kept for a grace time, in which a living endpoint registers again; whatever is missing at
  * any other time is gone at once.
+ *
+ * <p>Either all endpoints of a platform say when they started, or none does. Once one has, a registration that doesn't say it
+ * is another writer's and names no endpoint.
  */
 public final class MemberTable {
     private final long graceNanos;
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Long> missingUntil = new HashMap<>();
+    private boolean startsStated;
 
     /** Creates an empty table that keeps lapsed registrations for the given time, in nanoseconds. */
     public MemberTable(long graceNanos) {
@@ -47,6 +51,11 @@
 
     /** Adds or renews a member. What speaks of an earlier life than the one known came late, and changes nothing. */
     public void put(Member member) {
+        if (member.incarnation().stated()) {
+            dropUnstated();
+        } else if (startsStated) {
+            return;
+        }
         Member known = members.get(member.id());
         if (known != null && member.incarnation().endedBefore(known.incarnation())) {
             return;
@@ -55,6 +64,13 @@
         missingUntil.remove(member.id());
     }
 
+    private void dropUnstated() {
+        if (!startsStated) {
+            startsStated = true;
+            all().stream().filter(member -> !member.incarnation().stated()).forEach(member -> forget(member.id()));
+        }
+    }
+
     /** Notes that a member is no longer listed. A member that had said that it leaves is gone at once. */
     public void remove(String id, long now, boolean storeWasAway) {
         Member member = members.get(id);
--- a/core/src/test/java/org/quetzalseam/core/fleet/MemberTableTest.java
+++ b/core/src/test/java/org/quetzalseam/core/fleet/MemberTableTest.java
@@ -40,6 +40,27 @@
         assertThat(table.expire(GRACE)).containsExactly("a");
     }
 
+    @Test
+    void endpointsOfAPlatformThatStatesNoStartsAreUsed() {
+        table.replaceAll(List.of(member("a", Incarnation.UNSTATED, false)), 0, false);
+        assertThat(table.all()).extracting(Member::id).containsExactly("a");
+    }
+
+    @Test
+    void whereOneEndpointStatesItsStartARegistrationWithoutOneNamesNoEndpoint() {
+        Member other = member("x", Incarnation.UNSTATED, false);
+        table.replaceAll(List.of(other, member("a", 5, false)), 0, false);
+        table.put(other);
+        assertThat(table.all()).extracting(Member::id).containsExactly("a");
+    }
+
+    @Test
+    void aRegistrationThatLosesItsStartDoesNotReplaceTheOneThatHadIt() {
+        table.put(member("a", 5, false));
+        table.put(member("a", Incarnation.UNSTATED, true));
+        assertThat(table.all()).containsExactly(member("a", 5, false));
+    }
+
     @Test
     void anEndpointThatWasLeavingIsReadyAfterItsRestart() {
         table.put(member("a", 1, true));
