--- a/core/src/main/java/org/quetzalseam/core/fleet/MemberTable.java
+++ b/core/src/main/java/org/quetzalseam/core/fleet/MemberTable.java
@@ -14,11 +14,15 @@
  * <p>While the platform's store is away, registrations lapse though their endpoints live. What is missing right after the
  * store's return is therefore kept for a grace time, in which a living endpoint registers again; whatever is missing at
  * any other time is gone at once.
+ *
+ * <p>Either all endpoints of a platform say when they started, or none does. Once half of the registrations have said it, one
+ * that doesn't is another writer's and names no endpoint.
  */
 public final class MemberTable {
     private final long graceNanos;
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Long> missingUntil = new HashMap<>();
+    private boolean startsStated;
 
     /** Creates an empty table that keeps lapsed registrations for the given time, in nanoseconds. */
     public MemberTable(long graceNanos) {
@@ -36,19 +40,42 @@
         Set<String> ids = new HashSet<>();
         for (Member member : listed) {
             ids.add(member.id());
-            put(member);
+            store(member);
         }
         for (String id : List.copyOf(members.keySet())) {
             if (!ids.contains(id)) {
                 remove(id, now, storeWasAway);
             }
         }
+        noteWhetherStartsAreStated();
     }
 
-    /** Adds or renews a member. */
+    /** Adds or renews a member. What speaks of an earlier life than the one known came late, and changes nothing. */
     public void put(Member member) {
-        members.put(member.id(), member);
-        missingUntil.remove(member.id());
+        store(member);
+        noteWhetherStartsAreStated();
+    }
+
+    private void store(Member member) {
+        Member known = members.get(member.id());
+        boolean late = known != null
+                && member.incarnation().stated()
+                && member.incarnation().endedBefore(known.incarnation());
+        if (!late) {
+            members.put(member.id(), member);
+            missingUntil.remove(member.id());
+        }
+    }
+
+    /** A single registration must not decide it: it may be the other writer's. */
+    private void noteWhetherStartsAreStated() {
+        long stated =
+                members.values().stream().filter(MemberTable::statesStart).count();
+        startsStated |= stated > 0 && 2 * stated >= members.size();
+    }
+
+    private static boolean statesStart(Member member) {
+        return member.incarnation().stated();
     }
 
     /** Notes that a member is no longer listed. A member that had said that it leaves is gone at once. */
@@ -81,8 +108,10 @@
         missingUntil.remove(id);
     }
 
-    /** Returns all members, those that leave and those that are missing included. */
+    /** Returns all members that name an endpoint, those that leave and those that are missing included. */
     public Collection<Member> all() {
-        return List.copyOf(members.values());
+        return members.values().stream()
+                .filter(member -> !startsStated || statesStart(member))
+                .toList();
     }
 }
