--- a/core/src/test/java/org/quetzalseam/core/generation/FixedLimitEntry.java
+++ b/core/src/test/java/org/quetzalseam/core/generation/FixedLimitEntry.java
@@ -12,7 +12,7 @@
     private final long[] own;
     private final Random random;
 
-    FixedLimitEntry(int engines, Random random) {
+    FixedLimitEntry(int engines, int entries, Random random) {
         this.own = new long[engines];
         this.random = random;
     }
--- a/core/src/test/java/org/quetzalseam/core/generation/ReadingDay.java
+++ b/core/src/test/java/org/quetzalseam/core/generation/ReadingDay.java
@@ -36,7 +36,7 @@
     /** Makes the entries. */
     @FunctionalInterface
     interface Entries {
-        Entry make(int engines, Random random);
+        Entry make(int engines, int entries, Random random);
     }
 
     /** One caller's prompt. */
@@ -86,7 +86,7 @@
         this.turns = turns;
         this.random = new Random(seed);
         for (int i = 0; i < entryCount; i++) {
-            entries.add(maker.make(engineCount, random));
+            entries.add(maker.make(engineCount, entryCount, random));
         }
         for (int i = 0; i < engineCount; i++) {
             engines.add(new ArrayDeque<>());
