The gateway has prompts read as the reading pool says

The fixed 600 ms after which a reading was begun anew elsewhere is gone: a prompt goes to the engine that is predicted to have read it first, a reading is waited for while its engine answers anything or no other has, and what would come too late is refused before memory is booked and again before the reading begins. The wait for memory leaves the predicted reading instead of 250 ms, the typical time of a generation starts from the first one that ends, and a refused caller comes back no sooner than the predicted backlog lets it in. Not measured yet.

--- a/core/src/main/java/org/quetzalseam/core/generation/ReadingPace.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/ReadingPace.java
@@ -85,7 +85,7 @@
             millisPerToken = usualPace;
         }
         if (most < millisPerToken) {
-            millisPerToken += FASTER * (most - millisPerToken);
+            millisPerToken += (heard ? FASTER : 1) * (most - millisPerToken);
         } else if (reading.ahead == 0) {
             millisPerToken += SLOWER * (most - millisPerToken);
         }
--- a/core/src/main/java/org/quetzalseam/core/generation/ReadingPool.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/ReadingPool.java
@@ -32,6 +32,8 @@
      * for a queue would be met by no pool. Too low, it lets some tens of prompts too many begin; too high, the first answer ends it.
      */
     private static final double FIRST_SHARE = 0.25;
+    /** Prompts of the usual size that wait at an engine that counts as idle: less than what reads just now. */
+    private static final double IDLE_PROMPTS = 0.5;
     /** Prompts an engine that are begun before any has been read: one that reads, and one that follows. */
     private static final int UNTRIED_PROMPTS = 2;
     /** Prompts of the usual size that may wait before the late are kept out, where the objective is shorter than that. */
@@ -41,6 +43,7 @@
     private double usualPace;
     private double usualTokens;
     private double firstEventMillis;
+    private int answers;
     private boolean heard;
     private int untried;
     private double missMillis;
@@ -83,8 +86,8 @@
             if (expected > 0) {
                 surprise = Math.max(surprise * SURPRISE_KEPT, Math.max(1, tookMillis / expected));
             }
-            usualPace =
-                    usualPace == 0 ? pace.millisPerToken() : usualPace + NEWEST * (pace.millisPerToken() - usualPace);
+            answers++;
+            usualPace += Math.max(NEWEST, 1.0 / answers) * (pace.millisPerToken() - usualPace);
         }
 
         /** Notes that it won't be read: given up, or failed. */
@@ -125,17 +128,19 @@
 
     /** Returns whether a prompt is worth beginning at an engine. */
     public boolean worthwhile(E engine, int engineCount, int tokens, Due due, long now) {
+        double wait = waitMillis(engine, now);
         double first = endMillis(engine, tokens, now) + firstEventMillis;
+        boolean inTime = first + missMillis <= due.inTimeMillis();
         double bearable = bearableMillis(due.objectiveMillis());
-        double perMilli = usualPace == 0 ? 0 : engineCount / usualPace;
-        if (!heard && untried >= UNTRIED_PROMPTS * engineCount) {
+        if (first > due.leftMillis() || (!inTime && wait > bearable)) {
             return false;
         }
-        boolean inTime = first + missMillis <= due.inTimeMillis();
-        if (first > due.leftMillis() || !share.allows(perMilli, bearable, inTime ? 0 : LATE_SHARE, now)) {
-            return false;
+        if (!heard) {
+            return untried < UNTRIED_PROMPTS * engineCount;
         }
-        return inTime || waitMillis(engine, now) <= bearable;
+        boolean idle = wait < IDLE_PROMPTS * reading(usualTokens);
+        return (idle && share.plenty())
+                || share.allows(engineCount / usualPace, bearable, inTime ? 0 : LATE_SHARE, now);
     }
 
     /** Returns when the backlog lets in a prompt that isn't worth beginning now, in milliseconds. */
--- a/core/src/main/java/org/quetzalseam/core/generation/ReadingShare.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/ReadingShare.java
@@ -47,11 +47,13 @@
         }
     }
 
+    /** Returns whether others leave so much that this entry needs no share to use an engine that seems idle. */
+    boolean plenty() {
+        return multiple > 1;
+    }
+
     /** Returns whether one more prompt may begin, with so much of the share left besides, from 0 to 1. */
     boolean allows(double tokensPerMilli, double bearableMillis, double besides, long now) {
-        if (tokensPerMilli == 0) {
-            return true;
-        }
         double rate = tokensPerMilli * Math.min(multiple, entries) / entries;
         double most = rate * bearableMillis;
         tokens = filled ? Math.min(most, tokens + rate * (now - filledAt) / 1e6) : most;
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -48,7 +48,6 @@
     private int open;
     private int openControl;
     private int outstanding;
-    private long prefillTokens;
 
     Endpoint(Connector connector, Member member) {
         this.connector = connector;
@@ -76,16 +75,6 @@
         return outstanding;
     }
 
-    /** Returns the prompt tokens that this entry has it read. */
-    public long prefillTokens() {
-        return prefillTokens;
-    }
-
-    /** Notes prompt tokens handed to it, or read by it when negative. */
-    public void prefillTokens(long change) {
-        prefillTokens += change;
-    }
-
     /** Sets how many connections this entry may have open. */
     void mostConnections(int most) {
         mostConnections = most;
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/CallerDue.java
@@ -0,0 +1,26 @@
+package org.quetzalseam.gateway.route;
+
+import org.quetzalseam.core.generation.ReadingPool;
+import org.quetzalseam.core.routing.RouteRule;
+import org.quetzalseam.gateway.caller.Exchange;
+
+/** How long a generation's caller may still wait for the first event. Used on the event loop only. */
+final class CallerDue {
+    private final Exchange exchange;
+    private final RouteRule route;
+    private final ForwardedRequest forwarded;
+    private final long spentBefore;
+
+    CallerDue(Exchange exchange, RouteRule route, ForwardedRequest forwarded, long spentBefore) {
+        this.exchange = exchange;
+        this.route = route;
+        this.forwarded = forwarded;
+        this.spentBefore = spentBefore;
+    }
+
+    /** Returns what is left at this moment. */
+    ReadingPool.Due now() {
+        double inTime = (double) route.targetMillis() - exchange.ageMillis() - spentBefore;
+        return new ReadingPool.Due(inTime, (double) forwarded.leftMillis(), (double) route.targetMillis());
+    }
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -33,6 +33,7 @@
     private final RunLog log;
     private final ReservationDesk desk;
     private final ForwardedRequest forwarded;
+    private final CallerDue due;
     private final HeldMemory held;
     private final EventStream events = new EventStream();
     private final StreamPace pace = new StreamPace();
@@ -42,6 +43,7 @@
     private @Nullable Subscription deadlineTimer;
     private final long spentBefore;
     private long bookedAtMillis;
+    private long readAtMillis;
     private int turns;
     private int runs;
     private boolean mayHaveRun;
@@ -58,6 +60,7 @@
         this.held = new HeldMemory(desk);
         this.forwarded = new ForwardedRequest(exchange, context.protocol(), route);
         this.spentBefore = context.patience(route.name()).spent(exchange.facts().patienceMillis());
+        this.due = new CallerDue(exchange, route, forwarded, spentBefore);
     }
 
     void start() {
@@ -79,19 +82,18 @@
     }
 
     private void bookMemory(TokenDemand demand) {
-        MemoryWait wait = new MemoryWait(
-                context, exchange, route, service, forwarded, spentBefore, log, new MemoryWait.Outcome() {
-                    @Override
-                    public void booked(BookedMemory memory) {
-                        memoryBooked(memory);
-                    }
+        MemoryWait wait = new MemoryWait(context, service, forwarded, due, spentBefore, log, new MemoryWait.Outcome() {
+            @Override
+            public void booked(BookedMemory memory) {
+                memoryBooked(memory);
+            }
 
-                    @Override
-                    public void refused(String why) {
-                        waiting = null;
-                        giveUp(why);
-                    }
-                });
+            @Override
+            public void refused(String why) {
+                waiting = null;
+                giveUp(why);
+            }
+        });
         waiting = wait;
         wait.start(demand);
     }
@@ -122,11 +124,12 @@
         TokenDemand demand = exchange.facts().demand();
         int promptTokens = demand == null ? 0 : demand.prompt();
         PromptReading prompt = new PromptReading(
-                context, exchange, forwarded, service, promptTokens, log, new PromptReading.Outcome() {
+                context, exchange, forwarded, due, service, promptTokens, log, new PromptReading.Outcome() {
                     @Override
                     public void read(Endpoint reader, String handle) {
                         held.read(new KvCache(reader, handle));
                         promptRead = true;
+                        readAtMillis = exchange.ageMillis();
                         decodeBooked(booked);
                     }
 
@@ -263,7 +266,7 @@
 
     /** The engine has not run it: it may be booked, read and sent again. */
     private void turnAgain(String why) {
-        if (turns < MAX_TURNS && takeRetry()) {
+        if (turns < MAX_TURNS && context.takeRetry(service)) {
             inVain();
             takeTurn();
         } else {
@@ -284,10 +287,6 @@
         }
     }
 
-    private boolean takeRetry() {
-        return context.takeRetry(service);
-    }
-
     private void unknown(String why, AnotherTry denied) {
         log.triesEnd(why, denied);
         over("broken-off", HttpResponseStatus.BAD_GATEWAY.code());
@@ -308,7 +307,7 @@
             return;
         }
         over("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code());
-        context.refuse(exchange, why, desk.comeBackMillis());
+        context.refuse(exchange, why, desk.comeBackMillis((double) route.targetMillis()));
     }
 
     private void callerReads() {
@@ -410,6 +409,7 @@
         inVain();
         if (pace.pieces() > 0) {
             log.streamed(pace, spentBefore);
+            desk.readers().firstEvent(readAtMillis, pace.firstMillis());
         }
         log.ended(outcome, status, turns);
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/MemoryWait.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/MemoryWait.java
@@ -1,17 +1,16 @@
 package org.quetzalseam.gateway.route;
 
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.core.generation.ReadingPool;
 import org.quetzalseam.core.generation.TokenDemand;
-import org.quetzalseam.core.routing.RouteRule;
-import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Endpoint;
 
 /** One generation's wait for decode memory: how long it is worth waiting, and what comes of it. Used on the event loop only. */
 final class MemoryWait {
-    /** Time from a booking to the first event, in milliseconds, that a wait for memory must leave within the objective. */
-    private static final long READING_MILLIS = 250;
     /**
      * How long a caller who is late already may wait for memory, in milliseconds: long enough for a place that is just getting
      * free, and too short for the late to take many places from those who could be in time at other entries.
@@ -28,10 +27,9 @@
     }
 
     private final RunContext context;
-    private final Exchange exchange;
-    private final RouteRule route;
     private final String service;
     private final ForwardedRequest forwarded;
+    private final CallerDue due;
     private final long spentBefore;
     private final RunLog log;
     private final Outcome outcome;
@@ -40,18 +38,16 @@
 
     MemoryWait(
             RunContext context,
-            Exchange exchange,
-            RouteRule route,
             String service,
             ForwardedRequest forwarded,
+            CallerDue due,
             long spentBefore,
             RunLog log,
             Outcome outcome) {
         this.context = context;
-        this.exchange = exchange;
-        this.route = route;
         this.service = service;
         this.forwarded = forwarded;
+        this.due = due;
         this.spentBefore = spentBefore;
         this.log = log;
         this.outcome = outcome;
@@ -59,9 +55,23 @@
     }
 
     void start(TokenDemand demand) {
+        ReadingPool.Due left = due.now();
+        PromptReaders readers = desk.readers();
+        Optional<Endpoint> reader =
+                readers.best(demand.prompt(), List.of(), context.settings().zone());
+        if (reader.isPresent() && !readers.worthwhile(reader.get(), demand.prompt(), left)) {
+            log.readTooLate(reader.get(), left, readers.firstEventMillis(reader.get(), demand.prompt()));
+            outcome.refused(PromptReading.TOO_LATE);
+            return;
+        }
+        double first = reader.map(engine -> readers.firstEventMillis(engine, demand.prompt()))
+                .orElse(0.0);
+        waitFor(demand, Math.round(left.inTimeMillis() - first));
+    }
+
+    private void waitFor(TokenDemand demand, long inTime) {
         int tokens = desk.booking().tokens(demand);
         long now = context.now();
-        long inTime = route.targetMillis() - READING_MILLIS - exchange.ageMillis() - spentBefore;
         long wait = Math.min(inTime > 0 ? inTime : LATE_WAIT_MILLIS, forwarded.leftMillis());
         Reservation wanted = new Reservation(
                 tokens,
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReaders.java
@@ -0,0 +1,89 @@
+package org.quetzalseam.gateway.route;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.core.generation.ReadingPool;
+import org.quetzalseam.gateway.endpoint.Endpoint;
+
+/** A service's prefill engines as this entry sees them. Used on the event loop only. */
+final class PromptReaders {
+    /** How often engines that are gone are forgotten, in milliseconds. */
+    private static final long FORGET_MILLIS = 10_000;
+
+    private final RunContext context;
+    private final String service;
+    private final ReadingPool<Endpoint> pool = new ReadingPool<>();
+
+    PromptReaders(RunContext context, String service) {
+        this.context = context;
+        this.service = service;
+        context.timers()
+                .every(
+                        FORGET_MILLIS,
+                        () -> pool.forget(engine -> !context.directory().usable(engine)));
+    }
+
+    /** Sets among how many entries the engines are shared. */
+    void entries(int counted) {
+        pool.entries(counted);
+    }
+
+    private List<Endpoint> usable() {
+        return context.directory().usable(service, Stage.PREFILL);
+    }
+
+    /** Returns the engine that is predicted to have read a prompt first, one in the zone among equals. */
+    Optional<Endpoint> best(int tokens, Collection<Endpoint> without, String zone) {
+        long now = context.now();
+        List<Endpoint> reachable = usable().stream()
+                .filter(engine -> !without.contains(engine) && engine.reachable())
+                .toList();
+        List<Endpoint> sound = reachable.stream()
+                .filter(engine -> !engine.health().suspect(now))
+                .toList();
+        Comparator<Endpoint> ties = Comparator.<Endpoint, Boolean>comparing(
+                        engine -> !engine.member().zone().equals(zone))
+                .thenComparing(engine -> ThreadLocalRandom.current().nextInt());
+        return pool.best(sound.isEmpty() ? reachable : sound, tokens, now, ties);
+    }
+
+    /** Returns whether a prompt is worth beginning at an engine. */
+    boolean worthwhile(Endpoint engine, int tokens, ReadingPool.Due due) {
+        return pool.worthwhile(engine, usable().size(), tokens, due, context.now());
+    }
+
+    /** Returns when a prompt's first event comes that an engine begins now, in milliseconds. */
+    double firstEventMillis(Endpoint engine, int tokens) {
+        return pool.firstEventMillis(engine, tokens, context.now());
+    }
+
+    /** Notes when a generation's prompt was read, 0 for one that no engine here has read, and when its first event came. */
+    void firstEvent(long readAtMillis, long firstEventMillis) {
+        if (readAtMillis > 0 && firstEventMillis > readAtMillis) {
+            pool.firstEvent((double) (firstEventMillis - readAtMillis));
+        }
+    }
+
+    ReadingPool<Endpoint>.Reading begin(Endpoint engine, int tokens, ReadingPool.Due due) {
+        return pool.begin(engine, tokens, context.now(), due.objectiveMillis());
+    }
+
+    /** Returns whether a reading is to be begun elsewhere. */
+    boolean lost(ReadingPool<Endpoint>.Reading reading, Endpoint engine) {
+        boolean gone = !engine.member().leaving() && !context.directory().usable(engine);
+        return reading.lost(usable(), gone, context.now());
+    }
+
+    /** Returns when the shortest backlog lets in more, in milliseconds; 0 where nothing reads. */
+    double comeBackMillis(double objectiveMillis) {
+        long now = context.now();
+        return usable().stream()
+                .mapToDouble(engine -> pool.comeBackMillis(engine, objectiveMillis, now))
+                .min()
+                .orElse(0);
+    }
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
@@ -2,13 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
-import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.core.generation.ReadingPool;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Endpoint;
 import org.quetzalseam.gateway.endpoint.EndpointCall;
@@ -19,11 +17,16 @@
 
 /** The reading of one request's prompt at a prefill engine. Used on the event loop only. */
 final class PromptReading {
-    /** How long it may take before another engine is asked, in milliseconds: several prompts' reading. */
-    private static final long LIMIT_MILLIS = 600;
+    /** The least time between two looks at a silent engine, in milliseconds: a few of its steps. */
+    private static final long LOOK_MILLIS = 50;
     /** Engines that are asked for one request. */
     private static final int MAX_ENGINES = 2;
 
+    /** Looks at a silent engine in the time after which it may be taken for dead. */
+    private static final int LOOKS = 4;
+    /** Why a prompt isn't begun. */
+    static final String TOO_LATE = "the prompt would be read too late";
+
     private static final int MAX_REPLY_BYTES = 64 * 1024;
 
     /** What becomes of the reading. */
@@ -41,12 +44,14 @@
     private final RunContext context;
     private final Exchange exchange;
     private final ForwardedRequest forwarded;
+    private final CallerDue due;
+    private final PromptReaders readers;
     private final String service;
     private final int promptTokens;
     private final RunLog log;
     private final Outcome outcome;
     private final Set<Endpoint> tried = new HashSet<>();
-    private @Nullable Endpoint reader;
+    private ReadingPool<Endpoint>.@Nullable Reading reading;
     private @Nullable EndpointCall call;
     private @Nullable Subscription timer;
 
@@ -54,12 +59,15 @@
             RunContext context,
             Exchange exchange,
             ForwardedRequest forwarded,
+            CallerDue due,
             String service,
             int promptTokens,
             RunLog log,
             Outcome outcome) {
         this.context = context;
         this.exchange = exchange;
+        this.due = due;
+        this.readers = context.desk(service).readers();
         this.forwarded = forwarded;
         this.service = service;
         this.promptTokens = promptTokens;
@@ -67,29 +75,27 @@
         this.outcome = outcome;
     }
 
-    /** Asks the engine with the fewest prompt tokens of this entry, one near the decode engine among equals. */
+    /** Asks the engine that is predicted to have read the prompt first, one near the decode engine among equals. */
     void start(Endpoint decoder) {
-        long now = context.now();
-        Optional<Endpoint> chosen = context.directory().usable(service, Stage.PREFILL).stream()
-                .filter(endpoint -> !tried.contains(endpoint) && endpoint.reachable())
-                .min(Comparator.<Endpoint, Boolean>comparing(
-                                endpoint -> endpoint.health().suspect(now))
-                        .thenComparingLong(Endpoint::prefillTokens)
-                        .thenComparing(endpoint -> !endpoint.member()
-                                .zone()
-                                .equals(decoder.member().zone()))
-                        .thenComparing(endpoint -> ThreadLocalRandom.current().nextInt()));
+        Optional<Endpoint> chosen =
+                readers.best(promptTokens, tried, decoder.member().zone());
         if (chosen.isEmpty()) {
             outcome.noEngine();
             return;
         }
-        ask(chosen.get(), decoder);
+        Endpoint engine = chosen.get();
+        ReadingPool.Due left = due.now();
+        if (!readers.worthwhile(engine, promptTokens, left)) {
+            log.readTooLate(engine, left, readers.firstEventMillis(engine, promptTokens));
+            outcome.failed(TOO_LATE);
+            return;
+        }
+        ask(engine, decoder, readers.begin(engine, promptTokens, left));
     }
 
-    private void ask(Endpoint engine, Endpoint decoder) {
+    private void ask(Endpoint engine, Endpoint decoder, ReadingPool<Endpoint>.Reading begun) {
         tried.add(engine);
-        reader = engine;
-        engine.prefillTokens(promptTokens);
+        reading = begun;
         long sentAt = context.now();
         WholeReply reply = new WholeReply(
                 MAX_REPLY_BYTES,
@@ -101,28 +107,43 @@
                 exchange.facts().id(),
                 reply);
         call = asked;
-        timer = context.after(LIMIT_MILLIS, () -> {
-            if (asked.active()) {
+        lookAfter(Math.round(begun.silenceMillis()), asked, engine, decoder, begun);
+    }
+
+    private void lookAfter(
+            long millis, EndpointCall asked, Endpoint engine, Endpoint decoder, ReadingPool<Endpoint>.Reading begun) {
+        timer = context.after(Math.max(LOOK_MILLIS, millis), () -> {
+            if (!asked.active()) {
+                return;
+            }
+            if (tried.size() < MAX_ENGINES && readers.lost(begun, engine)) {
                 asked.cancel();
-                failed(engine, decoder, new CallFailure(CallFailure.Kind.TIMED_OUT, "the prompt wasn't read in time"));
+                failed(engine, decoder, new CallFailure(CallFailure.Kind.TIMED_OUT, "silent, while others read"));
+            } else {
+                lookAfter(Math.round(begun.silenceMillis() / LOOKS), asked, engine, decoder, begun);
             }
         });
     }
 
     private void answered(Endpoint engine, Endpoint decoder, HttpResponse answer, ByteBuf body, long sentAt) {
-        end();
+        ReadingPool<Endpoint>.Reading begun = reading;
         String text = WholeReply.text(body);
         body.release();
         Optional<String> handle =
                 answer.status().code() == 200 ? context.protocol().kvHandle(text) : Optional.empty();
+        double millis = (context.now() - sentAt) / 1e6;
+        if (handle.isPresent() && begun != null) {
+            begun.read(context.now(), millis, due.now().objectiveMillis());
+        }
+        end();
         if (handle.isEmpty()) {
             log.step("prefill-refused", engine, "status=" + answer.status().code());
             askAnother(decoder);
             return;
         }
-        double millis = (context.now() - sentAt) / 1e6;
         engine.health().succeeded(context.now(), millis);
-        log.step("prefilled", engine, "took_ms=" + Math.round(millis));
+        long predicted = begun == null ? 0 : Math.round(begun.predictedMillis());
+        log.step("prefilled", engine, "took_ms=" + Math.round(millis) + " predicted_ms=" + predicted);
         outcome.read(engine, handle.get());
     }
 
@@ -155,10 +176,10 @@
         if (limit != null) {
             limit.cancel();
         }
-        Endpoint engine = reader;
-        if (engine != null) {
-            engine.prefillTokens(-promptTokens);
-            reader = null;
+        ReadingPool<Endpoint>.Reading begun = reading;
+        if (begun != null) {
+            begun.ended();
+            reading = null;
         }
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
@@ -45,7 +45,7 @@
 
     /** Weight of the newest generation in the typical time: about the last twenty count. */
     private static final double NEWEST = 0.05;
-    /** Time of a generation before the first one has ended, in milliseconds; fades within some twenty generations. */
+    /** Time of a generation before the first one has ended, in milliseconds; it counts as much as a single one. */
     private static final double FIRST_MILLIS = 3_000;
     /** Part of the time to come back by which it is spread either way. */
     private static final double SPREAD = 0.25;
@@ -68,7 +68,9 @@
     private final Map<Endpoint, Integer> asked = new HashMap<>();
     private final MemoryBooking booking;
     private boolean looking;
+    private final PromptReaders readers;
     private double typicalMillis = FIRST_MILLIS;
+    private int typicalOf = 1;
 
     /** An engine's last refusal: when, and of how many tokens. */
     private record Refusal(long at, int tokens) {}
@@ -76,6 +78,7 @@
     ReservationDesk(RunContext context, String service) {
         this.context = context;
         this.service = service;
+        this.readers = new PromptReaders(context, service);
         this.booking = new MemoryBooking(
                 context.settings().bookedDeviations(), context.settings().admittedDeviations(), BLOCK_TOKENS);
         context.timers().every(FORGET_MILLIS, this::forgetGone);
@@ -104,22 +107,28 @@
         return booking;
     }
 
+    /** Returns who reads the prompts. */
+    PromptReaders readers() {
+        return readers;
+    }
+
     /** Notes how long a generation took from its arrival to its end, and how many events it made. */
     void ended(long millis, RequestFacts facts, long events) {
         TokenDemand demand = facts.demand();
         if (demand != null && facts.resumesAfter() == null) {
             booking.ended(demand, (double) events);
         }
-        typicalMillis += NEWEST * (millis - typicalMillis);
+        typicalOf++;
+        typicalMillis += Math.max(NEWEST, 1.0 / typicalOf) * (millis - typicalMillis);
     }
 
     /**
      * Returns when a refused caller finds room, in milliseconds: all that fills the engines now has ended after about the
-     * time of a generation. Spread, so that those who were refused together don't come back together.
+     * time of a generation, or when the prompts before it are read, if that takes longer. Spread, so that those who were refused together don't come back together.
      */
-    long comeBackMillis() {
+    long comeBackMillis(double objectiveMillis) {
         double spread = 1 - SPREAD + 2 * SPREAD * ThreadLocalRandom.current().nextDouble();
-        return Math.round(typicalMillis * spread);
+        return Math.round(Math.max(typicalMillis, readers.comeBackMillis(objectiveMillis)) * spread);
     }
 
     /** Notes that a booking's generation has ended: its engine has room. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -106,6 +106,7 @@
     void entries(int counted) {
         entries = counted;
         retries.values().forEach(allowance -> allowance.entries(counted));
+        desks.values().forEach(desk -> desk.readers().entries(counted));
         shareConnections();
     }
 
@@ -175,7 +176,13 @@
     }
 
     ReservationDesk desk(String service) {
-        return desks.computeIfAbsent(service, name -> new ReservationDesk(this, name));
+        return desks.computeIfAbsent(service, this::newDesk);
+    }
+
+    private ReservationDesk newDesk(String service) {
+        ReservationDesk desk = new ReservationDesk(this, service);
+        desk.readers().entries(entries);
+        return desk;
     }
 
     /** Refuses a request that has not run and won't, and says when to come back. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -1,6 +1,7 @@
 package org.quetzalseam.gateway.route;
 
 import com.google.common.flogger.FluentLogger;
+import org.quetzalseam.core.generation.ReadingPool;
 import org.quetzalseam.core.routing.RouteRule;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Endpoint;
@@ -82,6 +83,15 @@
                 exchange.facts().id(), route.name(), service, version, outcome, status, tries, exchange.ageMillis());
     }
 
+    void readTooLate(Endpoint engine, ReadingPool.Due due, double firstEventMillis) {
+        step(
+                "prefill-too-late",
+                engine,
+                String.format(
+                        "predicted_ms=%.0f in_time_ms=%.0f left_ms=%.0f",
+                        firstEventMillis, due.inTimeMillis(), due.leftMillis()));
+    }
+
     /** Notes that an endpoint has turned the request away, which says that it has not run. */
     void rejected(Endpoint endpoint, int status) {
         metrics.tried(service, "REJECTED");
