A share recovers sooner; a silent engine is left in the end also where nothing else was asked

An engine beside which no other was asked was waited for until the caller's deadline; it is left after twice the silence. Tests at the gateway: slow engines read each prompt once, closed and silent ones are left, and what comes too late is refused before anything is booked.

--- a/core/src/main/java/org/quetzalseam/core/generation/ReadingPace.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/ReadingPace.java
@@ -101,6 +101,11 @@
         return waitMillis(now, usualPace) + tokens * pace(usualPace);
     }
 
+    /** Returns whether the engine has ever read a prompt. */
+    boolean heard() {
+        return heard;
+    }
+
     /** Returns whether the engine has read a prompt since another one was begun, wherever that was. */
     boolean heardSince(Reading other) {
         return heard && heardAt - other.begunAt > 0;
--- a/core/src/main/java/org/quetzalseam/core/generation/ReadingPool.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/ReadingPool.java
@@ -98,7 +98,8 @@
 
         /**
          * Returns whether to begin it anew elsewhere: its engine has been silent for much longer than slowness explains, and
-         * another, which has answered meanwhile, would have read it in less than it has been waited for already.
+         * another would have read it in less than it has been waited for already. One that hasn't answered meanwhile may be as
+         * slow: it counts after twice the silence.
          *
          * @param others the engines that may read it
          * @param gone whether its engine isn't listed any more
@@ -106,10 +107,12 @@
          */
         public boolean lost(Collection<E> others, boolean gone, long now) {
             double silent = pace.silentMillis(reading, now);
-            return silent > (gone ? silenceMillis() / BEYOND_SURPRISE : silenceMillis())
+            double limit = gone ? silenceMillis() / BEYOND_SURPRISE : silenceMillis();
+            return silent > limit
                     && others.stream()
-                            .filter(other ->
-                                    !other.equals(engine) && pace(other).heardSince(reading))
+                            .filter(other -> !other.equals(engine))
+                            .filter(other -> pace(other).heardSince(reading)
+                                    || (pace(other).heard() && silent > BEYOND_SURPRISE * limit))
                             .anyMatch(other -> endMillis(other, reading.tokens(), now) * surprise < silent);
         }
 
--- a/core/src/main/java/org/quetzalseam/core/generation/ReadingShare.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/ReadingShare.java
@@ -9,8 +9,8 @@
  * more while answers show that others leave theirs. A prompt may be larger than what is left of the share; its rest is a debt.
  */
 final class ReadingShare {
-    /** Change with an answer that found a short queue: doubles in some seven. */
-    private static final double MORE = 1.1;
+    /** Change with an answer that found a short queue: doubles in some four. */
+    private static final double MORE = 1.2;
     /** Change with an answer that found a long queue: halves in three, as a queue grows faster than it is worked off. */
     private static final double LESS = 0.8;
     /** Part of the time for a reading in time below which the queue counts as short. */
--- a/core/src/test/java/org/quetzalseam/core/generation/ReadingPoolTest.java
+++ b/core/src/test/java/org/quetzalseam/core/generation/ReadingPoolTest.java
@@ -148,7 +148,7 @@
     }
 
     @Test
-    void aSilentEngineIsLeftOnlyForOneThatHasAnsweredMeanwhile() {
+    void aSilentEngineIsLeftSoonerForOneThatHasAnsweredMeanwhile() {
         reads("a", 90, 20);
         reads("b", 90, 20);
         ReadingPool<String>.Reading dead = begin("a");
@@ -164,4 +164,16 @@
         assertThat(dead.lost(ENGINES, false, now)).isTrue();
         assertThat(dead.lost(List.of("a"), false, now)).as("there is no other").isFalse();
     }
+
+    @Test
+    void aSilentEngineIsLeftInTheEndWhereNothingElseWasAsked() {
+        reads("a", 90, 20);
+        reads("b", 90, 20);
+        ReadingPool<String>.Reading dead = begin("a");
+        long limit = Math.round(dead.silenceMillis());
+        pass(limit + 50);
+        assertThat(dead.lost(ENGINES, false, now)).isFalse();
+        pass(limit);
+        assertThat(dead.lost(ENGINES, false, now)).isTrue();
+    }
 }
--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/PromptReadingTest.java
@@ -0,0 +1,142 @@
+package org.quetzalseam.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.standins.raw.RawRequest;
+
+/** Prompts at engines that are slower than this project has ever seen, silent, or too full. */
+class PromptReadingTest {
+    private static final String SIZE = "x-tokens: 1000";
+    /** Longer than any fixed limit that suits a fast engine. */
+    private static final long SLOW_MILLIS = 1_200;
+
+    private final TestEntry entry = new TestEntry();
+    private final AtomicInteger bookings = new AtomicInteger();
+    private final ScriptedEndpoint first = new ScriptedEndpoint("first", this::read);
+    private final ScriptedEndpoint second = new ScriptedEndpoint("second", this::read);
+    private final ScriptedEndpoint decode = new ScriptedEndpoint("decode", this::decode);
+
+    @BeforeEach
+    void start() {
+        entry.routes(8_000);
+        entry.endpoints(
+                first.member("s", Stage.PREFILL), second.member("s", Stage.PREFILL), decode.member("s", Stage.DECODE));
+    }
+
+    @AfterEach
+    void stop() {
+        entry.close();
+        first.close();
+        second.close();
+        decode.close();
+    }
+
+    private void read(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
+        connection.answer(request, request.path().startsWith("/control/") ? "" : "kv");
+    }
+
+    private ScriptedEndpoint.Script after(long millis) {
+        return (request, connection) -> {
+            pause(millis);
+            read(request, connection);
+        };
+    }
+
+    private static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void decode(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
+        if (request.path().startsWith("/control/reserve")) {
+            connection.answer(request, "booking" + bookings.incrementAndGet());
+        } else if (request.path().startsWith("/control/")) {
+            connection.answer(request, "");
+        } else {
+            connection.beginStream(request);
+            connection.chunk("id: 1\ndata: a\n\n");
+            connection.endStream();
+        }
+    }
+
+    private int reads() {
+        return first.runs().size() + second.runs().size();
+    }
+
+    private List<String> askTogether(String prefix, int count) {
+        List<CompletableFuture<String>> asked = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String id = prefix + i;
+            asked.add(CompletableFuture.supplyAsync(() -> entry.ask("/stream/x", id, SIZE)));
+        }
+        return asked.stream().map(CompletableFuture::join).toList();
+    }
+
+    @Test
+    void aSlowReadingIsWaitedForAndNotBegunAnew() {
+        first.script(after(SLOW_MILLIS));
+        second.script(after(SLOW_MILLIS));
+        assertThat(entry.ask("/stream/x", "r1", SIZE)).startsWith("HTTP/1.1 200");
+        assertThat(reads()).isEqualTo(1);
+    }
+
+    @Test
+    void slowEnginesReadEachPromptOnceAlsoWhenSeveralComeTogether() {
+        first.script(after(SLOW_MILLIS));
+        second.script(after(SLOW_MILLIS));
+        List<String> answers = askTogether("r", 4);
+        long served = answers.stream()
+                .filter(answer -> answer.startsWith("HTTP/1.1 200"))
+                .count();
+        assertThat(served).isEqualTo(reads()).isGreaterThanOrEqualTo(2);
+        assertThat(answers).allMatch(answer -> answer.startsWith("HTTP/1.1 200") || answer.startsWith("HTTP/1.1 503"));
+    }
+
+    @Test
+    void anEngineThatClosesTheConnectionLeadsToAnotherAtOnce() {
+        first.script((request, connection) -> connection.reset());
+        for (int i = 0; i < 6; i++) {
+            assertThat(entry.ask("/stream/x", "r" + i, SIZE)).as("stream %d", i).startsWith("HTTP/1.1 200");
+        }
+        assertThat(second.runs()).hasSize(6);
+    }
+
+    @Test
+    void aSilentEngineIsLeftForOneThatReadsMeanwhile() {
+        for (int i = 0; i < 10; i++) {
+            entry.ask("/stream/x", "warm" + i, SIZE);
+        }
+        first.script((request, connection) -> connection.awaitClosed());
+        List<String> answers = new ArrayList<>();
+        for (int round = 0; round < 8; round++) {
+            answers.addAll(askTogether("r" + round + "-", 3));
+        }
+        assertThat(answers).allMatch(answer -> answer.startsWith("HTTP/1.1 200"));
+    }
+
+    @Test
+    void whatWouldBeReadTooLateIsRefusedBeforeAnythingIsBooked() {
+        first.script(after(SLOW_MILLIS));
+        second.script(after(SLOW_MILLIS));
+        askTogether("warm", 2);
+        int before = bookings.get();
+        int readsBefore = reads();
+        String answer = entry.ask("/stream/x", "r1", SIZE, "x-patience: 300");
+        assertThat(answer).startsWith("HTTP/1.1 503").contains("x-come-back: ");
+        assertThat(bookings.get()).isEqualTo(before);
+        assertThat(reads()).isEqualTo(readsBefore);
+    }
+}
