--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -108,6 +108,7 @@
     void entries(int counted) {
         entries = counted;
         retries.values().forEach(allowance -> allowance.entries(counted));
+        desks.values().forEach(desk -> desk.readers().entries(counted));
         shareConnections();
     }
 
@@ -179,7 +180,13 @@
     }
 
     ReservationDesk desk(String service) {
-        return desks.computeIfAbsent(service, name -> new ReservationDesk(this, name));
+        return desks.computeIfAbsent(service, this::newDesk);
+    }
+
+    private ReservationDesk newDesk(String service) {
+        ReservationDesk desk = new ReservationDesk(this, service);
+        desk.readers().entries(entries);
+        return desk;
     }
 
     /** Refuses a request because this entry stops before it would end. */
