--- a/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectFaults.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectFaults.java
@@ -43,7 +43,7 @@
 
     /** Notes that an object could be read. */
     public void readable(String name) {
-        if (faults.remove(UnreadableException.printable(name)) != null) {
+        if (!faults.isEmpty() && faults.remove(UnreadableException.printable(name)) != null) {
             logger.atInfo().log("event=object-readable kind=%s name=%s", kind, name);
         }
     }
