--- a/core/src/main/java/org/quetzalseam/core/fleet/MemberTable.java
+++ b/core/src/main/java/org/quetzalseam/core/fleet/MemberTable.java
@@ -69,8 +69,7 @@
 
     /** A single registration must not decide it: it may be the other writer's. */
     private void noteWhetherStartsAreStated() {
-        long stated =
-                members.values().stream().filter(MemberTable::statesStart).count();
+        long stated = members.values().stream().filter(MemberTable::statesStart).count();
         startsStated |= stated > 0 && 2 * stated >= members.size();
     }
 
