--- a/gateway/src/test/java/org/quetzalseam/gateway/LeavingEntryTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/LeavingEntryTest.java
@@ -18,11 +18,11 @@
 /**
  * What an entry still takes after it has been told to stop.
  *
- * <p>Seen: all entries of a site were stopped a second apart. One took a stream 3.02 s after its signal, between two looks at
- * whether it should still listen, and cut it 4.6 s later, when its grace period of 8 s ended, though engine and network were
- * well. Streams of that length were usual: several that had just ended had lasted longer than what was left to this one. The
- * cause: the end of listening was the only bound, and nothing compared what a request would take with the time left for it.
- * Proof: the entry's log has the stream booked 3.024 s after {@code leaving} and {@code requests_cut=1} at the end.
+ * <p>Seen: all entries of a site were stopped a second apart. One took a stream 3.02 s after its signal and cut it 4.7 s later,
+ * when its grace period of 8 s ended, though engine and network were well. Streams of that length were usual: five that had just
+ * ended had lasted longer than what was left to this one. The cause: the end of listening, looked at every 50 ms, was the only
+ * bound, and nothing compared what a request would take with the time left for it. Proof: the entry's log has the stream booked
+ * 3.02 s after {@code leaving} and {@code requests_cut=1} at the end; both ways in which it can have come are brought about here.
  */
 @Timeout(60)
 class LeavingEntryTest {
