An endpoint whose registration proves untrue is left out for two seconds

Cause: an endpoint that crashed stays listed for a while, or comes back into the list, while its successor answers at its address: all that it is sent comes back as misdirected (421). So one such answer leaves the endpoint out for two seconds, or until its registration changes; a change of stage that isn't listed yet is met in the same way.

The new test failed before: each of four calls was sent to the endpoint, now the first only.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -121,7 +121,9 @@
 
     /** Returns whether the endpoint may still take new work. */
     public boolean usable(Endpoint endpoint) {
-        return !endpoint.member().leaving() && endpoints.get(endpoint.member().id()) == endpoint;
+        return !endpoint.member().leaving()
+                && !endpoint.misdirected()
+                && endpoints.get(endpoint.member().id()) == endpoint;
     }
 
     /** Returns a service's endpoints of a stage that take new work. */
@@ -129,7 +131,10 @@
         List<Endpoint> found = new ArrayList<>();
         for (Endpoint endpoint : endpoints.values()) {
             Member member = endpoint.member();
-            if (!member.leaving() && member.stage() == stage && member.service().equals(service)) {
+            if (!member.leaving()
+                    && !endpoint.misdirected()
+                    && member.stage() == stage
+                    && member.service().equals(service)) {
                 found.add(endpoint);
             }
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -7,6 +7,8 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -48,6 +50,12 @@
      */
     private static final long LAST_REPLIES_MILLIS = 300;
 
+    /**
+     * How long an endpoint is left out after its address was answered by another, or by it in another stage, in milliseconds:
+     * about what the store takes to list a start or a change of stage.
+     */
+    private static final long MISDIRECTED_MILLIS = 2_000;
+
     private final Connector connector;
     private final Timers timers;
     private final InetSocketAddress address;
@@ -63,6 +71,8 @@
     private int outstanding;
     private long prefillTokens;
     private boolean ended;
+    private boolean misdirected;
+    private long misdirectedAt;
 
     Endpoint(Connector connector, Member member) {
         this.connector = connector;
@@ -77,6 +87,7 @@
     }
 
     void member(Member renewed) {
+        misdirected = misdirected && renewed.equals(member);
         member = renewed;
     }
 
@@ -85,6 +96,21 @@
         return ended;
     }
 
+    /**
+     * Returns whether its registration has just been found not to be true: who answered at its address was another endpoint,
+     * or it is in another stage. All that it is sent would come back.
+     */
+    boolean misdirected() {
+        return misdirected && timers.now() - misdirectedAt < TimeUnit.MILLISECONDS.toNanos(MISDIRECTED_MILLIS);
+    }
+
+    private void answered(HttpResponse head) {
+        if (head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+            misdirected = true;
+            misdirectedAt = timers.now();
+        }
+    }
+
     /** Returns its record. */
     public EndpointHealth health() {
         return health;
@@ -126,7 +152,8 @@
     public EndpointCall send(HttpRequest request, ByteBuf body, String id, ReplyListener replies) {
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         outstanding++;
-        EndpointCall call = new EndpointCall(request, body, id.isEmpty() ? null : id, replies, this::runEnded);
+        EndpointCall call =
+                new EndpointCall(request, body, id.isEmpty() ? null : id, replies, this::answered, this::runEnded);
         underWay.add(call);
         if (ended) {
             timers.soon(() -> refuseEnded(call));
@@ -202,7 +229,7 @@
         // The connection writes head and body apart; a full request as its head would end the message twice.
         HttpRequest head =
                 new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers());
-        EndpointCall call = new EndpointCall(head, request.content(), null, replies, underWay::remove);
+        EndpointCall call = new EndpointCall(head, request.content(), null, replies, this::answered, underWay::remove);
         underWay.add(call);
         return call;
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/EndpointCall.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/EndpointCall.java
@@ -15,6 +15,7 @@
     private final ByteBuf body;
     private final @Nullable String id;
     private final ReplyListener replies;
+    private final Consumer<HttpResponse> onHead;
     private final Consumer<EndpointCall> onEnd;
     private @Nullable HttpConnection connection;
     private boolean ended;
@@ -24,11 +25,13 @@
             ByteBuf body,
             @Nullable String id,
             ReplyListener replies,
+            Consumer<HttpResponse> onHead,
             Consumer<EndpointCall> onEnd) {
         this.request = request;
         this.body = body;
         this.id = id;
         this.replies = replies;
+        this.onHead = onHead;
         this.onEnd = onEnd;
     }
 
@@ -111,6 +114,7 @@
 
     @Override
     public void head(HttpResponse head) {
+        onHead.accept(head);
         replies.head(head);
     }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/RestartedEndpointTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/RestartedEndpointTest.java
@@ -210,6 +210,19 @@
         assertThat(released).doesNotContain("/control/release/booking1");
     }
 
+    @Test
+    void anEndpointAtWhoseAddressAnotherAnswersIsLeftOutUntilItsRegistrationChanges() {
+        plain.script((request, connection) -> connection.write("HTTP/1.1 421 Misdirected Request\r\nx-id: "
+                + request.header("x-id") + "\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n"));
+        for (int i = 0; i < 4; i++) {
+            assertThat(entry.ask("/once/x", "r" + i)).startsWith("HTTP/1.1 503");
+        }
+        assertThat(plain.runs()).hasSizeLessThanOrEqualTo(1);
+        plain.script((request, connection) -> connection.answer(request, "answer"));
+        plainStartsAgain();
+        assertThat(entry.ask("/once/x", "r9")).endsWith("answer");
+    }
+
     @Test
     void aPromptThatTheEarlierLifeReadIsReadAgain() {
         prefill.script((request, connection) -> {
