Old news of a long queue keeps prompts out no longer than the queue takes to be read

What others have waiting is now worked off at the engine's pace, and a share below the equal one is forgotten after four bearable waits without a slow answer.

--- a/core/src/main/java/org/quetzalseam/core/generation/ReadingPace.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/ReadingPace.java
@@ -131,10 +131,9 @@
         return tokens * pace(usualPace) - done;
     }
 
-    /** What others have waiting, without news: an engine works it off, while some of them add to it. */
+    /** What others have waiting, without news: who sees a long queue adds nothing, so the engine works it off at its pace. */
     private double faded(long now) {
-        double age = millis(now - othersAt);
-        return others <= 0 ? 0 : others * Math.exp(-age / (2 * others));
+        return Math.max(0, others - millis(now - othersAt));
     }
 
     private double overdue(long now) {
--- a/core/src/main/java/org/quetzalseam/core/generation/ReadingPool.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/ReadingPool.java
@@ -81,7 +81,7 @@
             double expected = Math.max(predictedMillis(), reading(usualTokens));
             heard = true;
             pace.read(reading, now, usualPace);
-            share.took(tookMillis, reading.tokens() * pace.millisPerToken(), objectiveMillis - firstEventMillis);
+            share.took(tookMillis, reading.tokens() * pace.millisPerToken(), objectiveMillis - firstEventMillis, now);
             missMillis += NEWEST * (Math.max(0, tookMillis - predictedMillis()) - missMillis);
             if (expected > 0) {
                 surprise = Math.max(surprise * SURPRISE_KEPT, Math.max(1, tookMillis / expected));
--- a/core/src/main/java/org/quetzalseam/core/generation/ReadingShare.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/ReadingShare.java
@@ -27,11 +27,15 @@
     /** The least multiple: a queue that is too long has to become shorter, not only to grow no more. */
     private static final double LEAST = 0.5;
 
+    /** Age of a long answer from which it says nothing, in bearable waits: some queues' lengths. */
+    private static final double OLD = 4;
+
     private int entries = 1;
     private double multiple = FIRST_MULTIPLE;
     private double tokens;
     private long filledAt;
     private boolean filled;
+    private long changedAt;
 
     /** Sets among how many entries the pool is shared. */
     void entries(int counted) {
@@ -39,14 +43,23 @@
     }
 
     /** Notes how long a reading took, how long it takes alone, and how long it may take for those in time. */
-    void took(double millis, double aloneMillis, double inTimeMillis) {
+    void took(double millis, double aloneMillis, double inTimeMillis, long now) {
         if (millis > Math.max(LONG * inTimeMillis, LONG_ALONE * aloneMillis)) {
+            changedAt = now;
             multiple = Math.max(LEAST, Math.min(multiple, entries) * LESS);
         } else if (millis < Math.max(SHORT * inTimeMillis, SHORT_ALONE * aloneMillis)) {
             multiple = Math.min(entries, multiple * MORE);
         }
     }
 
+    /** A long queue that no answer tells of any more has been worked off: who is kept from asking gets no answers. */
+    private void forgetLong(double bearableMillis, long now) {
+        if (multiple < 1 && (now - changedAt) / 1e6 > OLD * bearableMillis) {
+            multiple = 1;
+            changedAt = now;
+        }
+    }
+
     /** Returns whether others leave so much that this entry needs no share to use an engine that seems idle. */
     boolean plenty() {
         return multiple > 1;
@@ -54,6 +67,7 @@
 
     /** Returns whether one more prompt may begin, with so much of the share left besides, from 0 to 1. */
     boolean allows(double tokensPerMilli, double bearableMillis, double besides, long now) {
+        forgetLong(bearableMillis, now);
         double rate = tokensPerMilli * Math.min(multiple, entries) / entries;
         double most = rate * bearableMillis;
         tokens = filled ? Math.min(most, tokens + rate * (now - filledAt) / 1e6) : most;
