--- a/core/src/test/java/org/quetzalseam/core/generation/ReadingPoolTest.java
+++ b/core/src/test/java/org/quetzalseam/core/generation/ReadingPoolTest.java
@@ -125,6 +125,15 @@
         assertThat(pool.comeBackMillis("a", OBJECTIVE, now)).isBetween(500.0, 1_200.0);
     }
 
+    @Test
+    void aStallThatIsOverKeepsPromptsOutForNoLongerThanItsQueueTakes() {
+        reads("a", 90, 20);
+        reads("a", 5_000, 1);
+        assertThat(worthwhile("a", IN_TIME)).as("right after it").isFalse();
+        pass(2_400);
+        assertThat(worthwhile("a", IN_TIME)).isTrue();
+    }
+
     @Test
     void whatTakesLongerThanTheObjectiveByItselfIsBegunWhereNothingWaits() {
         reads("a", 2_000, 100);
