--- a/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
@@ -27,7 +27,12 @@
     private final ListeningAddresses listening;
 
     TestEntry() {
-        EntrySettings settings = new EntrySettings("entry-1", "a", 1.0, 1_000, 10_000, 1, 2, 0.25);
+        this(1.0, 1_000);
+    }
+
+    /** Creates an entry with a retry budget: retries for each request, and in a window besides, of all entries together. */
+    TestEntry(double retryRatio, double retrySlack) {
+        EntrySettings settings = new EntrySettings("entry-1", "a", retryRatio, retrySlack, 10_000, 1, 2, 0.25);
         process = new EntryProcess(new TestProtocol(), settings);
         InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         listening = process.start(anyPort, anyPort, anyPort);
