A further turn of a generation takes a retry for its run and one for its prompt

Cause of the broken budget: see the failing test. Ruled out: counting entries (five were known), the prompt's second reading at another engine (takes its own retry).

--- a/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
+++ b/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
@@ -53,11 +53,18 @@
 
     /** Takes one retry. Returns false when none is left. */
     public boolean retry(long now) {
+        return retries(now, 1);
+    }
+
+    /** Takes several retries, as many as calls beyond a request's first will follow. Returns false, and takes none, when fewer are left. */
+    public boolean retries(long now, int count) {
         trim(now);
-        if (retries.size() + 1 > ratio * requests.size() + slack) {
+        if (retries.size() + count > ratio * requests.size() + slack) {
             return false;
         }
-        retries.addLast(now);
+        for (int i = 0; i < count; i++) {
+            retries.addLast(now);
+        }
         return true;
     }
 
--- a/core/src/test/java/org/quetzalseam/core/limits/RetryAllowanceTest.java
+++ b/core/src/test/java/org/quetzalseam/core/limits/RetryAllowanceTest.java
@@ -64,4 +64,14 @@
         assertThat(taken(allowance, WINDOW)).isZero();
         assertThat(taken(allowance, WINDOW + 2)).isEqualTo(first);
     }
+
+    @Test
+    void severalRetriesAreTakenTogetherOrNotAtAll() {
+        RetryAllowance few = new RetryAllowance(0, 5, 1_000);
+        few.entries(1);
+        assertThat(few.retries(0, 3)).isTrue();
+        assertThat(few.retries(0, 2)).isFalse();
+        assertThat(few.retry(0)).isTrue();
+        assertThat(few.retry(0)).isFalse();
+    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -267,7 +267,7 @@
 
     /** The engine has not run it: it may be booked, read and sent again. */
     private void turnAgain(String why) {
-        if (turns < MAX_TURNS && context.takeRetry(service)) {
+        if (turns < MAX_TURNS && context.takeTurn(service)) {
             inVain();
             takeTurn();
         } else {
@@ -278,7 +278,7 @@
     /** The engine may have run it: it may go on only where its route says so. */
     private void goOnElsewhere(Endpoint engine, String why) {
         events.restart();
-        AnotherTry next = turns < MAX_TURNS ? context.anotherTry(route, service, runs) : AnotherTry.TRIES_USED_UP;
+        AnotherTry next = turns < MAX_TURNS ? context.anotherTurn(route, service, runs) : AnotherTry.TRIES_USED_UP;
         if (next == AnotherTry.ALLOWED) {
             log.step("resume", engine, "after=" + events.lastId() + " why=\"" + why + "\"");
             inVain();
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -14,6 +14,7 @@
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.drain.AnswerTime;
 import org.quetzalseam.core.drain.GracePeriod;
+import org.quetzalseam.core.fleet.Stage;
 import org.quetzalseam.core.limits.CallerPatience;
 import org.quetzalseam.core.limits.ConnectionShare;
 import org.quetzalseam.core.limits.RetryAllowance;
@@ -89,20 +90,45 @@
 
     /** Takes one retry from this entry's share of the budget. Returns false when none is left. */
     boolean takeRetry(String service) {
-        boolean allowed = retries(service).retry(now());
+        return takeRetries(service, 1);
+    }
+
+    /**
+     * Takes what another turn of a generation costs: one retry for its run, and one for the reading of its prompt, as only the
+     * first reading of a request is free. Returns false when the budget has less.
+     */
+    boolean takeTurn(String service) {
+        return takeRetries(service, arrivalsOfATurn(service));
+    }
+
+    private int arrivalsOfATurn(String service) {
+        return directory.usable(service, Stage.PREFILL).isEmpty() ? 1 : 2;
+    }
+
+    private boolean takeRetries(String service, int count) {
+        boolean allowed = retries(service).retries(now(), count);
         metrics.retry(service, allowed);
         return allowed;
     }
 
     /** Decides whether a request that has run so often may be sent again, and takes the retry if so. */
     AnotherTry anotherTry(RouteRule route, String service, int runs) {
+        return anotherTry(route, service, runs, 1);
+    }
+
+    /** The same for a generation, which takes another turn from booking to decoding. */
+    AnotherTry anotherTurn(RouteRule route, String service, int runs) {
+        return anotherTry(route, service, runs, arrivalsOfATurn(service));
+    }
+
+    private AnotherTry anotherTry(RouteRule route, String service, int runs, int arrivals) {
         if (!route.mayRepeat()) {
             return AnotherTry.NOT_IDEMPOTENT;
         }
         if (runs >= route.maxAttempts()) {
             return AnotherTry.TRIES_USED_UP;
         }
-        return takeRetry(service) ? AnotherTry.ALLOWED : AnotherTry.BUDGET_SPENT;
+        return takeRetries(service, arrivals) ? AnotherTry.ALLOWED : AnotherTry.BUDGET_SPENT;
     }
 
     void entries(int counted) {
