--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -13,7 +13,6 @@
 import org.quetzalseam.gateway.http.CallFailure;
 import org.quetzalseam.gateway.protocol.Forwarding;
 import org.quetzalseam.gateway.protocol.ReplyFacts;
-import org.quetzalseam.gateway.protocol.RequestFacts;
 import org.quetzalseam.gateway.runtime.Subscription;
 
 /**
@@ -37,17 +36,15 @@
     private final HeldMemory held;
     private final EventStream events = new EventStream();
     private final StreamPace pace = new StreamPace();
+    private final GenerationLessons lessons;
     private @Nullable MemoryWait waiting;
     private @Nullable PromptReading reading;
     private @Nullable EndpointCall decoding;
     private @Nullable Subscription deadlineTimer;
     private final long spentBefore;
-    private long bookedAtMillis;
-    private long readAtMillis;
     private int turns;
     private int runs;
     private boolean mayHaveRun;
-    private boolean promptRead;
     private boolean over;
 
     GenerationRun(RunContext context, Exchange exchange, RouteRule route, String service, RunLog log) {
@@ -58,6 +55,7 @@
         this.log = log;
         this.desk = context.desk(service);
         this.held = new HeldMemory(desk);
+        this.lessons = new GenerationLessons(context, exchange, route, desk, log);
         this.forwarded = new ForwardedRequest(exchange, context.protocol(), route);
         this.spentBefore = context.patience(route.name()).spent(exchange.facts().patienceMillis());
         this.due = new CallerDue(exchange, route, forwarded, spentBefore);
@@ -117,7 +115,7 @@
             context.refuseLeaving(exchange);
             return;
         }
-        bookedAtMillis = exchange.ageMillis();
+        lessons.begun();
         readPrompt(booked);
     }
 
@@ -129,8 +127,7 @@
                     @Override
                     public void read(Endpoint reader, String handle) {
                         held.read(new KvCache(reader, handle));
-                        promptRead = true;
-                        readAtMillis = exchange.ageMillis();
+                        lessons.promptRead();
                         decodeBooked(booked);
                     }
 
@@ -212,9 +209,7 @@
             }
             runs++;
             engine.health().succeeded(context.now(), engine.health().millis());
-            desk.ended(exchange.ageMillis(), exchange.facts(), events.events());
-            noteAnswerTime();
-            promptRead = false;
+            lessons.answered(events.events());
             over("answered", HttpResponseStatus.OK.code());
             exchange.end();
         }
@@ -268,7 +263,7 @@
     /** The engine has not run it: it may be booked, read and sent again. */
     private void turnAgain(String why) {
         if (turns < MAX_TURNS && context.takeTurn(service)) {
-            inVain();
+            lessons.inVain();
             takeTurn();
         } else {
             giveUp(why);
@@ -281,7 +276,7 @@
         AnotherTry next = turns < MAX_TURNS ? context.anotherTurn(route, service, runs) : AnotherTry.TRIES_USED_UP;
         if (next == AnotherTry.ALLOWED) {
             log.step("resume", engine, "after=" + events.lastId() + " why=\"" + why + "\"");
-            inVain();
+            lessons.inVain();
             takeTurn();
         } else {
             unknown(why, next);
@@ -327,17 +322,6 @@
         }
     }
 
-    /**
-     * The wait for memory isn't counted: whether the rest still fits is asked again after it. A stream that goes on from an
-     * earlier one is shorter than its caller's estimate says, so nothing is learnt from it.
-     */
-    private void noteAnswerTime() {
-        RequestFacts facts = exchange.facts();
-        if (facts.resumesAfter() == null) {
-            context.answerTime(route).ended(facts.estimate(), exchange.ageMillis() - bookedAtMillis);
-        }
-    }
-
     private void deadlinePassed() {
         noteSilence(decoding);
         endUnfinished("timed-out", HttpResponseStatus.GATEWAY_TIMEOUT, "no answer in time");
@@ -388,15 +372,6 @@
         held.free();
     }
 
-    /** Notes that the prompt was read and nothing whole came of it. */
-    private void inVain() {
-        TokenDemand demand = exchange.facts().demand();
-        if (promptRead && demand != null) {
-            log.readInVain(demand.prompt());
-        }
-        promptRead = false;
-    }
-
     private void over(String outcome, int status) {
         if (over) {
             return;
@@ -407,11 +382,8 @@
             timer.cancel();
         }
         held.free();
-        inVain();
-        if (pace.pieces() > 0) {
-            log.streamed(pace, spentBefore);
-            desk.readers().firstEvent(readAtMillis, pace.firstMillis());
-        }
+        lessons.inVain();
+        lessons.streamed(pace, spentBefore);
         log.ended(outcome, status, turns);
     }
 }
