An endpoint's last outputs leave before it ends

Cause: work counts as over when its last output is queued on a connection, and closing a connection drops its queue. Ruled out before: the drain limit, new work at a leaving endpoint. Connection.finish writes the queue and then the end; EndpointDaemon.stop waits for its peers' end for at most six seconds.

--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import org.quetzalseam.core.admission.BookingPolicy;
 import org.quetzalseam.core.admission.SlotLedger;
@@ -55,6 +57,8 @@
     private static final Duration PURGE = Duration.ofSeconds(5);
     private static final Duration ATTEMPT_RETENTION = Duration.ofSeconds(30);
     private static final long DRAIN_POLL_MILLIS = 20;
+    /** How long peers may take to read the last messages: as long as a silent connection is kept. */
+    private static final Duration LAST_MESSAGES = Duration.ofSeconds(6);
 
     private final Settings settings;
     private final Identity self;
@@ -241,10 +245,28 @@
                     self.name(), gate.admission().live());
         }
         serviceGate.ifPresent(ServiceGate::end);
+        deliverLastMessages();
         release();
         logger.atInfo().log("event=stopped role=endpoint name=%s", self.name());
     }
 
+    /** Work is over when its last output is handed to a connection, which may be seconds before that has left. */
+    private void deliverLastMessages() {
+        try {
+            acceptor.finish().get(LAST_MESSAGES.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            logger.atWarning().log(
+                    "event=last-messages-cut name=%s limit_ms=%d connections=%d",
+                    self.name(),
+                    LAST_MESSAGES.toMillis(),
+                    acceptor.connections().size());
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("connections end without a result", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Takes no new work from now on, tells every entry so, and hands queued work back. */
     public void leave() {
         leaving = true;
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/ServiceGate.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/ServiceGate.java
@@ -1,5 +1,6 @@
 package org.quetzalseam.daemon.endpoint;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -29,6 +30,7 @@
  * rendezvous hashing gives to this endpoint, so that a key is decided on where its call would run. Thread-safe.
  */
 final class ServiceGate implements Gate, Backend {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** By how much the clocks of callers may be ahead, and a list of VMs may lag behind. */
     private static final Duration CLOCK_MARGIN = Duration.ofSeconds(5);
 
@@ -219,6 +221,7 @@
         if (cause instanceof ServiceException known && known.code() == ServiceException.Code.NOT_RUN) {
             return new Refused(job.id(), RefusalReason.BACKEND_DOWN, 0, admission.load());
         }
+        logger.atWarning().log("event=service-gave-no-answer attempt=%s reason=%s", job.id(), cause.getMessage());
         boolean timeout = cause instanceof ServiceException known && known.code() == ServiceException.Code.TIMEOUT;
         FailureCode code = timeout ? FailureCode.BACKEND_TIMEOUT : FailureCode.BACKEND_FAILED;
         return new Failed(job.id(), code, String.valueOf(cause.getMessage()), admission.load());
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Acceptor.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Acceptor.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -138,13 +139,29 @@
         }
     }
 
-    @Override
-    public void stop() {
+    /**
+     * Stops taking connections and ends those there are in order: each peer gets all that was sent to it.
+     *
+     * @return completes when all are closed; a peer that doesn't read never lets it
+     */
+    public CompletableFuture<Void> finish() {
+        stopAccepting();
+        Set<Connection> open = connections();
+        open.forEach(Connection::finish);
+        return CompletableFuture.allOf(open.stream().map(Connection::whenClosed).toArray(CompletableFuture[]::new));
+    }
+
+    private void stopAccepting() {
         ServerSocket bound = server;
         if (bound != null) {
             Sockets.close(bound);
         }
         handshakes.shutdownNow();
+    }
+
+    @Override
+    public void stop() {
+        stopAccepting();
         connections().forEach(Connection::close);
     }
 }
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -48,6 +49,8 @@
     private final BlockingQueue<byte[]> queue = new LinkedBlockingQueue<>(MAX_QUEUED_FRAMES);
     private final AtomicLong queuedBytes = new AtomicLong();
     private final AtomicBoolean closed = new AtomicBoolean();
+    private final CompletableFuture<Void> whenClosed = new CompletableFuture<>();
+    private volatile boolean finishing;
 
     Connection(Socket socket, DataInputStream in, OutputStream out, Handshake.Peer peer, Listener listener)
             throws IOException {
@@ -88,10 +91,15 @@
         return !closed.get();
     }
 
+    /** Returns what completes when the connection is closed. */
+    CompletableFuture<Void> whenClosed() {
+        return whenClosed;
+    }
+
     /** Queues a message. Returns false when the connection is closed; true doesn't mean that the peer received it. */
     public boolean send(Message message) {
         byte[] frame = MessageCodec.encode(message);
-        if (closed.get()) {
+        if (closed.get() || finishing) {
             return false;
         }
         long bytes = queuedBytes.addAndGet(frame.length);
@@ -109,12 +117,13 @@
         try {
             while (!closed.get()) {
                 byte[] frame = queue.take();
-                while (frame != null && frame != END) {
-                    queuedBytes.addAndGet(-frame.length);
-                    FrameCodec.write(out, frame);
-                    frame = queue.poll();
+                // Read before the queue is emptied: what was sent before the end is then among what is written.
+                boolean last = finishing;
+                writeQueued(frame);
+                if (last) {
+                    socket.shutdownOutput();
+                    return;
                 }
-                out.flush();
             }
         } catch (IOException e) {
             logger.atFine().log(
@@ -125,6 +134,16 @@
         close();
     }
 
+    private void writeQueued(byte[] first) throws IOException {
+        for (byte[] frame = first; frame != null; frame = queue.poll()) {
+            if (frame != END) {
+                queuedBytes.addAndGet(-frame.length);
+                FrameCodec.write(out, frame);
+            }
+        }
+        out.flush();
+    }
+
     private void readAll() {
         try {
             byte[] frame = FrameCodec.read(in, FrameCodec.MAX_FRAME);
@@ -145,7 +164,19 @@
         close();
     }
 
-    /** Closes the connection. The listener is told once, however often this is called. */
+    /**
+     * Ends the connection in order: all that was sent before is written, and then the end; nothing is sent from now on. It is
+     * closed when the peer has read the end and closes too. Closing at once instead would drop what is still queued, and an
+     * unread message of the peer would make the kernel discard what has been written.
+     */
+    public void finish() {
+        finishing = true;
+        if (!queue.offer(END)) {
+            close();
+        }
+    }
+
+    /** Closes the connection at once; what is still queued is dropped. The listener is told once, however often this is called. */
     public void close() {
         if (!closed.compareAndSet(false, true)) {
             return;
@@ -154,5 +185,6 @@
         queue.offer(END);
         Sockets.close(socket);
         listener.closed(this);
+        whenClosed.complete(null);
     }
 }
--- /dev/null
+++ b/wire/src/test/java/org/quetzalseam/wire/connection/ConnectionEndTest.java
@@ -0,0 +1,137 @@
+package org.quetzalseam.wire.connection;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Collections;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.wire.message.Leaving;
+import org.quetzalseam.wire.message.Message;
+import org.quetzalseam.wire.message.Role;
+import org.quetzalseam.wire.runtime.TimerService;
+
+class ConnectionEndTest {
+    private static final int MESSAGES = 400;
+    private static final int KEYS = 100;
+    /** Message size times messages is some megabytes: more than the buffers between the two ends take. */
+    private static final Leaving LARGE = new Leaving(Collections.nCopies(KEYS, "k".repeat(300)));
+
+    private final TimerService timers = new TimerService("test");
+    private final BlockingQueue<Connection> accepted = new LinkedBlockingQueue<>();
+    private final AtomicInteger received = new AtomicInteger();
+    private final CountDownLatch mayRead = new CountDownLatch(1);
+    private final Acceptor acceptor = new Acceptor(
+            "127.0.0.1",
+            0,
+            Identity.start(Role.ENDPOINT, "endpoint", "zone"),
+            SiteKey.loopback(),
+            Transport.plain(),
+            new Ignoring(),
+            accepted::add);
+
+    @BeforeEach
+    void start() {
+        timers.start();
+        acceptor.start();
+    }
+
+    @AfterEach
+    void stop() {
+        acceptor.stop();
+        timers.stop();
+    }
+
+    private static final class Ignoring implements Connection.Listener {
+        @Override
+        public void received(Connection connection, Message message) {
+            // What the peer says doesn't matter here.
+        }
+
+        @Override
+        public void closed(Connection connection) {
+            // The test waits for the end itself.
+        }
+    }
+
+    /** Reads nothing until it may, as a peer beside load. */
+    private final class LateReader implements Dialer.Listener {
+        @Override
+        public void opened(Connection connection) {
+            // Nothing to prepare.
+        }
+
+        @Override
+        public void received(Connection connection, Message message) {
+            try {
+                mayRead.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            received.incrementAndGet();
+        }
+
+        @Override
+        public void closed(Connection connection) {
+            // Counted by what it received.
+        }
+    }
+
+    private Dialer dial() throws InterruptedException {
+        Dialer dialer = new Dialer(
+                "127.0.0.1",
+                acceptor.port(),
+                Identity.start(Role.ENTRY, "entry", "zone"),
+                SiteKey.loopback(),
+                Transport.plain(),
+                timers,
+                new LateReader());
+        dialer.start();
+        return dialer;
+    }
+
+    @Test
+    void aPeerThatReadsLateGetsAllThatWasSentBeforeTheConnectionWasEnded() throws Exception {
+        Dialer dialer = dial();
+        Connection connection = accepted.poll(5, TimeUnit.SECONDS);
+        for (int i = 0; i < MESSAGES; i++) {
+            assertThat(connection.send(LARGE)).isTrue();
+        }
+        CompletableFuture<Void> closed = acceptor.finish();
+        assertThat(connection.send(LARGE)).as("nothing is sent after the end").isFalse();
+        dialer.send(LARGE);
+        assertThat(closed).isNotDone();
+        mayRead.countDown();
+        closed.get(20, TimeUnit.SECONDS);
+        assertThat(received).hasValue(MESSAGES);
+        dialer.stop();
+    }
+
+    @Test
+    void aPeerThatNeverReadsIsNotWaitedForByAStop() throws InterruptedException, ExecutionException {
+        Dialer dialer = dial();
+        Connection connection = accepted.poll(5, TimeUnit.SECONDS);
+        for (int i = 0; i < MESSAGES; i++) {
+            connection.send(LARGE);
+        }
+        CompletableFuture<Void> closed = acceptor.finish();
+        long limit = Duration.ofMillis(200).toMillis();
+        try {
+            closed.get(limit, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            acceptor.stop();
+        }
+        assertThat(connection.open()).isFalse();
+        mayRead.countDown();
+        dialer.stop();
+    }
+}
