--- a/core/src/main/java/org/quetzalseam/core/generation/StageSplit.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/StageSplit.java
@@ -11,7 +11,7 @@
  *
  * <p>Before any load has been seen it follows the share that the operators assume. Then it follows the load: prefill engines
  * that the others can do without go to decoding when decode memory is short, and back when prompts wait while decode memory
- * is free. A change takes engines out for seconds, so a decision needs a window of samples and a clear case, and moves a part
+ * is free. A pool whose last prefill engine is lost gets one back at once. A change takes engines out for seconds, so a decision needs a window of samples and a clear case, and moves a part
  * of the engines at most; in a large pool one engine at a time would follow the load in minutes.
  */
 public final class StageSplit {
@@ -123,14 +123,18 @@
     }
 
     private List<Change> byLoad(List<EngineSample> engines, int prefill, int decode) {
+        String reason = String.format("busy=%.2f fill=%.2f prefill=%d decode=%d", busy, fill, prefill, decode);
+        if (prefill == 0 && unchanged >= SAME_SAMPLES) {
+            // However full the others are: prompts read between their tokens hold up every stream that they run.
+            return changes(engines, Stage.DECODE, Stage.PREFILL, 1, reason);
+        }
         if (samples < SETTLE_SAMPLES) {
             return List.of();
         }
-        String reason = String.format("busy=%.2f fill=%.2f prefill=%d decode=%d", busy, fill, prefill, decode);
         if (fill > SHORT_FILL) {
             return changes(engines, Stage.PREFILL, Stage.DECODE, sparePrefill(prefill, decode), reason);
         }
-        if (prefill == 0 || busy / prefill > SHORT_PREFILL_BUSY) {
+        if (prefill > 0 && busy / prefill > SHORT_PREFILL_BUSY) {
             return changes(engines, Stage.DECODE, Stage.PREFILL, spareDecode(prefill, decode), reason);
         }
         return List.of();
--- a/core/src/test/java/org/quetzalseam/core/generation/StageSplitTest.java
+++ b/core/src/test/java/org/quetzalseam/core/generation/StageSplitTest.java
@@ -104,4 +104,22 @@
     void onlyAsManyDecodeEnginesMoveAsLeaveMemoryFree() {
         assertThat(after(10, engines(4, 4, 36, 0.5))).hasSize(3);
     }
+
+    /**
+     * Engines leave one after the other under bursts, the last prefill engine among them, while those that decode are full: without
+     * one, each prompt holds up the streams of the engine that reads it for the whole of its reading.
+     */
+    @Test
+    void aPoolThatHasLostItsLastPrefillEngineGetsOneBackHoweverFullItIs() {
+        after(10, engines(1, 1, 4, 0.9));
+        assertThat(after(4, engines(0, 0, 4, 0.95)))
+                .singleElement()
+                .satisfies(change -> assertThat(change.stage()).isEqualTo(Stage.PREFILL));
+    }
+
+    @Test
+    void aPrefillEngineThatIsMissingFromOneReportOnlyIsNotReplaced() {
+        after(10, engines(1, 1, 4, 0.9));
+        assertThat(after(1, engines(0, 0, 4, 0.95))).isEmpty();
+    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
@@ -40,6 +40,8 @@
 
     private static final int MAX_REPLY_BYTES = 64 * 1024;
     private static final int ACCEPTED = 202;
+    /** The engine is in the stage already, or on its way there. */
+    private static final int HELD_ALREADY = 200;
 
     private final Timers timers;
     private final Directory directory;
@@ -51,6 +53,8 @@
     private final Map<Endpoint, EngineLoad> loads = new HashMap<>();
     private final Map<Endpoint, EndpointCall> reports = new HashMap<>();
     private long restUntil;
+    /** Orders of the last round that an engine may carry out. */
+    private int notTurnedAway;
     private int awaited;
 
     StageKeeper(
@@ -165,11 +169,11 @@
         if (!lease.mayOrder()) {
             return;
         }
-        boolean sent = false;
+        notTurnedAway = 0;
         for (StageSplit.Change change : changes) {
-            sent |= order(change);
+            notTurnedAway += order(change) ? 1 : 0;
         }
-        if (sent) {
+        if (notTurnedAway > 0) {
             restUntil = timers.now() + ORDER_REST_MILLIS * 1_000_000;
             split.changed();
         }
@@ -220,7 +224,14 @@
         return sent;
     }
 
+    /** An order that its engine has turned away is never carried out: if that is true of all of them, nothing needs to rest. */
     private void answered(StageSplit.Change change, int status) {
+        if (status != ACCEPTED && status != HELD_ALREADY) {
+            notTurnedAway--;
+            if (notTurnedAway == 0) {
+                restUntil = timers.now();
+            }
+        }
         logger.atInfo().log(
                 "event=stage-order-answered service=%s endpoint=%s accepted=%s status=%d",
                 service, change.engine(), status == ACCEPTED, status);
--- a/gateway/src/test/java/org/quetzalseam/gateway/stage/StageKeeperTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/StageKeeperTest.java
@@ -47,6 +47,7 @@
 
     private volatile String report = FIRST_START + " 7";
     private volatile Runnable betweenReports = () -> {};
+    private volatile int orderStatus = 202;
 
     @BeforeEach
     void start() throws Exception {
@@ -64,7 +65,7 @@
     private void reply(RawRequest request, RawConnection connection) throws IOException {
         if (request.path().startsWith("/control/stage")) {
             orders.add(request.path());
-            connection.reply(202, "");
+            connection.reply(orderStatus, "");
         } else {
             connection.reply(200, report);
         }
@@ -165,6 +166,19 @@
         assertThat(orders).hasSize(1);
     }
 
+    /** An engine that has started again since its report turns the order away; waiting for that order to be over would be in vain. */
+    @Test
+    void anOrderThatWasTurnedAwayIsFollowedByAnotherAtOnce() throws Exception {
+        orderStatus = 421;
+        sampleOften();
+        orderStatus = 202;
+        sampleOften();
+        assertThat(orders).hasSizeGreaterThan(1);
+        int given = orders.size();
+        sampleOften();
+        assertThat(orders).as("an accepted order rests").hasSize(given);
+    }
+
     @Test
     void aReportOfANewLifeWithALowerCountEndsTheEarlierOne() throws Exception {
         onLoop(keeper::sample);
