Engines that turn work away are left out for some seconds

Cause: from the order to change its stage to the change of its registration, some 12 s, an engine is listed in its old stage, grants bookings and turns all work away. It looks like the emptiest, so all book there, have their prompts read, and come back twice.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -19,6 +19,7 @@
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.fleet.EndpointHealth;
 import org.quetzalseam.core.fleet.Member;
+import org.quetzalseam.core.fleet.TurnAways;
 import org.quetzalseam.core.limits.IdleLimit;
 import org.quetzalseam.gateway.http.CallFailure;
 import org.quetzalseam.gateway.http.Connector;
@@ -60,6 +61,8 @@
     private final Timers timers;
     private final InetSocketAddress address;
     private final EndpointHealth health = new EndpointHealth();
+    private final TurnAways work = new TurnAways(0);
+    private final TurnAways caches = new TurnAways(1);
     private final Deque<HttpConnection> idle = new ArrayDeque<>();
     private final Deque<HttpConnection> idleControl = new ArrayDeque<>();
     private final IdleLimit idleLimit = new IdleLimit();
@@ -86,6 +89,9 @@
     }
 
     void member(Member renewed) {
+        if (renewed.stage() != member.stage()) {
+            work.taken();
+        }
         misdirected = misdirected && renewed.equals(member);
         member = renewed;
     }
@@ -115,6 +121,21 @@
         return health;
     }
 
+    /** Returns how it has lately turned work away that it was sent. */
+    public TurnAways work() {
+        return work;
+    }
+
+    /** Returns how generations have lately been turned away elsewhere that were to go on from a KV cache of its. */
+    public TurnAways caches() {
+        return caches;
+    }
+
+    /** Returns whether other engines are to be used before it. */
+    public boolean leftOut(long now) {
+        return work.leftOut(now) || caches.leftOut(now);
+    }
+
     /** Returns how many requests of this entry it has. */
     public int outstanding() {
         return outstanding;
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -102,7 +102,7 @@
             giveUp("no endpoint");
             return;
         }
-        decode(chosen.get(), null, null);
+        decode(chosen.get(), null, null, null);
     }
 
     private void memoryBooked(BookedMemory booked) {
@@ -151,13 +151,14 @@
         String source = kv == null
                 ? null
                 : context.protocol().kvSource(kv.holder().member().address(), kv.handle());
-        decode(booked.engine(), source, booked.id());
+        decode(booked.engine(), kv == null ? null : kv.holder(), source, booked.id());
     }
 
-    private void decode(Endpoint engine, @Nullable String kvSource, @Nullable String booking) {
+    private void decode(
+            Endpoint engine, @Nullable Endpoint reader, @Nullable String kvSource, @Nullable String booking) {
         Forwarding forwarding =
                 new Forwarding(engine.member().id(), forwarded.leftMillis(), false, kvSource, booking, resumePoint());
-        DecodeReply reply = new DecodeReply(context.protocol(), new DecodeOutcome(engine));
+        DecodeReply reply = new DecodeReply(context.protocol(), new DecodeOutcome(engine, reader));
         decoding = engine.send(
                 forwarded.head(forwarding), exchange.body(), exchange.facts().id(), reply);
     }
@@ -169,14 +170,20 @@
 
     private final class DecodeOutcome implements DecodeReply.Outcome {
         private final Endpoint engine;
+        private final @Nullable Endpoint reader;
 
-        DecodeOutcome(Endpoint engine) {
+        DecodeOutcome(Endpoint engine, @Nullable Endpoint reader) {
             this.engine = engine;
+            this.reader = reader;
         }
 
         @Override
         public void begun(HttpResponse head) {
             mayHaveRun = true;
+            engine.work().taken();
+            if (reader != null) {
+                reader.caches().taken();
+            }
             if (!exchange.begun()) {
                 exchange.begin(head);
             }
@@ -217,6 +224,9 @@
         @Override
         public void answered(HttpResponse head, ByteBuf body) {
             held.free();
+            if (context.protocol().facts(head).notRun()) {
+                noteTurnedAway(engine, reader);
+            }
             answeredWhole(engine, head, body);
         }
 
@@ -227,6 +237,15 @@
         }
     }
 
+    /** Either the engine takes nothing just now, or it couldn't have the KV cache from its reader. */
+    private void noteTurnedAway(Endpoint engine, @Nullable Endpoint reader) {
+        long now = context.now();
+        engine.work().turnedAway(now);
+        if (reader != null) {
+            reader.caches().turnedAway(now);
+        }
+    }
+
     private void answeredWhole(Endpoint engine, HttpResponse head, ByteBuf body) {
         ReplyFacts facts = context.protocol().facts(head);
         int status = head.status().code();
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReaders.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReaders.java
@@ -33,7 +33,7 @@
     }
 
     private List<Endpoint> usable() {
-        return context.directory().usable(service, Stage.PREFILL);
+        return LeftOut.without(context.directory().usable(service, Stage.PREFILL), context.now());
     }
 
     /** Returns the engine that is predicted to have read a prompt first, one in the zone among equals. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
@@ -139,10 +139,12 @@
         }
         end();
         if (handle.isEmpty()) {
+            engine.work().turnedAway(context.now());
             log.step("prefill-refused", engine, "status=" + answer.status().code());
             askAnother(decoder);
             return;
         }
+        engine.work().taken();
         engine.health().succeeded(context.now(), millis);
         long predicted = begun == null ? 0 : Math.round(begun.predictedMillis());
         log.step("prefilled", engine, "took_ms=" + Math.round(millis) + " predicted_ms=" + predicted);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
@@ -169,7 +169,7 @@
     }
 
     private void askForRoom(Reservation reservation, long now) {
-        List<Endpoint> engines = context.directory().usable(service, Stage.DECODE);
+        List<Endpoint> engines = LeftOut.without(context.directory().usable(service, Stage.DECODE), now);
         if (engines.isEmpty()) {
             waiting.remove(reservation);
             reservation.refuse("no decode engine");
