--- a/core/src/main/java/org/quetzalseam/core/generation/ReadingPool.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/ReadingPool.java
@@ -59,6 +59,20 @@
      */
     public record Due(double inTimeMillis, double leftMillis, double objectiveMillis) {}
 
+    /** Whether a prompt is begun, and what speaks against it. */
+    public enum Verdict {
+        /** It is begun. */
+        BEGIN,
+        /** Its first event would come after its caller has left. */
+        CALLER_LEAVES_SOONER,
+        /** It would be late, and so would those who come after it. */
+        QUEUE_TOO_LONG,
+        /** No answer has shown yet how fast the engines read, and enough prompts have been sent to find out. */
+        PACE_UNKNOWN,
+        /** This entry has begun its part of what the engines can read, and their answers show no room for more. */
+        SHARE_SPENT
+    }
+
     /** A prompt under way. */
     public final class Reading {
         private final E engine;
@@ -130,20 +144,34 @@
     }
 
     /** Returns whether a prompt is worth beginning at an engine. */
-    public boolean worthwhile(E engine, int engineCount, int tokens, Due due, long now) {
+    public Verdict judge(E engine, int engineCount, int tokens, Due due, long now) {
         double wait = waitMillis(engine, now);
         double first = endMillis(engine, tokens, now) + firstEventMillis;
         boolean inTime = first + missMillis <= due.inTimeMillis();
         double bearable = bearableMillis(due.objectiveMillis());
-        if (first > due.leftMillis() || (!inTime && wait > bearable)) {
-            return false;
+        if (first > due.leftMillis()) {
+            return Verdict.CALLER_LEAVES_SOONER;
+        }
+        if (!inTime && wait > bearable) {
+            return Verdict.QUEUE_TOO_LONG;
         }
         if (!heard) {
-            return untried < UNTRIED_PROMPTS * engineCount;
+            return untried < UNTRIED_PROMPTS * engineCount ? Verdict.BEGIN : Verdict.PACE_UNKNOWN;
         }
         boolean idle = wait < IDLE_PROMPTS * reading(usualTokens);
-        return (idle && share.plenty())
+        boolean allowed = (idle && share.plenty())
                 || share.allows(engineCount / usualPace, bearable, inTime ? 0 : LATE_SHARE, now);
+        return allowed ? Verdict.BEGIN : Verdict.SHARE_SPENT;
+    }
+
+    /** Returns what is left of this entry's share as of the last verdict, in tokens; below 0 it is a debt. */
+    public double shareLeft() {
+        return share.left();
+    }
+
+    /** Returns how long a prompt waits at an engine before it is read, in milliseconds. */
+    public double queueMillis(E engine, long now) {
+        return waitMillis(engine, now);
     }
 
     /** Returns when the backlog lets in a prompt that isn't worth beginning now, in milliseconds. */
--- a/core/src/main/java/org/quetzalseam/core/generation/ReadingShare.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/ReadingShare.java
@@ -76,6 +76,11 @@
         return tokens >= besides * most;
     }
 
+    /** Returns what is left of the share, in tokens; below 0 it is a debt. */
+    double left() {
+        return tokens;
+    }
+
     void take(int prompt) {
         if (filled) {
             tokens -= prompt;
--- a/core/src/test/java/org/quetzalseam/core/generation/PoolEntry.java
+++ b/core/src/test/java/org/quetzalseam/core/generation/PoolEntry.java
@@ -38,7 +38,10 @@
     @Override
     public int place(ReadingDay.Prompt prompt, long now) {
         int best = best(prompt, now);
-        return pool.worthwhile(best, engines.size(), prompt.tokens, due(prompt, now), nanos(now)) ? best : -1;
+        return pool.judge(best, engines.size(), prompt.tokens, due(prompt, now), nanos(now))
+                        == ReadingPool.Verdict.BEGIN
+                ? best
+                : -1;
     }
 
     @Override
--- a/core/src/test/java/org/quetzalseam/core/generation/ReadingPoolTest.java
+++ b/core/src/test/java/org/quetzalseam/core/generation/ReadingPoolTest.java
@@ -40,7 +40,7 @@
     }
 
     private boolean worthwhile(String engine, ReadingPool.Due due) {
-        return pool.worthwhile(engine, ENGINES.size(), TOKENS, due, now);
+        return pool.judge(engine, ENGINES.size(), TOKENS, due, now) == ReadingPool.Verdict.BEGIN;
     }
 
     /** A reading takes about a tenth of the objective: most of what is read can be in time. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/MemoryWait.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/MemoryWait.java
@@ -59,10 +59,13 @@
         PromptReaders readers = desk.readers();
         Optional<Endpoint> reader =
                 readers.best(demand.prompt(), List.of(), context.settings().zone());
-        if (reader.isPresent() && !readers.worthwhile(reader.get(), demand.prompt(), left)) {
-            log.readTooLate(reader.get(), left, readers.firstEventMillis(reader.get(), demand.prompt()));
-            outcome.refused(PromptReading.TOO_LATE);
-            return;
+        if (reader.isPresent()) {
+            ReadingPool.Verdict verdict = readers.judge(reader.get(), demand.prompt(), left);
+            if (verdict != ReadingPool.Verdict.BEGIN) {
+                log.promptNotBegun(reader.get(), verdict, readers.inputs(reader.get(), demand.prompt(), left));
+                outcome.refused(PromptReading.NOT_BEGUN);
+                return;
+            }
         }
         double first = reader.map(engine -> readers.firstEventMillis(engine, demand.prompt()))
                 .orElse(0.0);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReaders.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReaders.java
@@ -21,10 +21,11 @@
     PromptReaders(RunContext context, String service) {
         this.context = context;
         this.service = service;
-        context.timers()
-                .every(
-                        FORGET_MILLIS,
-                        () -> pool.forget(engine -> !context.directory().usable(engine)));
+        context.timers().every(FORGET_MILLIS, this::forgetGone);
+    }
+
+    private void forgetGone() {
+        pool.forget(engine -> !context.directory().usable(engine));
     }
 
     /** Sets among how many entries the engines are shared. */
@@ -52,8 +53,21 @@
     }
 
     /** Returns whether a prompt is worth beginning at an engine. */
-    boolean worthwhile(Endpoint engine, int tokens, ReadingPool.Due due) {
-        return pool.worthwhile(engine, usable().size(), tokens, due, context.now());
+    ReadingPool.Verdict judge(Endpoint engine, int tokens, ReadingPool.Due due) {
+        return pool.judge(engine, usable().size(), tokens, due, context.now());
+    }
+
+    /** Returns the inputs of a verdict on a prompt, for the log. */
+    String inputs(Endpoint engine, int tokens, ReadingPool.Due due) {
+        long now = context.now();
+        return String.format(
+                "predicted_ms=%.0f queue_ms=%.0f in_time_ms=%.0f left_ms=%.0f tokens=%d share_left=%.0f",
+                pool.firstEventMillis(engine, tokens, now),
+                pool.queueMillis(engine, now),
+                due.inTimeMillis(),
+                due.leftMillis(),
+                tokens,
+                pool.shareLeft());
     }
 
     /** Returns when a prompt's first event comes that an engine begins now, in milliseconds. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
@@ -25,7 +25,7 @@
     /** Looks at a silent engine in the time after which it may be taken for dead. */
     private static final int LOOKS = 4;
     /** Why a prompt isn't begun. */
-    static final String TOO_LATE = "the prompt would be read too late";
+    static final String NOT_BEGUN = "the engines have no time to read the prompt now";
 
     private static final int MAX_REPLY_BYTES = 64 * 1024;
 
@@ -85,9 +85,10 @@
         }
         Endpoint engine = chosen.get();
         ReadingPool.Due left = due.now();
-        if (!readers.worthwhile(engine, promptTokens, left)) {
-            log.readTooLate(engine, left, readers.firstEventMillis(engine, promptTokens));
-            outcome.failed(TOO_LATE);
+        ReadingPool.Verdict verdict = readers.judge(engine, promptTokens, left);
+        if (verdict != ReadingPool.Verdict.BEGIN) {
+            log.promptNotBegun(engine, verdict, readers.inputs(engine, promptTokens, left));
+            outcome.failed(NOT_BEGUN);
             return;
         }
         ask(engine, decoder, readers.begin(engine, promptTokens, left));
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -83,13 +83,9 @@
                 exchange.facts().id(), route.name(), service, version, outcome, status, tries, exchange.ageMillis());
     }
 
-    void readTooLate(Endpoint engine, ReadingPool.Due due, double firstEventMillis) {
-        step(
-                "prefill-too-late",
-                engine,
-                String.format(
-                        "predicted_ms=%.0f in_time_ms=%.0f left_ms=%.0f",
-                        firstEventMillis, due.inTimeMillis(), due.leftMillis()));
+    /** Notes that a prompt isn't begun, and why. */
+    void promptNotBegun(Endpoint engine, ReadingPool.Verdict verdict, String inputs) {
+        step("prompt-not-begun", engine, "verdict=" + verdict + " " + inputs);
     }
 
     /** Notes that an endpoint has turned the request away, which says that it has not run. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
@@ -55,6 +55,7 @@
     private long restUntil;
     /** Orders of the last round that an engine may carry out. */
     private int notTurnedAway;
+
     private int awaited;
 
     StageKeeper(
--- a/gateway/src/test/java/org/quetzalseam/gateway/stage/StageKeeperTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/StageKeeperTest.java
@@ -166,10 +166,10 @@
         assertThat(orders).hasSize(1);
     }
 
-    /** An engine that has started again since its report turns the order away; waiting for that order to be over would be in vain. */
+    /** An engine that is busy with something else turns the order away; waiting for that order to be over would be in vain. */
     @Test
     void anOrderThatWasTurnedAwayIsFollowedByAnotherAtOnce() throws Exception {
-        orderStatus = 421;
+        orderStatus = 409;
         sampleOften();
         orderStatus = 202;
         sampleOften();
