--- a/gateway/src/test/java/org/quetzalseam/gateway/GenerationTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/GenerationTest.java
@@ -191,6 +191,38 @@
         assertThat(prefill.runs()).hasSize(2);
     }
 
+    /** An engine that changes stage still grants bookings and looks like the emptiest, as nothing runs there. */
+    @Test
+    void anEngineThatTurnsAllAwayIsBookedOnceThoughItLooksLikeTheEmptiest() {
+        ScriptedEndpoint changing =
+                new ScriptedEndpoint("changing", engine((request, connection) -> connection.reject(request)));
+        try (changing) {
+            entry.endpoints(
+                    prefill.member("s", Stage.PREFILL),
+                    decode.member("s", Stage.DECODE),
+                    changing.member("s", Stage.DECODE));
+            for (int i = 0; i < 12; i++) {
+                assertThat(entry.ask("/stream/x", "r" + i, SIZE)).startsWith("HTTP/1.1 200");
+            }
+            assertThat(decode.runs()).hasSize(12);
+            assertThat(changing.runs()).hasSizeLessThanOrEqualTo(1);
+        }
+    }
+
+    @Test
+    void whereMoreThanHalfOfTheEnginesTurnWorkAwayAllAreTried() {
+        AtomicInteger runs = new AtomicInteger();
+        decode.script(engine((request, connection) -> {
+            if (runs.incrementAndGet() <= 2) {
+                connection.reject(request);
+            } else {
+                twoEvents(request, connection);
+            }
+        }));
+        assertThat(entry.ask("/stream/x", "r1", SIZE)).startsWith("HTTP/1.1 200");
+        assertThat(prefill.runs()).hasSize(3);
+    }
+
     @Test
     void withoutAPrefillEngineTheDecodeEngineReadsThePrompt() {
         entry.endpoints(decode.member("s", Stage.DECODE));
