A call that must not run twice takes a connection of its own

The JDK's client keeps a connection unless the answer bears Connection: close, whatever the request said, so a call could be written to a connection that the service was closing. Ruled out: the leaving endpoint, the stand-in (it answers what it reads). Conclusion: HttpCore with connections released by hand; the system property for the JDK's client is gone.

--- a/cli/src/test/java/org/quetzalseam/cli/DaemonProcess.java
+++ b/cli/src/test/java/org/quetzalseam/cli/DaemonProcess.java
@@ -30,7 +30,6 @@
         process = new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-Xmx128m",
-                        "-Djdk.httpclient.allowRestrictedHeaders=connection",
                         "-cp",
                         System.getProperty("java.class.path"),
                         "org.quetzalseam.daemon.Main",
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
@@ -131,6 +131,7 @@
     @Override
     public void start() {
         timers.start();
+        serviceGate.ifPresent(ServiceGate::start);
         serviceGate.ifPresent(this::beginTenure);
         acceptor.start();
         operators.start();
@@ -301,6 +302,7 @@
     private void release() {
         acceptor.stop();
         operators.stop();
+        serviceGate.ifPresent(ServiceGate::stop);
         timers.stop();
     }
 
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/ServiceGate.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/ServiceGate.java
@@ -24,12 +24,13 @@
 import org.quetzalseam.wire.message.Load;
 import org.quetzalseam.wire.message.RefusalReason;
 import org.quetzalseam.wire.message.Refused;
+import org.quetzalseam.wire.runtime.Service;
 
 /**
  * The gate before a plain service: a place is one call that runs. It is also the holder of the idempotency keys that
  * rendezvous hashing gives to this endpoint, so that a key is decided on where its call would run. Thread-safe.
  */
-final class ServiceGate implements Gate, Backend {
+final class ServiceGate implements Gate, Backend, Service {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** By how much the clocks of callers may be ahead, and a list of VMs may lag behind. */
     private static final Duration CLOCK_MARGIN = Duration.ofSeconds(5);
@@ -65,6 +66,16 @@
         return admission;
     }
 
+    @Override
+    public void start() {
+        client.start();
+    }
+
+    @Override
+    public void stop() {
+        client.stop();
+    }
+
     /** Notes the highest version of the list of VMs that any entry uses. */
     void members(long version) {
         synchronized (this) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/service/HttpServiceClient.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/HttpServiceClient.java
@@ -18,11 +18,13 @@
 import org.quetzalseam.daemon.HttpClients;
 import org.quetzalseam.daemon.service.ServiceException.Code;
 import org.quetzalseam.wire.message.Call;
+import org.quetzalseam.wire.runtime.Service;
 
 /**
- * Calls a plain service by HTTP, once for each {@link Call} and never again on its own. Thread-safe.
+ * Calls a plain service by HTTP: over pooled connections what may run twice, as the JDK's client repeats a call whose pooled
+ * connection broke, and over a connection of its own, once, what may not. Thread-safe.
  */
-public final class HttpServiceClient {
+public final class HttpServiceClient implements Service {
     /** Headers that concern one connection only, or that the client sets itself. */
     private static final Set<String> NOT_PASSED = Set.of(
             "connection",
@@ -38,13 +40,23 @@
 
     private final String base;
     private final HttpClient pooled;
-    private final HttpClient single;
+    private final SingleUseClient single;
 
     /** Creates a client of the service at a base address such as {@code http://127.0.0.1:9100}. */
     public HttpServiceClient(String base) {
         this.base = base;
         this.pooled = HttpClients.create();
-        this.single = HttpClients.create();
+        this.single = new SingleUseClient(URI.create(base));
+    }
+
+    @Override
+    public void start() {
+        single.start();
+    }
+
+    @Override
+    public void stop() {
+        single.stop();
     }
 
     /** Returns whether a header may be passed on between caller and service. */
@@ -54,16 +66,17 @@
 
     /** Makes a call. The future fails with a {@link ServiceException}. */
     public CompletableFuture<ServiceAnswer> call(Call call) {
-        HttpRequest.Builder request;
+        if (!call.idempotent()) {
+            return single.call(call);
+        }
+        HttpRequest request;
         try {
             request = request(call);
         } catch (IllegalArgumentException e) {
             return CompletableFuture.failedFuture(
                     new ServiceException(Code.NOT_RUN, "the call can't be expressed in HTTP: " + e.getMessage(), e));
         }
-        CompletableFuture<HttpResponse<byte[]>> response = call.idempotent()
-                ? pooled.sendAsync(request.build(), BodyHandlers.ofByteArray())
-                : HttpClients.sendOnce(single, request, BodyHandlers.ofByteArray());
+        CompletableFuture<HttpResponse<byte[]>> response = pooled.sendAsync(request, BodyHandlers.ofByteArray());
         return response.handle((answer, failure) -> {
             if (failure != null) {
                 throw failure(failure);
@@ -72,7 +85,7 @@
         });
     }
 
-    private HttpRequest.Builder request(Call call) {
+    private HttpRequest request(Call call) {
         HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create(base + call.path()))
                 .timeout(Duration.ofMillis(Math.max(1, call.timeoutMillis())))
                 .method(call.method(), BodyPublishers.ofByteArray(call.body()));
@@ -81,7 +94,7 @@
                 builder.setHeader(name, value);
             }
         });
-        return builder;
+        return builder.build();
     }
 
     private static ServiceAnswer answer(HttpResponse<byte[]> response) {
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/SingleUseClient.java
@@ -0,0 +1,191 @@
+package org.quetzalseam.daemon.service;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.Message;
+import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
+import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
+import org.apache.hc.core5.http.nio.AsyncRequestProducer;
+import org.apache.hc.core5.http.nio.entity.AsyncEntityProducers;
+import org.apache.hc.core5.http.nio.entity.BasicAsyncEntityConsumer;
+import org.apache.hc.core5.http.nio.support.AsyncRequestBuilder;
+import org.apache.hc.core5.http.nio.support.BasicResponseConsumer;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.protocol.RequestContent;
+import org.apache.hc.core5.http.protocol.RequestTargetHost;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.util.Timeout;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.daemon.service.ServiceException.Code;
+import org.quetzalseam.wire.message.Call;
+import org.quetzalseam.wire.runtime.Service;
+
+/**
+ * Makes HTTP calls that must not run twice, each over a connection of its own, and never repeats one. Thread-safe.
+ *
+ * <p>The JDK's client can't do this: it keeps a connection whose answer doesn't announce its end, whatever the request asked
+ * for, and a call that then meets the close has no answer although it may have run.
+ */
+final class SingleUseClient implements Service {
+    /** How long a connection may take to be made, as for pooled ones: two lost opening packets are sent again in it. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+    /** No bound of its own: the endpoint's places bound the calls that run. */
+    private static final int MAX_CONNECTIONS = 65_536;
+    /** Answers of a plain service are small, and one endpoint has a hundred places at most: one thread copies them. */
+    private static final int IO_THREADS = 1;
+
+    private final HttpHost host;
+    private final HttpAsyncRequester requester;
+
+    SingleUseClient(URI base) {
+        this.host = new HttpHost(base.getScheme(), base.getHost(), base.getPort());
+        this.requester = AsyncRequesterBootstrap.bootstrap()
+                .setIOReactorConfig(IOReactorConfig.custom()
+                        .setIoThreadCount(IO_THREADS)
+                        .setTcpNoDelay(true)
+                        .build())
+                .setHttpProcessor(HttpProcessorBuilder.create()
+                        .add(RequestTargetHost.INSTANCE)
+                        .add(RequestContent.INSTANCE)
+                        .build())
+                .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
+                .setDefaultMaxPerRoute(MAX_CONNECTIONS)
+                .setMaxTotal(MAX_CONNECTIONS)
+                .create();
+    }
+
+    @Override
+    public void start() {
+        requester.start();
+    }
+
+    @Override
+    public void stop() {
+        requester.close(CloseMode.IMMEDIATE);
+    }
+
+    /** Makes a call. The future fails with a {@link ServiceException}. */
+    CompletableFuture<ServiceAnswer> call(Call call) {
+        AsyncRequestProducer request;
+        try {
+            request = request(call);
+        } catch (IllegalArgumentException e) {
+            return CompletableFuture.failedFuture(
+                    new ServiceException(Code.NOT_RUN, "the call can't be expressed in HTTP: " + e.getMessage(), e));
+        }
+        long limit = Math.max(1, call.timeoutMillis());
+        Pending pending = new Pending(request);
+        Timeout connecting = Timeout.ofMilliseconds(Math.min(limit, CONNECT_TIMEOUT.toMillis()));
+        Future<AsyncClientEndpoint> unused = requester.connect(host, connecting, null, pending);
+        return pending.answer(limit);
+    }
+
+    private AsyncRequestProducer request(Call call) {
+        AsyncRequestBuilder builder =
+                AsyncRequestBuilder.create(call.method()).setHttpHost(host).setPath(call.path());
+        call.headers().forEach((name, value) -> {
+            if (HttpServiceClient.passed(name)) {
+                builder.setHeader(name, value);
+            }
+        });
+        builder.setHeader("Connection", "close");
+        if (call.body().length > 0) {
+            builder.setEntity(AsyncEntityProducers.create(call.body(), null));
+        }
+        return builder.build();
+    }
+
+    /** One call, from its connection to its answer. */
+    private static final class Pending implements FutureCallback<AsyncClientEndpoint> {
+        private final AsyncRequestProducer request;
+        private final CompletableFuture<ServiceAnswer> answer = new CompletableFuture<>();
+        private volatile boolean timedOut;
+
+        Pending(AsyncRequestProducer request) {
+            this.request = request;
+        }
+
+        CompletableFuture<ServiceAnswer> answer(long limitMillis) {
+            CompletableFuture.delayedExecutor(limitMillis, TimeUnit.MILLISECONDS)
+                    .execute(this::timeOut);
+            return answer;
+        }
+
+        private void timeOut() {
+            timedOut = true;
+            answer.completeExceptionally(
+                    new ServiceException(Code.TIMEOUT, "the service did not answer in time", null));
+        }
+
+        @Override
+        public void completed(AsyncClientEndpoint connection) {
+            if (timedOut) {
+                connection.releaseAndDiscard();
+                return;
+            }
+            CompletableFuture<ServiceAnswer> unusedAnswer =
+                    answer.whenComplete((given, failure) -> connection.releaseAndDiscard());
+            Future<Message<HttpResponse, byte[]>> unused = connection.execute(
+                    request, new BasicResponseConsumer<>(new BasicAsyncEntityConsumer()), new Exchange());
+        }
+
+        @Override
+        public void failed(Exception failure) {
+            fail(Code.NOT_RUN, failure);
+        }
+
+        @Override
+        public void cancelled() {
+            fail(Code.NOT_RUN, null);
+        }
+
+        private void fail(Code code, @Nullable Exception failure) {
+            String reason = failure == null ? "stopped" : String.valueOf(failure.getMessage());
+            answer.completeExceptionally(new ServiceException(code, "the service gave no answer: " + reason, failure));
+        }
+
+        private final class Exchange implements FutureCallback<Message<HttpResponse, byte[]>> {
+            @Override
+            public void completed(Message<HttpResponse, byte[]> response) {
+                answer.complete(read(response));
+            }
+
+            @Override
+            public void failed(Exception failure) {
+                fail(Code.NO_ANSWER, failure);
+            }
+
+            @Override
+            public void cancelled() {
+                fail(Code.NO_ANSWER, null);
+            }
+        }
+    }
+
+    private static ServiceAnswer read(Message<HttpResponse, byte[]> response) {
+        Map<String, String> headers = new HashMap<>();
+        for (Header header : response.getHead().getHeaders()) {
+            if (HttpServiceClient.passed(header.getName())) {
+                headers.merge(
+                        header.getName().toLowerCase(Locale.ROOT),
+                        header.getValue(),
+                        (first, second) -> first + ", " + second);
+            }
+        }
+        byte[] body = response.getBody();
+        return new ServiceAnswer(response.getHead().getCode(), headers, body == null ? new byte[0] : body);
+    }
+}
