--- a/core/src/main/java/org/quetzalseam/core/generation/StageSplit.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/StageSplit.java
@@ -132,7 +132,10 @@
             return List.of();
         }
         if (fill > SHORT_FILL) {
-            return changes(engines, Stage.PREFILL, Stage.DECODE, sparePrefill(prefill, decode), reason);
+            int moved = sparePrefill(prefill, decode);
+            return relieves(prefill, decode, moved)
+                    ? changes(engines, Stage.PREFILL, Stage.DECODE, moved, reason)
+                    : List.of();
         }
         if (prefill > 0 && busy / prefill > SHORT_PREFILL_BUSY) {
             return changes(engines, Stage.DECODE, Stage.PREFILL, spareDecode(prefill, decode), reason);
@@ -140,6 +143,17 @@
         return List.of();
     }
 
+    /**
+     * Returns whether the fuller pool's use falls by more than the part of all engines that is out meanwhile. Where it doesn't, as
+     * with one of two prefill engines at a decode pool that is filled to three fifths, the next burst finds the other pool
+     * short, and an engine sent back is out once more.
+     */
+    private boolean relieves(int prefill, int decode, int moved) {
+        double before = Math.max(busy / prefill, fill);
+        double after = Math.max(busy / (prefill - moved), fill * decode / (decode + moved));
+        return before - after > (double) moved / (prefill + decode);
+    }
+
     /** Returns how many prefill engines the others can do without. */
     private int sparePrefill(int prefill, int decode) {
         int spare = 0;
--- a/core/src/test/java/org/quetzalseam/core/generation/StageSplitTest.java
+++ b/core/src/test/java/org/quetzalseam/core/generation/StageSplitTest.java
@@ -105,6 +105,20 @@
         assertThat(after(10, engines(4, 4, 36, 0.5))).hasSize(3);
     }
 
+    /**
+     * Two of six engines read prompts and are busy for a quarter of the time; the memory of the others is filled to 0.62 just before a
+     * burst of 2.2 times the mean. With one reader less the burst would take 1.03 times what it reads, for the rest of the day.
+     */
+    @Test
+    void anOrderThatRelievesByLessThanItTakesOutIsNotGiven() {
+        List<EngineSample> oneBusy = engines(2, 1, 4, 0.62);
+        List<EngineSample> noneBusy = engines(2, 0, 4, 0.62);
+        for (int i = 0; i < 20; i++) {
+            split.observe(i % 2 == 0 ? oneBusy : noneBusy);
+            assertThat(split.decide(oneBusy)).isEmpty();
+        }
+    }
+
     /**
      * Engines leave one after the other under bursts, the last prefill engine among them, while those that decode are full: without
      * one, each prompt holds up the streams of the engine that reads it for the whole of its reading.
