Prompts wait for their turn, or are read in place, where they were refused

Callers give a stream up after 3.6 s without an event (four objectives); the code took them to stay for 14 s. Change: ReadingLine (who waits, in which order, for how long), ReadingInPlace (which decode engine may read a prompt, one entry an engine, with time between), ReadingTurns joins them; RouteRule knows the pause objective and the caller's silence.

--- a/core/src/main/java/org/quetzalseam/core/generation/ReadingPool.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/ReadingPool.java
@@ -164,6 +164,11 @@
         return allowed ? Verdict.BEGIN : Verdict.SHARE_SPENT;
     }
 
+    /** Returns the usual time for a token in milliseconds; 0 before any prompt has been read. */
+    public double millisPerToken() {
+        return heard ? usualPace : 0;
+    }
+
     /** Returns what is left of this entry's share as of the last verdict, in tokens; below 0 it is a debt. */
     public double shareLeft() {
         return share.left();
--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -115,7 +115,7 @@
     /** Takes the number of entries, which share budgets and leave in turn. */
     public void counted(EntryCount count) {
         entries = count;
-        router.entries(count.entries());
+        router.entries(count);
     }
 
     /** Returns the metrics, for what is measured outside the entry's own parts. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/CallerDue.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/CallerDue.java
@@ -18,9 +18,15 @@
         this.spentBefore = spentBefore;
     }
 
-    /** Returns what is left at this moment. */
+    /** Returns the longest pause between events that is in time, in milliseconds; 0 where there is no such objective. */
+    double pauseMillis() {
+        return (double) route.pauseMillis();
+    }
+
+    /** Returns what is left at this moment: an answer whose first event comes after its caller has given up is of no use. */
     ReadingPool.Due now() {
         double inTime = (double) route.targetMillis() - exchange.ageMillis() - spentBefore;
-        return new ReadingPool.Due(inTime, (double) forwarded.leftMillis(), (double) route.targetMillis());
+        long left = Math.min(forwarded.leftMillis(), route.silenceMillis() - exchange.ageMillis());
+        return new ReadingPool.Due(inTime, (double) left, (double) route.targetMillis());
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.generation.TokenDemand;
 import org.quetzalseam.core.routing.RouteRule;
@@ -97,12 +96,8 @@
     }
 
     private void decodeUnbooked() {
-        Optional<Endpoint> chosen = UnbookedEngine.choose(context, service);
-        if (chosen.isEmpty()) {
-            giveUp("no endpoint");
-            return;
-        }
-        decode(chosen.get(), null, null, null);
+        UnbookedEngine.choose(context, service)
+                .ifPresentOrElse(engine -> decode(engine, null, null, null), () -> giveUp("no endpoint"));
     }
 
     private void memoryBooked(BookedMemory booked) {
@@ -116,7 +111,12 @@
             return;
         }
         lessons.begun();
-        readPrompt(booked);
+        if (booked.readsPrompt()) {
+            log.step("reads-in-place", booked.engine(), "tokens=" + booked.tokens());
+            decodeBooked(booked);
+        } else {
+            readPrompt(booked);
+        }
     }
 
     private void readPrompt(BookedMemory booked) {
@@ -136,6 +136,15 @@
                         decodeBooked(booked);
                     }
 
+                    @Override
+                    public void notBegun() {
+                        reading = null;
+                        held.free();
+                        // Nothing was sent: it is the same turn.
+                        turns--;
+                        takeTurn();
+                    }
+
                     @Override
                     public void failed(String why) {
                         giveUp(why);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/MemoryWait.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/MemoryWait.java
@@ -1,11 +1,9 @@
 package org.quetzalseam.gateway.route;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.fleet.Stage;
-import org.quetzalseam.core.generation.ReadingPool;
 import org.quetzalseam.core.generation.TokenDemand;
 import org.quetzalseam.gateway.endpoint.Endpoint;
 
@@ -34,6 +32,7 @@
     private final RunLog log;
     private final Outcome outcome;
     private final ReservationDesk desk;
+    private @Nullable ReadingTurn turn;
     private @Nullable Reservation reservation;
 
     MemoryWait(
@@ -55,24 +54,31 @@
     }
 
     void start(TokenDemand demand) {
-        ReadingPool.Due left = due.now();
-        PromptReaders readers = desk.readers();
-        Optional<Endpoint> reader =
-                readers.best(demand.prompt(), List.of(), context.settings().zone());
-        if (reader.isPresent()) {
-            ReadingPool.Verdict verdict = readers.judge(reader.get(), demand.prompt(), left);
-            if (verdict != ReadingPool.Verdict.BEGIN) {
-                log.promptNotBegun(reader.get(), verdict, readers.inputs(reader.get(), demand.prompt(), left));
+        ReadingTurn wanted = new ReadingTurn(demand.prompt(), due, log, new ReadingTurn.Outcome() {
+            @Override
+            public void begin(Optional<Endpoint> reader) {
+                turn = null;
+                double first = reader.map(engine -> desk.readers().firstEventMillis(engine, demand.prompt()))
+                        .orElse(0.0);
+                waitFor(demand, Math.round(due.now().inTimeMillis() - first), null);
+            }
+
+            @Override
+            public void beginAt(Endpoint decoder) {
+                waitFor(demand, Math.round(due.now().inTimeMillis()), decoder);
+            }
+
+            @Override
+            public void refused() {
+                turn = null;
                 outcome.refused(PromptReading.NOT_BEGUN);
-                return;
             }
-        }
-        double first = reader.map(engine -> readers.firstEventMillis(engine, demand.prompt()))
-                .orElse(0.0);
-        waitFor(demand, Math.round(left.inTimeMillis() - first));
+        });
+        turn = wanted;
+        desk.turns().enter(wanted);
     }
 
-    private void waitFor(TokenDemand demand, long inTime) {
+    private void waitFor(TokenDemand demand, long inTime, @Nullable Endpoint only) {
         int tokens = desk.booking().tokens(demand);
         long now = context.now();
         long wait = Math.min(inTime > 0 ? inTime : LATE_WAIT_MILLIS, forwarded.leftMillis());
@@ -82,22 +88,35 @@
                 desk.booking().cost(demand),
                 now + TimeUnit.MILLISECONDS.toNanos(inTime),
                 now + TimeUnit.MILLISECONDS.toNanos(wait),
+                only,
                 new Reservation.Outcome() {
                     @Override
                     public void granted(Endpoint engine, String id) {
                         reservation = null;
-                        outcome.booked(new BookedMemory(engine, id, tokens));
+                        turn = null;
+                        outcome.booked(new BookedMemory(engine, id, tokens, only != null));
                     }
 
                     @Override
                     public void refused(String why) {
-                        notBooked(why);
+                        noRoom(why);
                     }
                 });
         reservation = wanted;
         desk.enter(wanted);
     }
 
+    /** Where its own engine has no room to read the prompt itself, it takes its turn among the others. */
+    private void noRoom(String why) {
+        ReadingTurn inPlace = turn;
+        if (inPlace != null) {
+            reservation = null;
+            desk.turns().enter(inPlace);
+            return;
+        }
+        notBooked(why);
+    }
+
     private void notBooked(String why) {
         Reservation wanted = reservation;
         reservation = null;
@@ -110,6 +129,11 @@
 
     /** Gives the wait up. Harmless when it is over. */
     void cancel() {
+        ReadingTurn waiting = turn;
+        if (waiting != null) {
+            desk.turns().leave(waiting);
+            turn = null;
+        }
         Reservation wanted = reservation;
         if (wanted != null) {
             desk.leave(wanted);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReaders.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReaders.java
@@ -57,6 +57,16 @@
         return pool.judge(engine, usable().size(), tokens, due, context.now());
     }
 
+    /** Returns the usual time of a prefill engine for a token in milliseconds; 0 before any prompt has been read. */
+    double millisPerToken() {
+        return pool.millisPerToken();
+    }
+
+    /** Returns whether a prompt's first event is predicted to miss the objective. */
+    boolean late(Endpoint engine, int tokens, ReadingPool.Due due) {
+        return firstEventMillis(engine, tokens) > due.inTimeMillis();
+    }
+
     /** Returns the inputs of a verdict on a prompt, for the log. */
     String inputs(Endpoint engine, int tokens, ReadingPool.Due due) {
         long now = context.now();
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
@@ -37,6 +37,9 @@
         /** There is no prefill engine: the decode engine has to read the prompt. */
         void noEngine();
 
+        /** The engines have no time for the prompt any more, and nothing has been sent. */
+        void notBegun();
+
         /** The prompt couldn't be read. */
         void failed(String why);
     }
@@ -87,13 +90,23 @@
         ReadingPool.Due left = due.now();
         ReadingPool.Verdict verdict = readers.judge(engine, promptTokens, left);
         if (verdict != ReadingPool.Verdict.BEGIN) {
-            log.promptNotBegun(engine, verdict, readers.inputs(engine, promptTokens, left));
-            outcome.failed(NOT_BEGUN);
+            postpone(engine, verdict, left);
             return;
         }
         ask(engine, decoder, readers.begin(engine, promptTokens, left));
     }
 
+    /** Another engine's part of a prompt may have been read already, so only an untouched one can wait for its turn again. */
+    private void postpone(Endpoint engine, ReadingPool.Verdict verdict, ReadingPool.Due left) {
+        boolean untouched = tried.isEmpty() && verdict != ReadingPool.Verdict.CALLER_LEAVES_SOONER;
+        if (untouched) {
+            outcome.notBegun();
+            return;
+        }
+        log.promptNotBegun(engine, verdict, readers.inputs(engine, promptTokens, left));
+        outcome.failed(NOT_BEGUN);
+    }
+
     private void ask(Endpoint engine, Endpoint decoder, ReadingPool<Endpoint>.Reading begun) {
         tried.add(engine);
         reading = begun;
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -15,6 +15,7 @@
 import org.quetzalseam.core.routing.RouteTable;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Directory;
+import org.quetzalseam.gateway.entry.EntryCount;
 import org.quetzalseam.gateway.operator.GatewayMetrics;
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.runtime.Timers;
@@ -58,8 +59,8 @@
     }
 
     /** Takes the number of entries that share the site's budgets. */
-    public void entries(int entries) {
-        context.entries(entries);
+    public void entries(EntryCount counted) {
+        context.entries(counted);
     }
 
     /** Returns the version of the desired state in force, 0 before the first. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/Reservation.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/Reservation.java
@@ -19,6 +19,7 @@
     private final double cost;
     private final long inTimeUntil;
     private final long until;
+    private final @Nullable Endpoint only;
     private final Outcome outcome;
     private boolean asking;
     private int asks;
@@ -32,14 +33,17 @@
      * @param cost what serving it is expected to cost; of two who wait, the cheaper goes first
      * @param inTimeUntil monotonic time in nanoseconds up to which a place still meets the latency objective
      * @param until monotonic time in nanoseconds at which to stop waiting
+     * @param only the one engine that will do, refused as soon as it has no room; null if any will
      * @param outcome takes the outcome
      */
-    Reservation(int tokens, int room, double cost, long inTimeUntil, long until, Outcome outcome) {
+    Reservation(
+            int tokens, int room, double cost, long inTimeUntil, long until, @Nullable Endpoint only, Outcome outcome) {
         this.tokens = tokens;
         this.room = room;
         this.cost = cost;
         this.inTimeUntil = inTimeUntil;
         this.until = until;
+        this.only = only;
         this.outcome = outcome;
     }
 
@@ -63,6 +67,16 @@
         return until;
     }
 
+    /** Returns whether an engine will do. */
+    boolean takes(Endpoint engine) {
+        return only == null || only.equals(engine);
+    }
+
+    /** Returns whether it doesn't wait for room. */
+    boolean impatient() {
+        return only != null;
+    }
+
     boolean asking() {
         return asking;
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
@@ -13,6 +13,7 @@
 import org.quetzalseam.core.generation.MemoryBooking;
 import org.quetzalseam.core.generation.TokenDemand;
 import org.quetzalseam.gateway.endpoint.Endpoint;
+import org.quetzalseam.gateway.entry.EntryCount;
 import org.quetzalseam.gateway.http.CallFailure;
 import org.quetzalseam.gateway.http.WholeReply;
 import org.quetzalseam.gateway.protocol.RequestFacts;
@@ -69,6 +70,7 @@
     private final MemoryBooking booking;
     private boolean looking;
     private final PromptReaders readers;
+    private final ReadingTurns turns;
     private double typicalMillis = FIRST_MILLIS;
     private int typicalOf = 1;
 
@@ -79,6 +81,7 @@
         this.context = context;
         this.service = service;
         this.readers = new PromptReaders(context, service);
+        this.turns = new ReadingTurns(context, service, readers);
         this.booking = new MemoryBooking(
                 context.settings().bookedDeviations(), context.settings().admittedDeviations(), BLOCK_TOKENS);
         context.timers().every(FORGET_MILLIS, this::forgetGone);
@@ -112,6 +115,17 @@
         return readers;
     }
 
+    /** Returns when they read them. */
+    ReadingTurns turns() {
+        return turns;
+    }
+
+    /** Sets among how many entries the engines are shared, and this one's place among them. */
+    void entries(EntryCount counted) {
+        readers.entries(counted.entries());
+        turns.entries(counted);
+    }
+
     /** Notes how long a generation took from its arrival to its end, and how many events it made. */
     void ended(long millis, RequestFacts facts, long events) {
         TokenDemand demand = facts.demand();
@@ -176,11 +190,15 @@
             return;
         }
         Optional<Endpoint> engine = engines.stream()
-                .filter(candidate -> mayHaveRoom(candidate, reservation, now))
+                .filter(candidate -> reservation.takes(candidate) && mayHaveRoom(candidate, reservation, now))
                 .min(Comparator.<Endpoint, Boolean>comparing(
                                 candidate -> candidate.health().suspect(now))
                         .thenComparingInt(candidate -> booked.getOrDefault(candidate, 0))
                         .thenComparing(candidate -> ThreadLocalRandom.current().nextInt()));
+        if (engine.isEmpty() && reservation.impatient()) {
+            waiting.remove(reservation);
+            reservation.refuse(null);
+        }
         engine.ifPresent(chosen -> ask(reservation, chosen));
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -22,6 +22,7 @@
 import org.quetzalseam.core.routing.ServiceRule;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Directory;
+import org.quetzalseam.gateway.entry.EntryCount;
 import org.quetzalseam.gateway.operator.GatewayMetrics;
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.runtime.Subscription;
@@ -39,7 +40,9 @@
     private final Directory directory;
     private final GatewayMetrics metrics;
     private EntrySettings settings;
-    private int entries;
+    /** The entries that share the site; null until they have been counted. */
+    private @Nullable EntryCount entries;
+
     private @Nullable GracePeriod grace;
     private List<ServiceRule> services = List.of();
     private final Map<String, RetryAllowance> retries = new HashMap<>();
@@ -131,10 +134,10 @@
         return takeRetries(service, arrivals) ? AnotherTry.ALLOWED : AnotherTry.BUDGET_SPENT;
     }
 
-    void entries(int counted) {
+    void entries(EntryCount counted) {
         entries = counted;
-        retries.values().forEach(allowance -> allowance.entries(counted));
-        desks.values().forEach(desk -> desk.readers().entries(counted));
+        retries.values().forEach(allowance -> allowance.entries(counted.entries()));
+        desks.values().forEach(desk -> desk.entries(counted));
         shareConnections();
     }
 
@@ -144,8 +147,10 @@
     }
 
     private void shareConnections() {
+        EntryCount counted = entries;
+        int sharing = counted == null ? 0 : counted.entries();
         for (ServiceRule service : services) {
-            directory.mostConnections(service.name(), ConnectionShare.of(service.maxConnections(), entries));
+            directory.mostConnections(service.name(), ConnectionShare.of(service.maxConnections(), sharing));
         }
     }
 
@@ -158,8 +163,9 @@
                 settings.retryRatio(),
                 settings.retrySlack(),
                 TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMillis()));
-        if (entries > 0) {
-            allowance.entries(entries);
+        EntryCount counted = entries;
+        if (counted != null) {
+            allowance.entries(counted.entries());
         }
         return allowance;
     }
@@ -211,7 +217,10 @@
 
     private ReservationDesk newDesk(String service) {
         ReservationDesk desk = new ReservationDesk(this, service);
-        desk.readers().entries(entries);
+        EntryCount counted = entries;
+        if (counted != null) {
+            desk.entries(counted);
+        }
         return desk;
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -83,6 +83,11 @@
                 exchange.facts().id(), route.name(), service, version, outcome, status, tries, exchange.ageMillis());
     }
 
+    /** Notes that a prompt isn't begun yet, and why. */
+    void promptWaits(Endpoint engine, ReadingPool.Verdict verdict, String inputs) {
+        step("prompt-waits", engine, "verdict=" + verdict + " " + inputs);
+    }
+
     /** Notes that a prompt isn't begun, and why. */
     void promptNotBegun(Endpoint engine, ReadingPool.Verdict verdict, String inputs) {
         step("prompt-not-begun", engine, "verdict=" + verdict + " " + inputs);
--- a/gateway/src/test/java/org/quetzalseam/gateway/PromptReadingTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/PromptReadingTest.java
@@ -77,10 +77,14 @@
     }
 
     private List<String> askTogether(String prefix, int count) {
+        return askTogether("/stream/x", prefix, count);
+    }
+
+    private List<String> askTogether(String path, String prefix, int count) {
         List<CompletableFuture<String>> asked = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             String id = prefix + i;
-            asked.add(CompletableFuture.supplyAsync(() -> entry.ask("/stream/x", id, SIZE)));
+            asked.add(CompletableFuture.supplyAsync(() -> entry.ask(path, id, SIZE)));
         }
         return asked.stream().map(CompletableFuture::join).toList();
     }
@@ -127,6 +131,29 @@
         assertThat(answers).allMatch(answer -> answer.startsWith("HTTP/1.1 200"));
     }
 
+    /** Before any engine has answered four prompts are begun at two of them; the others of a burst wait, and none is refused. */
+    @Test
+    void whatTheEnginesHaveNoTimeForYetIsReadAfterTheOthers() {
+        first.script(after(SLOW_MILLIS / 4));
+        second.script(after(SLOW_MILLIS / 4));
+        assertThat(askTogether("r", 8)).allMatch(answer -> answer.startsWith("HTTP/1.1 200"));
+        assertThat(reads()).isEqualTo(8);
+    }
+
+    /** Two slow engines have a burst of twelve prompts: some would be read after the objective, where a decode engine is in time. */
+    @Test
+    void whatPrefillEnginesWouldReadTooLateADecodeEngineReadsBetweenItsTokens() {
+        entry.entries(1);
+        first.script(after(SLOW_MILLIS / 2));
+        second.script(after(SLOW_MILLIS / 2));
+        askTogether("/paced/x", "warm", 2);
+        List<String> answers = askTogether("/paced/x", "r", 12);
+        assertThat(decode.runs())
+                .anyMatch(run ->
+                        run.header("x-kv").isEmpty() && !run.header("x-booking").isEmpty());
+        assertThat(answers).anyMatch(answer -> answer.startsWith("HTTP/1.1 200"));
+    }
+
     @Test
     void whatWouldBeReadTooLateIsRefusedBeforeAnythingIsBooked() {
         first.script(after(SLOW_MILLIS));
--- a/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
@@ -17,10 +17,14 @@
 import org.quetzalseam.core.routing.RouteTable;
 import org.quetzalseam.core.routing.ServiceRule;
 import org.quetzalseam.core.routing.ServiceShare;
+import org.quetzalseam.gateway.entry.EntryCount;
 import org.quetzalseam.gateway.route.EntrySettings;
 
 /** An entry on the loopback address, and callers of it. */
 final class TestEntry implements AutoCloseable {
+    /** Longest pause in time on the route "paced", in milliseconds: a slow engine's reading fits into it. */
+    private static final long PAUSE_MILLIS = 5_000;
+
     private static final int TIME_OUT_MILLIS = 10_000;
 
     private final EntryProcess process;
@@ -58,16 +62,17 @@
     /** The same, before endpoints that take so many connections from all entries together. */
     void routes(long timeoutMillis, int maxConnections) {
         List<RouteRule> rules = new ArrayList<>();
-        rules.add(rule("once", CallKind.NON_IDEMPOTENT, false, timeoutMillis));
-        rules.add(rule("many", CallKind.IDEMPOTENT, false, timeoutMillis));
-        rules.add(rule("stream", CallKind.STREAM, false, timeoutMillis));
-        rules.add(rule("resumable", CallKind.STREAM, true, timeoutMillis));
+        rules.add(rule("once", CallKind.NON_IDEMPOTENT, false, timeoutMillis, 0));
+        rules.add(rule("many", CallKind.IDEMPOTENT, false, timeoutMillis, 0));
+        rules.add(rule("stream", CallKind.STREAM, false, timeoutMillis, 0));
+        rules.add(rule("resumable", CallKind.STREAM, true, timeoutMillis, 0));
+        rules.add(rule("paced", CallKind.STREAM, false, timeoutMillis, PAUSE_MILLIS));
         RouteTable table =
                 new RouteTable(1, rules, List.of(new ServiceRule("s", maxConnections)), CallerLimits.DEFAULT);
         onLoop(() -> process.router().update(table));
     }
 
-    private static RouteRule rule(String name, CallKind kind, boolean resumable, long timeoutMillis) {
+    private static RouteRule rule(String name, CallKind kind, boolean resumable, long timeoutMillis, long pauseMillis) {
         return new RouteRule(
                 name,
                 "h",
@@ -77,6 +82,8 @@
                 2,
                 timeoutMillis,
                 2_000,
+                pauseMillis,
+                8_000,
                 0,
                 resumable);
     }
@@ -89,7 +96,7 @@
     }
 
     void entries(int counted) {
-        onLoop(() -> process.router().entries(counted));
+        onLoop(() -> process.router().entries(new EntryCount(counted, 0)));
     }
 
     private void onLoop(Runnable call) {
