What comes when an entry has ended is not passed on

Ruled out: a request taken before the end (requests_cut=0), the reading of prompts (a plain call). Before: the new test fails, two runs at the service; after: passes.

--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
@@ -43,6 +43,7 @@
     private @Nullable HttpRequest head;
     private @Nullable ByteBuf body;
     private boolean discarding;
+    private boolean stopped;
     private final long openedAt = System.nanoTime();
     private long quietSince = openedAt;
     private boolean receiving;
@@ -167,6 +168,10 @@
 
     private void received(HttpRequest request, ByteBuf collected) {
         Exchange exchange = new Exchange(channel, request, collected, server.facts(request), this::exchangeEnded);
+        if (stopped) {
+            exchange.drop();
+            return;
+        }
         if (current != null) {
             waiting.addLast(exchange);
             if (waiting.size() >= MAX_PIPELINED) {
@@ -193,12 +198,15 @@
         }
     }
 
-    /** The process ends: what is being answered ends now, and what waits behind it is never begun. */
+    /** The process ends: what is being answered ends now, what waits behind it or still comes is never begun. */
     void processStops() {
+        stopped = true;
         // What waits goes quietly: closing for its sake would take the connection from the answer before it.
         dropWaiting();
         Exchange exchange = current;
-        if (exchange != null) {
+        if (exchange == null) {
+            channel.close();
+        } else {
             exchange.processStops();
         }
     }
--- a/gateway/src/test/java/org/quetzalseam/gateway/EndOfLeavingTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/EndOfLeavingTest.java
@@ -191,6 +191,41 @@
         }
     }
 
+    /**
+     * Between its end and that of its process an entry writes its last answers. What a caller sends on an idle connection in that time
+     * could be passed on and not be answered any more.
+     */
+    @Test
+    void aRequestThatComesWhenTheEntryHasEndedIsNotPassedOn() throws Exception {
+        service.script((request, connection) -> connection.answer(request, "whole"));
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.write(call("before"));
+            sleep(200);
+            assertThat(service.runs()).hasSize(1);
+            CompletableFuture<Void> left = leave(60_000);
+            awaitClosedListener();
+            try {
+                caller.write(call("crossing"));
+            } catch (IllegalStateException expected) {
+                // The connection is closed already.
+            }
+            left.get(5, TimeUnit.SECONDS);
+            assertThat(service.runs()).hasSize(1);
+        }
+    }
+
+    private void awaitClosedListener() {
+        boolean listening = true;
+        while (listening) {
+            try (Socket probe = new Socket()) {
+                probe.connect(entry.address());
+                sleep(1);
+            } catch (IOException refused) {
+                listening = false;
+            }
+        }
+    }
+
     /** Its answer could not be given any more: the connection is announced to close. */
     @Test
     void aRequestBehindAnAnswerThatClosesTheConnectionIsNotRun() throws Exception {
