A keyed call waits for the first connection to its key's holder

Cause: an endpoint that restarts as planned is listed before the entry's connection to it is made; in between calls were told 502 key-holder-unreachable (LeavingTest#aRollingStopOfEveryProcessUnderLoadCutsNothingShort, once beside load). Ruled out: the client for calls that must not run twice (nothing was sent).

--- a/cli/src/main/java/org/quetzalseam/cli/site/EndpointVm.java
+++ b/cli/src/main/java/org/quetzalseam/cli/site/EndpointVm.java
@@ -85,7 +85,12 @@
     }
 
     /** Starts the daemon and puts the VM on the platform's list. */
-    public synchronized void start() {
+    public void start() {
+        start(0);
+    }
+
+    /** The same, on a network path that delays each piece, in either direction; on a site with proxies. */
+    public synchronized void start(long pathDelayMillis) {
         SettingsReader.Result read = SettingsReader.read(Role.ENDPOINT, name, settings());
         List<Problem> problems = read.problems();
         if (!problems.isEmpty()) {
@@ -98,6 +103,7 @@
         if (site.options().proxied()) {
             proxy.ifPresent(LinkProxy::stop);
             LinkProxy path = new LinkProxy(port);
+            path.delay(pathDelayMillis);
             proxy = Optional.of(path);
             port = path.port();
         }
--- a/cli/src/test/java/org/quetzalseam/cli/LeavingTest.java
+++ b/cli/src/test/java/org/quetzalseam/cli/LeavingTest.java
@@ -21,6 +21,9 @@
 import org.quetzalseam.cli.site.Wait;
 
 class LeavingTest {
+    /** Delay of each piece on a path, in milliseconds: with it a connection takes some tenths of a second to be made. */
+    private static final long PATH_DELAY_MILLIS = 60;
+
     private final TestSite site = TestSite.start();
 
     @AfterEach
@@ -98,6 +101,27 @@
                         .isEqualTo(Told.ANSWERED));
     }
 
+    /**
+     * An endpoint that has restarted as planned is on the platform's list before the entries have a connection to it. Its keys are as
+     * safe as before: who asks then is answered as soon as it can be reached.
+     */
+    @Test
+    void aKeyedCallWaitsForTheFirstConnectionToItsRestartedHolder() {
+        EndpointVm holder = site.services().get(0);
+        holder.stop();
+        awaitConnected(5);
+        holder.start(PATH_DELAY_MILLIS);
+        List<CompletableFuture<HttpResponse<String>>> deposits = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            deposits.add(site.deposit(site.entry(0), "restart-" + i, "restart-" + i));
+            Wait.pass(Duration.ofMillis(5));
+        }
+        assertThat(deposits).allSatisfy(deposit -> {
+            HttpResponse<String> response = deposit.join();
+            assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
+        });
+    }
+
     @Test
     void aRestartedEntryKnowsItsCatalogueAndEndpointsBeforeItTakesCalls() {
         EntryVm vm = site.site().entries().get(0);
@@ -108,11 +132,15 @@
     }
 
     private void awaitConnected() {
+        awaitConnected(6);
+    }
+
+    private void awaitConnected(int endpoints) {
         Wait.until(
                 TestSite.LIMIT,
-                "all links",
+                "the links",
                 () -> site.site().entries().stream()
-                        .allMatch(entry -> entry.daemon().connectedEndpoints() == 6));
+                        .allMatch(entry -> entry.daemon().connectedEndpoints() == endpoints));
     }
 
     @Test
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.admission.WorkClass;
 import org.quetzalseam.core.attempt.AttemptId;
@@ -41,6 +43,8 @@
 final class EndpointLink implements Service, Dialer.Listener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration LOSS_MARGIN = Duration.ofMillis(200);
+    /** How often a wait for a connection looks for it: a part of a handshake. */
+    private static final Duration CONNECTION_POLL = Duration.ofMillis(1);
 
     private final Vm vm;
     private final LinkContext context;
@@ -96,10 +100,27 @@
         listedLeaving = nowLeaving;
     }
 
+    /** Waits for a connection while that is worthwhile and the time isn't up. Returns whether there is one. */
+    boolean awaitConnected(Duration limit, BooleanSupplier worthwhile) {
+        long end = System.nanoTime() + limit.toNanos();
+        while (!connected()
+                && worthwhile.getAsBoolean()
+                && System.nanoTime() - end < 0
+                && !Thread.currentThread().isInterrupted()) {
+            LockSupport.parkNanos(CONNECTION_POLL.toNanos());
+        }
+        return connected();
+    }
+
     boolean connected() {
         return dialer.connection() != null;
     }
 
+    /** Returns whether no connection has been made yet, as to an endpoint that has just been listed. */
+    boolean opening() {
+        return incarnation == 0;
+    }
+
     boolean isLeaving() {
         return leaving || listedLeaving || load.leaving();
     }
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
@@ -1,10 +1,10 @@
 package org.quetzalseam.daemon.entry;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.locks.LockSupport;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.attempt.AttemptId;
 import org.quetzalseam.wire.message.FenceKey;
@@ -98,12 +98,8 @@
     }
 
     /** Waits for a link that has just been made; an endpoint that has said that it leaves isn't waited for. */
-    private boolean awaitConnection(EndpointLink link) {
-        long until = System.nanoTime() + ANSWER_MILLIS * NANOS_PER_MILLI;
-        while (!link.connected() && link.departedKeys() == null && System.nanoTime() - until < 0) {
-            LockSupport.parkNanos(NANOS_PER_MILLI);
-        }
-        return link.connected();
+    private static boolean awaitConnection(EndpointLink link) {
+        return link.awaitConnected(Duration.ofMillis(ANSWER_MILLIS), () -> link.departedKeys() == null);
     }
 
     private Finding collect(List<EndpointLink> asked, Inbox inbox) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyedRun.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyedRun.java
@@ -1,5 +1,6 @@
 package org.quetzalseam.daemon.entry;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -24,6 +25,9 @@
  * outcome is unknown and that the same key may safely be sent again. Used by one thread.
  */
 final class KeyedRun {
+    /** How long a call waits for the first connection to its key's holder: tens of handshakes in one region. */
+    private static final Duration OPENING_WAIT = Duration.ofSeconds(1);
+
     private static final int MAX_ATTEMPTS = 6;
     private static final int KEY_DIGITS = 32;
     private static final long RETRY_MILLIS = 1_000;
@@ -59,7 +63,7 @@
                 return unknown("no-endpoint", "no endpoint of the service takes work");
             }
             EndpointLink link = holder.get();
-            if (!link.connected()) {
+            if (!connected(link)) {
                 return unknown("key-holder-unreachable", "the endpoint that would know the key can't be reached");
             }
             long incarnation = link.incarnation();
@@ -100,6 +104,14 @@
         }
     }
 
+    /**
+     * Returns whether a holder can be reached, after a wait for the first connection to it: one that has restarted as planned is listed
+     * before it is connected. Nothing is sent meanwhile, so the wait proves and spoils nothing.
+     */
+    private static boolean connected(EndpointLink link) {
+        return link.awaitConnected(OPENING_WAIT, link::opening);
+    }
+
     private KeyInquiry inquiry(EndpointLink holder) {
         long retention = context.settings().timing().keyRetention().toNanos();
         return new KeyInquiry(context, request.service().pool(), holder, key, mintedAt, id, retention);
