Sight: which way an inquiry about a key ended in doubt

A keyed call told key-holder-unreachable did not say which of five ways its inquiry had taken: the list unreadable, the pool not linked, an absent endpoint without word, one that was asked and lost, one that did not answer in time; nor, apart from these, that the holder was not connected. Each now logs its line with the inputs. No decision changes.

--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
@@ -1,10 +1,13 @@
 package org.quetzalseam.daemon.entry;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.attempt.AttemptId;
 import org.quetzalseam.wire.message.FenceKey;
@@ -18,6 +21,7 @@
  * crashed nothing is known.
  */
 final class KeyInquiry {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long ANSWER_MILLIS = 500;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -31,6 +35,20 @@
         UNKNOWN
     }
 
+    /** Why an inquiry can't tell. */
+    private enum Doubt {
+        /** The newest list of VMs could not be read. */
+        LIST_UNREADABLE,
+        /** The pool is larger than what the entry is linked to. */
+        POOL_NOT_LINKED,
+        /** An endpoint that can't be asked left no word that it had not seen the key. */
+        ABSENT_WITHOUT_WORD,
+        /** An endpoint that was asked was lost before it answered. */
+        ASKED_AND_LOST,
+        /** An endpoint that was asked did not answer in time. */
+        NO_ANSWER_IN_TIME
+    }
+
     /**
      * The result of an inquiry. Immutable.
      *
@@ -46,6 +64,10 @@
     private final long mintedAtMillis;
     private final AttemptId id;
     private final long retentionNanos;
+    private final List<EndpointLink> asked = new ArrayList<>();
+    private final List<EndpointLink> absent = new ArrayList<>();
+    private final Inbox inbox = new Inbox();
+    private final long startedAt;
 
     KeyInquiry(
             EntryContext context,
@@ -62,18 +84,31 @@
         this.mintedAtMillis = mintedAtMillis;
         this.id = id;
         this.retentionNanos = retentionNanos;
+        this.startedAt = context.timers().now();
     }
 
     /** Asks everybody on the newest list of VMs, which is read for this purpose. */
     Finding inquire() {
-        if (!context.members().refresh() || !context.fleet().linksWholePool(pool)) {
-            return new Finding(Answer.UNKNOWN, Optional.empty());
+        if (!context.members().refresh()) {
+            return unknown(Doubt.LIST_UNREADABLE);
+        }
+        if (!context.fleet().linksWholePool(pool)) {
+            return unknown(Doubt.POOL_NOT_LINKED);
         }
-        List<EndpointLink> absent = new ArrayList<>(context.fleet()
+        absent.addAll(context.fleet()
                 .history(pool)
                 .departedWithin(retentionNanos, context.timers().now()));
-        List<EndpointLink> asked = new ArrayList<>();
-        Inbox inbox = new Inbox();
+        askAll();
+        boolean absentDeny = absent.stream().allMatch(link -> denied(link.departedKeys()));
+        Finding finding = collect();
+        asked.forEach(link -> link.end(id));
+        if (finding.answer() == Answer.NEVER_SEEN && !absentDeny) {
+            return unknown(Doubt.ABSENT_WITHOUT_WORD);
+        }
+        return finding;
+    }
+
+    private void askAll() {
         for (EndpointLink link : context.fleet().pool(pool)) {
             if (link == holder) {
                 continue;
@@ -84,13 +119,26 @@
                 absent.add(link);
             }
         }
-        boolean absentDeny = absent.stream().allMatch(link -> denied(link.departedKeys()));
-        Finding finding = collect(asked, inbox);
-        asked.forEach(link -> link.end(id));
-        if (finding.answer() == Answer.NEVER_SEEN && !absentDeny) {
-            return new Finding(Answer.UNKNOWN, Optional.empty());
-        }
-        return finding;
+    }
+
+    private Finding unknown(Doubt doubt) {
+        logger.atInfo().log(
+                "event=key-inquiry-in-doubt request=%s holder=%s reason=%s asked=%s absent=%s age_ms=%d",
+                id.requestId(),
+                holder.name(),
+                label(doubt),
+                names(asked),
+                names(absent),
+                (context.timers().now() - startedAt) / NANOS_PER_MILLI);
+        return new Finding(Answer.UNKNOWN, Optional.empty());
+    }
+
+    private static String label(Doubt doubt) {
+        return doubt.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    private static String names(List<EndpointLink> links) {
+        return links.stream().map(EndpointLink::name).collect(Collectors.joining(","));
     }
 
     private boolean denied(@Nullable Set<String> seen) {
@@ -102,13 +150,16 @@
         return link.awaitConnected(Duration.ofMillis(ANSWER_MILLIS), () -> link.departedKeys() == null);
     }
 
-    private Finding collect(List<EndpointLink> asked, Inbox inbox) {
+    private Finding collect() {
         int missing = asked.size();
         long until = context.timers().now() + ANSWER_MILLIS * NANOS_PER_MILLI;
         while (missing > 0) {
             Event event = inbox.poll(Math.max(0, (until - context.timers().now()) / NANOS_PER_MILLI));
-            if (event == null || !(event.reply() instanceof KeyFenced fenced)) {
-                return new Finding(Answer.UNKNOWN, Optional.empty());
+            if (event == null) {
+                return unknown(Doubt.NO_ANSWER_IN_TIME);
+            }
+            if (!(event.reply() instanceof KeyFenced fenced)) {
+                return unknown(Doubt.ASKED_AND_LOST);
             }
             if (!fenced.neverSeen()) {
                 return new Finding(Answer.SEEN, Optional.of(event.link()));
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyedRun.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyedRun.java
@@ -1,5 +1,6 @@
 package org.quetzalseam.daemon.entry;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -25,6 +26,7 @@
  * outcome is unknown and that the same key may safely be sent again. Used by one thread.
  */
 final class KeyedRun {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** How long a call waits for the first connection to its key's holder: tens of handshakes in one region. */
     private static final Duration OPENING_WAIT = Duration.ofSeconds(1);
 
@@ -64,6 +66,9 @@
             }
             EndpointLink link = holder.get();
             if (!connected(link)) {
+                logger.atInfo().log(
+                        "event=key-holder-not-connected request=%s holder=%s reached_before=%s",
+                        id.requestId(), link.name(), !link.opening());
                 return unknown("key-holder-unreachable", "the endpoint that would know the key can't be reached");
             }
             long incarnation = link.incarnation();
