--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
@@ -65,6 +65,7 @@
     private final AttemptId id;
     private final long retentionNanos;
     private final List<EndpointLink> asked = new ArrayList<>();
+    private final List<EndpointLink> unanswered = new ArrayList<>();
     private final List<EndpointLink> absent = new ArrayList<>();
     private final Inbox inbox = new Inbox();
     private final long startedAt;
@@ -115,6 +116,7 @@
             }
             if (awaitConnection(link) && link.begin(new FenceKey(id, key, mintedAtMillis), inbox, 0)) {
                 asked.add(link);
+                unanswered.add(link);
             } else {
                 absent.add(link);
             }
@@ -123,11 +125,12 @@
 
     private Finding unknown(Doubt doubt) {
         logger.atInfo().log(
-                "event=key-inquiry-in-doubt request=%s holder=%s reason=%s asked=%s absent=%s age_ms=%d",
+                "event=key-inquiry-in-doubt request=%s holder=%s reason=%s asked=%s unanswered=%s absent=%s age_ms=%d",
                 id.requestId(),
                 holder.name(),
                 label(doubt),
                 names(asked),
+                names(unanswered),
                 names(absent),
                 (context.timers().now() - startedAt) / NANOS_PER_MILLI);
         return new Finding(Answer.UNKNOWN, Optional.empty());
@@ -151,9 +154,8 @@
     }
 
     private Finding collect() {
-        int missing = asked.size();
         long until = context.timers().now() + ANSWER_MILLIS * NANOS_PER_MILLI;
-        while (missing > 0) {
+        while (!unanswered.isEmpty()) {
             Event event = inbox.poll(Math.max(0, (until - context.timers().now()) / NANOS_PER_MILLI));
             if (event == null) {
                 return unknown(Doubt.NO_ANSWER_IN_TIME);
@@ -164,7 +166,7 @@
             if (!fenced.neverSeen()) {
                 return new Finding(Answer.SEEN, Optional.of(event.link()));
             }
-            missing--;
+            unanswered.remove(event.link());
         }
         return new Finding(Answer.NEVER_SEEN, Optional.empty());
     }
