Failing tests: what is begun while a connection opens is told lost

Callers were told 502 endpoint-lost or key-holder-unreachable though the endpoint was connected and nothing had crashed.

--- /dev/null
+++ b/daemon/src/test/java/org/quetzalseam/daemon/entry/FakeEndpoint.java
@@ -0,0 +1,115 @@
+package org.quetzalseam.daemon.entry;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
+import org.quetzalseam.core.attempt.AttemptId;
+import org.quetzalseam.wire.WireException;
+import org.quetzalseam.wire.connection.Acceptor;
+import org.quetzalseam.wire.connection.Connection;
+import org.quetzalseam.wire.connection.Identity;
+import org.quetzalseam.wire.connection.SiteKey;
+import org.quetzalseam.wire.connection.Transport;
+import org.quetzalseam.wire.message.Answer;
+import org.quetzalseam.wire.message.AttemptMessage;
+import org.quetzalseam.wire.message.AttemptReply;
+import org.quetzalseam.wire.message.Book;
+import org.quetzalseam.wire.message.Booked;
+import org.quetzalseam.wire.message.Call;
+import org.quetzalseam.wire.message.FenceKey;
+import org.quetzalseam.wire.message.KeyFenced;
+import org.quetzalseam.wire.message.Load;
+import org.quetzalseam.wire.message.Message;
+import org.quetzalseam.wire.message.Prefill;
+import org.quetzalseam.wire.message.Prefilled;
+import org.quetzalseam.wire.message.Role;
+
+/** One process of an endpoint, which answers each first order of an attempt at once. Thread-safe. */
+final class FakeEndpoint implements Connection.Listener {
+    private static final Load LOAD = Load.unknown();
+    private static final Duration PORT_WAIT = Duration.ofSeconds(5);
+    private static final Duration PORT_LOOK = Duration.ofMillis(1);
+
+    private final Acceptor acceptor;
+    private final Set<AttemptId> taken = ConcurrentHashMap.newKeySet();
+    private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+
+    private FakeEndpoint(int port) {
+        acceptor = new Acceptor(
+                "127.0.0.1",
+                port,
+                Identity.start(Role.ENDPOINT, "endpoint", "zone"),
+                SiteKey.loopback(),
+                Transport.plain(),
+                this,
+                connections::add);
+    }
+
+    /** Starts a process on a port, or on any free one when that is 0. The port of a process that has just ended is waited for. */
+    static FakeEndpoint start(int port) {
+        long end = System.nanoTime() + PORT_WAIT.toNanos();
+        while (true) {
+            FakeEndpoint endpoint = new FakeEndpoint(port);
+            try {
+                endpoint.acceptor.start();
+                return endpoint;
+            } catch (WireException e) {
+                endpoint.stop();
+                if (System.nanoTime() - end > 0) {
+                    throw e;
+                }
+                LockSupport.parkNanos(PORT_LOOK.toNanos());
+            }
+        }
+    }
+
+    int port() {
+        return acceptor.port();
+    }
+
+    /** Returns whether an order of an attempt has arrived here. */
+    boolean took(AttemptId id) {
+        return taken.contains(id);
+    }
+
+    /** Sends a message to every entry. */
+    void say(Message message) {
+        connections.forEach(connection -> connection.send(message));
+    }
+
+    void stop() {
+        acceptor.stop();
+    }
+
+    @Override
+    public void received(Connection connection, Message message) {
+        if (message instanceof AttemptMessage order) {
+            taken.add(order.attempt());
+            connection.send(reply(order));
+        }
+    }
+
+    private static AttemptReply reply(AttemptMessage order) {
+        AttemptId id = order.attempt();
+        if (order instanceof Book) {
+            return new Booked(id, LOAD);
+        }
+        if (order instanceof Prefill) {
+            return new Prefilled(id, new byte[0], LOAD);
+        }
+        if (order instanceof FenceKey) {
+            return new KeyFenced(id, true, LOAD);
+        }
+        if (order instanceof Call) {
+            return new Answer(id, 200, Map.of(), new byte[0], LOAD);
+        }
+        throw new IllegalArgumentException("not a first order: " + order);
+    }
+
+    @Override
+    public void closed(Connection connection) {
+        connections.remove(connection);
+    }
+}
--- /dev/null
+++ b/wire/src/test/java/org/quetzalseam/wire/connection/DialerTest.java
@@ -0,0 +1,105 @@
+package org.quetzalseam.wire.connection;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.wire.message.Leaving;
+import org.quetzalseam.wire.message.Message;
+import org.quetzalseam.wire.message.Role;
+import org.quetzalseam.wire.runtime.TimerService;
+
+class DialerTest {
+    private static final long LIMIT_SECONDS = 5;
+    private static final Message MESSAGE = new Leaving(List.of());
+
+    private final TimerService timers = new TimerService("test");
+    private final CountDownLatch told = new CountDownLatch(1);
+    private final CountDownLatch prepared = new CountDownLatch(1);
+    private final CountDownLatch arrived = new CountDownLatch(1);
+    private final Acceptor acceptor = new Acceptor(
+            "127.0.0.1",
+            0,
+            Identity.start(Role.ENDPOINT, "endpoint", "zone"),
+            SiteKey.loopback(),
+            Transport.plain(),
+            new Counting(),
+            connection -> {});
+
+    @BeforeEach
+    void start() {
+        timers.start();
+        acceptor.start();
+    }
+
+    @AfterEach
+    void stop() {
+        acceptor.stop();
+        timers.stop();
+    }
+
+    private final class Counting implements Connection.Listener {
+        @Override
+        public void received(Connection connection, Message message) {
+            arrived.countDown();
+        }
+
+        @Override
+        public void closed(Connection connection) {
+            // The test ends it.
+        }
+    }
+
+    /** Takes its time to prepare for a new connection, as a listener's thread does beside load. */
+    private final class SlowToPrepare implements Dialer.Listener {
+        @Override
+        public void opened(Connection connection) {
+            told.countDown();
+            try {
+                prepared.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        @Override
+        public void received(Connection connection, Message message) {
+            // The peer says nothing.
+        }
+
+        @Override
+        public void closed(Connection connection) {
+            // The test ends it.
+        }
+    }
+
+    /**
+     * A listener learns of a new connection so that it can settle what was under way on the last one. What is sent before it has
+     * done so is taken for a part of that, and its sender is told that it is lost although it arrives.
+     */
+    @Test
+    void nothingIsSentOverANewConnectionBeforeItsListenerIsPrepared() throws InterruptedException {
+        Dialer dialer = new Dialer(
+                "127.0.0.1",
+                acceptor.port(),
+                Identity.start(Role.ENTRY, "entry", "zone"),
+                SiteKey.loopback(),
+                Transport.plain(),
+                timers,
+                new SlowToPrepare());
+        dialer.start();
+        assertThat(told.await(LIMIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        assertThat(dialer.send(MESSAGE)).isFalse();
+        prepared.countDown();
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+        while (!dialer.send(MESSAGE) && System.nanoTime() - end < 0) {
+            Thread.onSpinWait();
+        }
+        assertThat(arrived.await(LIMIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        dialer.stop();
+    }
+}
