A connection, the process at its end and what is in flight there change together

What callers saw: 502 endpoint-lost (the call may have run) or key-holder-unreachable, for calls to an endpoint that was connected and had not crashed, in the moments in which it came back from a planned stop.

Cause: the dialer made a new connection current, and then told the link of it, which settled all that was in flight as lost, as the process at the other end was another than before. What was begun in between went to the new process and ran there.

Mend: the link holds its connection itself and changes it, the process, what that said and what is in flight under one lock, in which orders are sent too; so an order is sent to a process whose predecessor's work is settled, or not at all. The timer that gives up what a closed connection left looks and acts under the lock as well: it could have lost what a new connection had just resumed. A further order goes only where its attempt still is in flight, not to the process after. A link that has been stopped takes no connection. The dialer's other user (the inquiry at the seeds) sends only when told of a connection, and was not reached.

--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
@@ -2,11 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -39,6 +39,10 @@
  *
  * <p>After a lost connection the link resumes its attempts if the same incarnation of the endpoint answers within the
  * lease; otherwise each of them receives {@link Event.Lost}.
+ *
+ * <p>The connection, what is known of the process at its other end, and the attempts in flight there change under one lock:
+ * an attempt begun between two of these changes would be settled as one of the process before, and reported lost while it
+ * runs. Nothing is called under the lock that takes locks of its own, as the site's state does.
  */
 final class EndpointLink implements Service, Dialer.Listener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -49,11 +53,14 @@
     private final Vm vm;
     private final LinkContext context;
     private final Dialer dialer;
-    private final Map<AttemptId, Inbox> inFlight = new ConcurrentHashMap<>();
+    private final Object lock = new Object();
+    private final Map<AttemptId, Inbox> inFlight = new HashMap<>();
     private final AtomicLong sentCost = new AtomicLong();
     private final AtomicInteger sentCount = new AtomicInteger();
-    private final AtomicLong losses = new AtomicLong();
     private final Ejection ejection = new Ejection();
+    private long changes;
+    private boolean stopped;
+    private volatile @Nullable Connection current;
     private volatile Load load = Load.unknown();
     private volatile long incarnation;
     private volatile boolean leaving;
@@ -113,7 +120,8 @@
     }
 
     boolean connected() {
-        return dialer.connection() != null;
+        Connection connection = current;
+        return connection != null && connection.open();
     }
 
     /** Returns whether no connection has been made yet, as to an endpoint that has just been listed. */
@@ -170,100 +178,141 @@
      * @param cost cost of the work, to be counted until the endpoint's next report
      */
     boolean begin(AttemptMessage order, Inbox inbox, long cost) {
-        inFlight.put(order.attempt(), inbox);
-        if (!dialer.send(order)) {
-            inFlight.remove(order.attempt());
-            return false;
+        synchronized (lock) {
+            if (!sendNow(order)) {
+                return false;
+            }
+            inFlight.put(order.attempt(), inbox);
+            sentCost.addAndGet(cost);
+            sentCount.incrementAndGet();
+            return true;
         }
-        sentCost.addAndGet(cost);
-        sentCount.incrementAndGet();
-        return true;
     }
 
-    /** Sends a further order of an attempt in flight. When it is lost, resuming the attempt finds out. */
-    boolean send(Message message) {
-        return dialer.send(message);
+    /**
+     * Sends a further order of an attempt. When it is lost, resuming the attempt finds out. Returns false when it certainly
+     * was not sent, as when the process that has the attempt is gone.
+     */
+    boolean send(AttemptMessage order) {
+        synchronized (lock) {
+            return inFlight.containsKey(order.attempt()) && sendNow(order);
+        }
+    }
+
+    /** Sends what concerns no attempt, if there is a connection. */
+    void tell(Message message) {
+        synchronized (lock) {
+            sendNow(message);
+        }
+    }
+
+    private boolean sendNow(Message message) {
+        Connection connection = current;
+        return connection != null && connection.send(message);
     }
 
     /** Takes no more interest in an attempt that has ended there. */
     void end(AttemptId id) {
-        inFlight.remove(id);
+        synchronized (lock) {
+            inFlight.remove(id);
+        }
     }
 
     /** Drops an attempt there. Should the message be lost, the lease does the same. */
     void cancel(AttemptId id) {
-        if (inFlight.remove(id) != null) {
-            dialer.send(new Cancel(id));
+        synchronized (lock) {
+            if (inFlight.remove(id) != null) {
+                sendNow(new Cancel(id));
+            }
         }
     }
 
     private void heartbeat() {
-        if (connected()) {
-            dialer.send(new Heartbeat(
-                    List.copyOf(inFlight.keySet()),
-                    context.site().catalogueVersion(),
-                    context.site().membersVersion()));
+        long catalogue = context.site().catalogueVersion();
+        long members = context.site().membersVersion();
+        synchronized (lock) {
+            sendNow(new Heartbeat(List.copyOf(inFlight.keySet()), catalogue, members));
         }
     }
 
     @Override
     public void opened(Connection connection) {
-        long now = connection.peer().incarnation();
-        losses.incrementAndGet();
-        if (now != incarnation) {
-            incarnation = now;
-            leaving = false;
-            departedKeys = null;
-            loseAll();
-        } else {
-            inFlight.forEach((id, inbox) -> connection.send(new Resume(id, inbox.nextOutput())));
+        long catalogue = context.site().catalogueVersion();
+        long members = context.site().membersVersion();
+        long process = connection.peer().incarnation();
+        synchronized (lock) {
+            if (stopped) {
+                return;
+            }
+            changes++;
+            if (process == incarnation) {
+                inFlight.forEach((id, inbox) -> connection.send(new Resume(id, inbox.nextOutput())));
+            } else {
+                forgetProcess();
+            }
+            current = connection;
+            incarnation = process;
+            sendNow(new Heartbeat(List.copyOf(inFlight.keySet()), catalogue, members));
         }
-        connection.send(new Heartbeat(
-                List.copyOf(inFlight.keySet()),
-                context.site().catalogueVersion(),
-                context.site().membersVersion()));
-        logger.atInfo().log("event=link-opened endpoint=%s incarnation=%x", vm.name(), now);
+        logger.atInfo().log("event=link-opened endpoint=%s incarnation=%x", vm.name(), process);
+    }
+
+    /** Settles what the process before had, and drops what it had said of itself. */
+    private void forgetProcess() {
+        leaving = false;
+        departedKeys = null;
+        loseAll();
     }
 
     @Override
     public void closed(Connection connection) {
-        long loss = losses.incrementAndGet();
-        Duration patience = context.timing().lease().plus(LOSS_MARGIN);
-        context.timers().after(patience, () -> {
-            if (losses.get() == loss) {
-                loseAll();
+        int left;
+        long change;
+        synchronized (lock) {
+            if (current == connection) {
+                current = null;
             }
-        });
-        logger.atInfo().log("event=link-closed endpoint=%s in_flight=%d", vm.name(), inFlight.size());
+            change = ++changes;
+            left = inFlight.size();
+        }
+        context.timers().after(context.timing().lease().plus(LOSS_MARGIN), () -> loseUnlessChanged(change));
+        logger.atInfo().log("event=link-closed endpoint=%s in_flight=%d", vm.name(), left);
     }
 
-    private void loseAll() {
-        for (AttemptId id : List.copyOf(inFlight.keySet())) {
-            Inbox inbox = inFlight.remove(id);
-            if (inbox != null) {
-                inbox.add(new Event(this, new Event.Lost(id)));
+    private void loseUnlessChanged(long change) {
+        synchronized (lock) {
+            if (changes == change) {
+                loseAll();
             }
         }
     }
 
+    private void loseAll() {
+        inFlight.forEach((id, inbox) -> inbox.add(new Event(this, new Event.Lost(id))));
+        inFlight.clear();
+    }
+
     @Override
     public void received(Connection connection, Message message) {
         if (message instanceof AttemptReply reply) {
-            takeLoad(reply.load());
-            Inbox inbox = inFlight.get(reply.attempt());
-            if (inbox != null) {
-                inbox.add(new Event(this, reply));
-            }
+            takeReply(reply);
         } else if (message instanceof HeartbeatAck ack) {
             takeLoad(ack.load());
             context.site().compare(this, ack);
         } else if (message instanceof SiteState state) {
             context.site().offer(state);
         } else if (message instanceof Leaving notice) {
-            leaving = true;
-            departedKeys = Set.copyOf(notice.keys());
-            context.poolChanged().accept(vm.pool());
-            logger.atInfo().log("event=endpoint-leaving endpoint=%s", vm.name());
+            takeLeaving(notice);
+        }
+    }
+
+    private void takeReply(AttemptReply reply) {
+        synchronized (lock) {
+            takeLoad(reply.load());
+            Inbox inbox = inFlight.get(reply.attempt());
+            if (inbox != null) {
+                inbox.add(new Event(this, reply));
+            }
         }
     }
 
@@ -273,10 +322,22 @@
         sentCount.set(0);
     }
 
+    private void takeLeaving(Leaving notice) {
+        synchronized (lock) {
+            leaving = true;
+            departedKeys = Set.copyOf(notice.keys());
+        }
+        context.poolChanged().accept(vm.pool());
+        logger.atInfo().log("event=endpoint-leaving endpoint=%s", vm.name());
+    }
+
     @Override
     public void stop() {
         heartbeats.ifPresent(Subscription::cancel);
+        synchronized (lock) {
+            stopped = true;
+            loseAll();
+        }
         dialer.stop();
-        loseAll();
     }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/SiteSync.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/SiteSync.java
@@ -93,10 +93,10 @@
     /** Compares versions with an endpoint's, and fetches or passes on what is newer. */
     void compare(EndpointLink link, HeartbeatAck ack) {
         if (ack.catalogue() > catalogueVersion() || ack.members() > membersVersion()) {
-            link.send(new FetchState());
+            link.tell(new FetchState());
         }
         if (ack.catalogue() < catalogueVersion() || ack.members() < membersVersion()) {
-            link.send(state());
+            link.tell(state());
         }
     }
 
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Dialer.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Dialer.java
@@ -27,7 +27,7 @@
 
     /** Receives what happens on the dialer's connections. */
     public interface Listener extends Connection.Listener {
-        /** Learns of a new connection before its first message. */
+        /** Learns of a new connection before its first message in either direction. */
         void opened(Connection connection);
     }
 
@@ -90,8 +90,9 @@
         try {
             Connection connection = connect();
             delayMillis = FIRST_DELAY_MILLIS;
-            current = connection;
+            // Only then current: what is sent earlier would be taken for a part of what the last connection carried.
             listener.opened(connection);
+            current = connection;
             connection.start();
             if (stopped) {
                 connection.close();
@@ -130,12 +131,6 @@
         return connection != null && connection.send(message);
     }
 
-    /** Returns the current connection, or null when there is none. */
-    public @Nullable Connection connection() {
-        Connection connection = current;
-        return connection != null && connection.open() ? connection : null;
-    }
-
     private final class Redialing implements Connection.Listener {
         @Override
         public void received(Connection connection, Message message) {
