Failing tests: a new process taken for the one before it

An endpoint that has restarted at its address counts as leaving until its first report, as the last load of the process before is kept; and the last words of that process, read late, count as the new one's: it then gets no work until it restarts. Both fail on this code.

--- a/daemon/src/test/java/org/quetzalseam/daemon/entry/EndpointLinkTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/entry/EndpointLinkTest.java
@@ -18,6 +18,8 @@
 import org.quetzalseam.core.attempt.AttemptId;
 import org.quetzalseam.core.catalogue.CatalogueInForce;
 import org.quetzalseam.daemon.settings.Settings.Timing;
+import org.quetzalseam.wire.connection.Connection;
+import org.quetzalseam.wire.connection.Dialer;
 import org.quetzalseam.wire.connection.Identity;
 import org.quetzalseam.wire.connection.SiteKey;
 import org.quetzalseam.wire.connection.Transport;
@@ -25,7 +27,11 @@
 import org.quetzalseam.wire.message.Book;
 import org.quetzalseam.wire.message.Call;
 import org.quetzalseam.wire.message.FenceKey;
+import org.quetzalseam.wire.message.HeartbeatAck;
 import org.quetzalseam.wire.message.KeyUse;
+import org.quetzalseam.wire.message.Leaving;
+import org.quetzalseam.wire.message.Load;
+import org.quetzalseam.wire.message.Message;
 import org.quetzalseam.wire.message.Prefill;
 import org.quetzalseam.wire.message.Role;
 import org.quetzalseam.wire.message.Vm;
@@ -192,4 +198,65 @@
             link.stop();
         }
     }
+
+    /** A process that left as planned is full of its end; the one after it isn't. */
+    @Test
+    void aNewProcessIsNotTakenForLeavingBecauseTheOneBeforeWas() {
+        EndpointLink link = link();
+        await("a connection", link::connected);
+        endpoint.say(new HeartbeatAck(new Load(0, 0, 0, 0, 0, true), 0, 0));
+        await("word that it leaves", link::isLeaving);
+        restart();
+        await("its end", () -> !link.connected());
+        await("a connection", link::connected);
+        assertThat(link.isLeaving()).isFalse();
+        link.stop();
+    }
+
+    /** The last message of a process may still be read when the next one is connected. */
+    @Test
+    void whatAnEarlierProcessSaidIsNotTakenForTheWordOfTheOneThatIsThere() {
+        EndpointLink link = link();
+        await("a connection", link::connected);
+        FakeEndpoint earlier = FakeEndpoint.start(0);
+        LateMessages late = new LateMessages(link);
+        Dialer dialer =
+                new Dialer("127.0.0.1", earlier.port(), self, SiteKey.loopback(), Transport.plain(), timers, late);
+        dialer.start();
+        await("the earlier process's last words", () -> {
+            earlier.say(new Leaving(List.of("key")));
+            return late.passedOn > 0;
+        });
+        assertThat(link.isLeaving()).isFalse();
+        assertThat(link.departedKeys()).isNull();
+        dialer.stop();
+        earlier.stop();
+        link.stop();
+    }
+
+    /** Passes on to a link what comes on another process's connection. */
+    private static final class LateMessages implements Dialer.Listener {
+        private final EndpointLink link;
+        private volatile int passedOn;
+
+        LateMessages(EndpointLink link) {
+            this.link = link;
+        }
+
+        @Override
+        public void opened(Connection connection) {
+            // It is the messages that count.
+        }
+
+        @Override
+        public synchronized void received(Connection connection, Message message) {
+            link.received(connection, message);
+            passedOn++;
+        }
+
+        @Override
+        public void closed(Connection connection) {
+            // The test ends it.
+        }
+    }
 }
