A new process of an endpoint isn't taken for leaving because of the last one's load

What callers saw: after a planned restart at the same address an endpoint got no new work, and keyed calls went to another holder that had to ask around first, until its first heartbeat was answered. Cause: the link dropped the old process's notice and keys, but kept its last load report, which says that it leaves, too. Mend: all that a process said of itself is dropped with it, in one place. EndpointLinkTest.aNewProcessIsNotTakenForLeavingBecauseTheOneBeforeWas failed before (it shows the restart, no caller).

--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
@@ -261,6 +261,7 @@
     private void forgetProcess() {
         leaving = false;
         departedKeys = null;
+        takeLoad(Load.unknown());
         loseAll();
     }
 
