What a process says late isn't taken for the word of the one after it

Suspected consequence, not seen at a site: an endpoint that has restarted gets no work until it restarts again. Cause: messages still being read from a closed connection were noted for whichever process the link had reached by then: a leaving notice, a load report, a reply. Mend: the link takes a message only from the process that it last reached; lists and catalogues stay true whoever passes them on. EndpointLinkTest.whatAnEarlierProcessSaidIsNotTakenForTheWordOfTheOneThatIsThere failed before.

--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
@@ -296,19 +296,27 @@
     @Override
     public void received(Connection connection, Message message) {
         if (message instanceof AttemptReply reply) {
-            takeReply(reply);
+            takeReply(connection, reply);
         } else if (message instanceof HeartbeatAck ack) {
-            takeLoad(ack.load());
+            takeLoad(connection, ack.load());
             context.site().compare(this, ack);
         } else if (message instanceof SiteState state) {
             context.site().offer(state);
         } else if (message instanceof Leaving notice) {
-            takeLeaving(notice);
+            takeLeaving(connection, notice);
         }
     }
 
-    private void takeReply(AttemptReply reply) {
+    /** Returns whether a message comes from the process that the link last reached, not late from the one before. */
+    private boolean fromProcess(Connection connection) {
+        return connection.peer().incarnation() == incarnation;
+    }
+
+    private void takeReply(Connection connection, AttemptReply reply) {
         synchronized (lock) {
+            if (!fromProcess(connection)) {
+                return;
+            }
             takeLoad(reply.load());
             Inbox inbox = inFlight.get(reply.attempt());
             if (inbox != null) {
@@ -317,14 +325,25 @@
         }
     }
 
+    private void takeLoad(Connection connection, Load reported) {
+        synchronized (lock) {
+            if (fromProcess(connection)) {
+                takeLoad(reported);
+            }
+        }
+    }
+
     private void takeLoad(Load reported) {
         load = reported;
         sentCost.set(0);
         sentCount.set(0);
     }
 
-    private void takeLeaving(Leaving notice) {
+    private void takeLeaving(Connection connection, Leaving notice) {
         synchronized (lock) {
+            if (!fromProcess(connection)) {
+                return;
+            }
             leaving = true;
             departedKeys = Set.copyOf(notice.keys());
         }
