An inquiry about a key waits for answers for a lease, not for half a second

What callers saw: 502 key-holder-unreachable for keyed calls beside load, though every endpoint was connected and nothing had stopped. Cause: an inquiry gave each endpoint 500 ms, and one took 500 to 700 (figures with the failing test). The endpoint was neither lost nor silent: its heartbeats were answered. Mend: a lease (1.5 s unless set otherwise), the time for which an endpoint that is not heard counts as there for all else. A key that is not decided within it is unknown as before. KeyInquiryTest passes.

--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
@@ -22,7 +22,9 @@
  */
 final class KeyInquiry {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final long ANSWER_MILLIS = 500;
+    /** How long a link without a connection is waited for: tens of handshakes in one region. */
+    private static final Duration CONNECTION_WAIT = Duration.ofMillis(500);
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     /** What is known of the key. */
@@ -150,11 +152,13 @@
 
     /** Waits for a link that has just been made; an endpoint that has said that it leaves isn't waited for. */
     private static boolean awaitConnection(EndpointLink link) {
-        return link.awaitConnected(Duration.ofMillis(ANSWER_MILLIS), () -> link.departedKeys() == null);
+        return link.awaitConnected(CONNECTION_WAIT, () -> link.departedKeys() == null);
     }
 
+    /** Waits for the answers, for a lease: one that is connected and silent for longer counts as gone elsewhere too. */
     private Finding collect() {
-        long until = context.timers().now() + ANSWER_MILLIS * NANOS_PER_MILLI;
+        long until =
+                context.timers().now() + context.settings().timing().lease().toNanos();
         while (!unanswered.isEmpty()) {
             Event event = inbox.poll(Math.max(0, (until - context.timers().now()) / NANOS_PER_MILLI));
             if (event == null) {
