Failing test: an inquiry about a key ends unknown because one connection is cut

An endpoint whose connection is cut for a moment refuses the resumed question as one that never came, and the inquiry took that for an endpoint that can't be asked: key-inquiry-in-doubt reason=asked-and-lost age_ms=137. Fails on this code.

--- a/cli/src/test/java/org/quetzalseam/cli/KeyInquiryTest.java
+++ b/cli/src/test/java/org/quetzalseam/cli/KeyInquiryTest.java
@@ -3,11 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.quetzalseam.cli.site.Wait;
+import org.quetzalseam.standins.LinkProxy;
 
 class KeyInquiryTest {
     private static final int DEPOSITS = 20;
@@ -40,4 +43,26 @@
             assertThat(site.executions("slow-" + i)).isEqualTo(1);
         }
     }
+
+    /**
+     * A connection that is cut while an inquiry's question is on it loses the question or its answer. The endpoint is there and can be
+     * asked again at once: to bar a key twice is the same as once.
+     */
+    @Test
+    void aKeyedCallIsAnsweredThoughAConnectionIsCutDuringItsInquiry() {
+        LinkProxy path = site.services().get(0).proxy();
+        path.delay(PATH_DELAY_MILLIS);
+        List<CompletableFuture<HttpResponse<String>>> deposits = new ArrayList<>();
+        for (int i = 0; i < DEPOSITS; i++) {
+            deposits.add(site.deposit(site.entry(i % 2), "cut-" + i, "cut-" + i));
+        }
+        Wait.pass(Duration.ofMillis(PATH_DELAY_MILLIS / 2));
+        path.cut();
+        path.delay(0);
+        for (int i = 0; i < DEPOSITS; i++) {
+            HttpResponse<String> response = deposits.get(i).join();
+            assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
+            assertThat(site.executions("cut-" + i)).isEqualTo(1);
+        }
+    }
 }
