An inquiry about a key asks again over a new connection

What callers saw: 502 key-holder-unreachable for each keyed call in doubt whose question was on a connection that was cut, though the endpoint was there again within milliseconds. Cause: any reply but the answer counted as an endpoint that can't be asked. Mend: the question is put once more, as barring a key is idempotent; an endpoint that is lost twice leaves the key in doubt as before, and one that has left meanwhile is judged by its word. No guard changes: only an answer that the key was never seen counts. KeyInquiryTest.aKeyedCallIsAnsweredThoughAConnectionIsCutDuringItsInquiry failed before.

--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
@@ -3,6 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -45,7 +48,7 @@
         POOL_NOT_LINKED,
         /** An endpoint that can't be asked left no word that it had not seen the key. */
         ABSENT_WITHOUT_WORD,
-        /** An endpoint that was asked was lost before it answered. */
+        /** An endpoint that was asked was lost before it answered, twice. */
         ASKED_AND_LOST,
         /** An endpoint that was asked did not answer in time. */
         NO_ANSWER_IN_TIME
@@ -66,8 +69,9 @@
     private final long mintedAtMillis;
     private final AttemptId id;
     private final long retentionNanos;
-    private final List<EndpointLink> asked = new ArrayList<>();
-    private final List<EndpointLink> unanswered = new ArrayList<>();
+    private final Set<EndpointLink> asked = new LinkedHashSet<>();
+    private final Set<EndpointLink> askedAgain = new HashSet<>();
+    private final Set<EndpointLink> unanswered = new LinkedHashSet<>();
     private final List<EndpointLink> absent = new ArrayList<>();
     private final Inbox inbox = new Inbox();
     private final long startedAt;
@@ -102,10 +106,9 @@
                 .history(pool)
                 .departedWithin(retentionNanos, context.timers().now()));
         askAll();
-        boolean absentDeny = absent.stream().allMatch(link -> denied(link.departedKeys()));
         Finding finding = collect();
         asked.forEach(link -> link.end(id));
-        if (finding.answer() == Answer.NEVER_SEEN && !absentDeny) {
+        if (finding.answer() == Answer.NEVER_SEEN && !absent.stream().allMatch(link -> denied(link.departedKeys()))) {
             return unknown(Doubt.ABSENT_WITHOUT_WORD);
         }
         return finding;
@@ -113,18 +116,22 @@
 
     private void askAll() {
         for (EndpointLink link : context.fleet().pool(pool)) {
-            if (link == holder) {
-                continue;
-            }
-            if (awaitConnection(link) && link.begin(new FenceKey(id, key, mintedAtMillis), inbox, 0)) {
-                asked.add(link);
+            if (link != holder) {
                 unanswered.add(link);
-            } else {
-                absent.add(link);
+                ask(link);
             }
         }
     }
 
+    private void ask(EndpointLink link) {
+        asked.add(link);
+        if (!awaitConnection(link) || !link.begin(new FenceKey(id, key, mintedAtMillis), inbox, 0)) {
+            asked.remove(link);
+            unanswered.remove(link);
+            absent.add(link);
+        }
+    }
+
     private Finding unknown(Doubt doubt) {
         logger.atInfo().log(
                 "event=key-inquiry-in-doubt request=%s holder=%s reason=%s asked=%s unanswered=%s absent=%s age_ms=%d",
@@ -142,7 +149,7 @@
         return doubt.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
-    private static String names(List<EndpointLink> links) {
+    private static String names(Collection<EndpointLink> links) {
         return links.stream().map(EndpointLink::name).collect(Collectors.joining(","));
     }
 
@@ -164,13 +171,17 @@
             if (event == null) {
                 return unknown(Doubt.NO_ANSWER_IN_TIME);
             }
-            if (!(event.reply() instanceof KeyFenced fenced)) {
+            if (event.reply() instanceof KeyFenced fenced) {
+                if (!fenced.neverSeen()) {
+                    return new Finding(Answer.SEEN, Optional.of(event.link()));
+                }
+                unanswered.remove(event.link());
+            } else if (askedAgain.add(event.link())) {
+                // The question was lost with its connection. To bar a key twice is the same as once.
+                ask(event.link());
+            } else {
                 return unknown(Doubt.ASKED_AND_LOST);
             }
-            if (!fenced.neverSeen()) {
-                return new Finding(Answer.SEEN, Optional.of(event.link()));
-            }
-            unanswered.remove(event.link());
         }
         return new Finding(Answer.NEVER_SEEN, Optional.empty());
     }
