Failing tests: what an endpoint's new life has taken is told lost when its start is listed

The class of the daemon's fault, in the streaming entry: calls are told 502, and streams cut, though the endpoint that works on them is up and connected. Both tests fail on this code.

--- a/gateway/src/test/java/org/quetzalseam/gateway/RestartedEndpointTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/RestartedEndpointTest.java
@@ -21,6 +21,8 @@
     private static final long TIME_OUT_MILLIS = 5_000;
 
     private static final long SECOND_START = 2_000;
+    /** Longer than the replies of an ended life are waited for. */
+    private static final long LATE_REPLY_MILLIS = 700;
 
     private final TestEntry entry = new TestEntry();
     private final AtomicInteger bookings = new AtomicInteger();
@@ -146,6 +148,57 @@
         assertThat(soon(answer)).startsWith("HTTP/1.1 200").endsWith("late");
     }
 
+    /** Ends the plain endpoint's first life as a crash does: what was under way there breaks off. */
+    private void endPlainLife() {
+        plain.script((request, connection) -> connection.reset());
+        assertThat(entry.ask("/once/x", "first")).startsWith("HTTP/1.1 502");
+    }
+
+    /**
+     * An endpoint that has crashed is up again before its start is listed, and takes calls at its address from then on. When its start
+     * was listed, the entry took all that was under way there for a part of the earlier life, and told it lost a moment later although
+     * the new life was working on it: {@code endpoint-started-again … outstanding=1}, then a 502.
+     */
+    @Test
+    void aCallThatTheNewLifeHasTakenBeforeItIsListedIsAnswered() throws Exception {
+        endPlainLife();
+        CountDownLatch mayAnswer = new CountDownLatch(1);
+        plain.script((request, connection) -> {
+            arrived.countDown();
+            await(mayAnswer);
+            connection.answer(request, "answer");
+        });
+        CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> entry.ask("/once/x", "second"));
+        arrived.await();
+        plainStartsAgain();
+        TimeUnit.MILLISECONDS.sleep(LATE_REPLY_MILLIS);
+        mayAnswer.countDown();
+        assertThat(soon(answer)).startsWith("HTTP/1.1 200").endsWith("answer");
+        assertThat(plain.runs()).hasSize(2);
+    }
+
+    /** A stream that the new life has begun goes on in the same way, also where it may not be resumed. */
+    @Test
+    void aStreamThatTheNewLifeHasBegunBeforeItIsListedIsNotCut() throws Exception {
+        stream = (request, connection) -> connection.reset();
+        assertThat(entry.ask("/stream/x", "first", SIZE)).doesNotContain("data: a");
+        CountDownLatch mayGoOn = new CountDownLatch(1);
+        stream = (request, connection) -> {
+            connection.beginStream(request);
+            connection.chunk("id: 1\ndata: a\n\n");
+            arrived.countDown();
+            await(mayGoOn);
+            connection.chunk("id: 2\ndata: b\n\n");
+            connection.endStream();
+        };
+        CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> entry.ask("/stream/x", "second", SIZE));
+        arrived.await();
+        decodeStartsAgain();
+        TimeUnit.MILLISECONDS.sleep(LATE_REPLY_MILLIS);
+        mayGoOn.countDown();
+        assertThat(soon(answer)).contains("data: a").contains("data: b").endsWith("0\r\n\r\n");
+    }
+
     private static void await(CountDownLatch latch) throws IOException {
         try {
             latch.await();
