What an endpoint's next life has taken before it is listed goes on

What callers saw: 502, or a stream cut, 300 ms after the start of an endpoint was listed, for calls that the restarted endpoint was working on: it takes connections at its address from the moment it is up, seconds before the store lists it. Cause: Endpoint.end took all that was under way for a part of the life that had ended. Mend: what is under way on a connection that was opened after the endpoint's side had ended or refused others within 30 s is left to its own limits; all else is lost as before, which is what a host that went dark leaves. endpoint-life-over says how many of each. Ruled out as a measure: the start that is listed, as clocks differ by seconds.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -66,6 +66,7 @@
     private final Deque<HttpConnection> idle = new ArrayDeque<>();
     private final Deque<HttpConnection> idleControl = new ArrayDeque<>();
     private final IdleLimit idleLimit = new IdleLimit();
+    private final Endings endings = new Endings();
     private final Set<EndpointCall> underWay = new HashSet<>();
     private Member member;
     private int mostConnections = Integer.MAX_VALUE;
@@ -186,6 +187,7 @@
             @Override
             public void refused(CallFailure failure) {
                 open--;
+                endings.note(System.nanoTime());
                 call.refused(failure);
             }
         });
@@ -271,6 +273,7 @@
             @Override
             public void refused(CallFailure failure) {
                 openControl--;
+                endings.note(System.nanoTime());
                 call.refused(failure);
             }
         });
@@ -289,6 +292,9 @@
 
     private void ended(HttpConnection connection, Deque<HttpConnection> kept) {
         kept.remove(connection);
+        if (connection.endedByPeer()) {
+            endings.note(System.nanoTime());
+        }
         if (connection.lostAfterRest()) {
             idleLimit.lost(connection.restedNanos(), System.nanoTime());
             logger.atInfo().log(
@@ -348,14 +354,26 @@
 
     /**
      * Ends this life. What has been sent may have run, and its answer can only be on its way already; what has not been sent
-     * is told so at once. Callers hear of either after this call has returned.
+     * is told so at once. Callers hear of either after this call has returned. What is under way on a connection that was
+     * opened after the life's end had shown is with the next life, and goes on.
      */
     void end() {
         ended = true;
         close();
         timers.soon(() ->
                 List.copyOf(underWay).stream().filter(call -> !call.sent()).forEach(Endpoint::refuseEnded));
-        timers.after(LAST_REPLIES_MILLIS, () -> List.copyOf(underWay).forEach(EndpointCall::lose));
+        timers.after(LAST_REPLIES_MILLIS, this::loseUnanswered);
+    }
+
+    private void loseUnanswered() {
+        long now = System.nanoTime();
+        List<EndpointCall> lost = underWay.stream()
+                .filter(call -> !endings.before(call.connectedAt(), now))
+                .toList();
+        logger.atInfo().log(
+                "event=endpoint-life-over endpoint=%s start_ms=%d lost=%d going_on=%d",
+                member.id(), member.startMillis(), lost.size(), underWay.size() - lost.size());
+        lost.forEach(EndpointCall::lose);
     }
 
     /** Closes idle connections; what is under way goes on. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/EndpointCall.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/EndpointCall.java
@@ -63,6 +63,12 @@
         return connection;
     }
 
+    /** Returns when its connection was opened, in monotonic nanoseconds; 0 when it hasn't been sent. */
+    long connectedAt() {
+        HttpConnection used = connection;
+        return used == null ? 0 : used.openedAt();
+    }
+
     /** Returns whether the reply is still to come. */
     public boolean active() {
         return !ended;
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.http.CallFailure.Kind;
@@ -42,6 +43,9 @@
     private boolean skipping;
     private boolean reusable;
     private boolean finished;
+    private boolean closing;
+    private boolean endedByPeer;
+    private long openedAt;
     private long idleSince;
     private long idleLimitNanos = Long.MAX_VALUE;
     private long restedNanos;
@@ -102,6 +106,16 @@
         return lostAfterRest;
     }
 
+    /** Returns whether it was the other side that ended it. */
+    public boolean endedByPeer() {
+        return endedByPeer;
+    }
+
+    /** Returns when it was opened, in monotonic nanoseconds. */
+    public long openedAt() {
+        return openedAt;
+    }
+
     /** Returns how long it had rested before the newest request, in nanoseconds. */
     public long restedNanos() {
         return restedNanos;
@@ -131,9 +145,20 @@
     public void abort() {
         listener = null;
         reusable = false;
+        close();
+    }
+
+    private void close() {
+        closing = true;
         channel().close();
     }
 
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        openedAt = System.nanoTime();
+        ctx.fireChannelActive();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
@@ -228,7 +253,7 @@
         finished = true;
         idleSince = System.nanoTime();
         if (!reusable) {
-            channel().close();
+            close();
         }
         current.completed();
     }
@@ -253,18 +278,20 @@
             if (done.isSuccess() && channel().isActive()) {
                 onIdle.accept(this);
             } else {
-                channel().close();
+                close();
             }
         });
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        endedByPeer |= !closing && cause instanceof IOException;
         fail(Kind.CONNECTION_LOST, String.valueOf(cause.getMessage()));
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        endedByPeer |= !closing;
         fail(Kind.CONNECTION_LOST, "closed by the peer");
         onClosed.accept(this);
     }
@@ -275,7 +302,7 @@
         ReplyListener current = listener;
         listener = null;
         lostAfterRest |= current != null && head == null && restedNanos > 0 && kind == Kind.CONNECTION_LOST;
-        channel().close();
+        close();
         if (current != null) {
             current.failed(new CallFailure(kind, detail));
         }
