Failing test: a keyed call is told unknown because its entry hears late of a change of the pool

502 old-members, outcome unknown, at an entry whose list is older than another's by the time that a store's answer takes. Fails on this code.

--- a/cli/src/test/java/org/quetzalseam/cli/KeyInquiryTest.java
+++ b/cli/src/test/java/org/quetzalseam/cli/KeyInquiryTest.java
@@ -7,23 +7,77 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.quetzalseam.cli.site.EndpointVm;
 import org.quetzalseam.cli.site.Wait;
+import org.quetzalseam.daemon.platform.HttpObjectStore;
 import org.quetzalseam.standins.LinkProxy;
+import org.quetzalseam.standins.PlatformStandIn;
+import org.quetzalseam.standins.PlatformStandIn.ListedVm;
+import org.quetzalseam.wire.connection.Connection;
+import org.quetzalseam.wire.connection.Dialer;
+import org.quetzalseam.wire.connection.Identity;
+import org.quetzalseam.wire.connection.SiteKey;
+import org.quetzalseam.wire.connection.Transport;
+import org.quetzalseam.wire.message.Heartbeat;
+import org.quetzalseam.wire.message.Message;
+import org.quetzalseam.wire.message.Role;
+import org.quetzalseam.wire.runtime.TimerService;
 
 class KeyInquiryTest {
     private static final int DEPOSITS = 20;
     /** Delay of each piece on a path, in milliseconds: an answer over it takes half of the lease. */
     private static final long PATH_DELAY_MILLIS = 350;
 
+    /** How late calls to the store take effect, in milliseconds. */
+    private static final long STORE_DELAY_MILLIS = 1_000;
+
     private final TestSite site = TestSite.start();
+    private final TimerService timers = new TimerService("test");
 
     @AfterEach
     void stop() {
+        timers.stop();
         site.close();
     }
 
+    /** Tells an endpoint, as another entry does with its heartbeat, which list of VMs is in use. */
+    private void announce(EndpointVm service, long members) throws InterruptedException {
+        CountDownLatch heard = new CountDownLatch(1);
+        Dialer dialer = new Dialer(
+                "127.0.0.1",
+                service.daemon().port(),
+                Identity.start(Role.ENTRY, "another", "akl-east"),
+                SiteKey.loopback(),
+                Transport.plain(),
+                timers,
+                new Announcing(members, heard));
+        dialer.start();
+        assertThat(heard.await(TestSite.LIMIT.toSeconds(), TimeUnit.SECONDS)).isTrue();
+        dialer.stop();
+    }
+
+    /** Sends one heartbeat. */
+    private record Announcing(long members, CountDownLatch heard) implements Dialer.Listener {
+        @Override
+        public void opened(Connection connection) {
+            connection.send(new Heartbeat(List.of(), 0, members));
+        }
+
+        @Override
+        public void received(Connection connection, Message message) {
+            heard.countDown();
+        }
+
+        @Override
+        public void closed(Connection connection) {
+            // It has said all.
+        }
+    }
+
     /**
      * Keyed calls were told {@code key-holder-unreachable} beside load though nothing had stopped: their inquiry gave an endpoint half a
      * second to answer, and it answered just later. In the log, {@code key-inquiry-in-doubt … reason=no-answer-in-time
@@ -65,4 +119,28 @@
             assertThat(site.executions("cut-" + i)).isEqualTo(1);
         }
     }
+
+    /**
+     * Entries hear of a change of the pool one after the other. A holder that has heard of it from one of them doesn't take a key from
+     * another that goes by the old list, as the key may have moved; that one can read the list anew instead of telling its caller
+     * {@code old-members}, outcome unknown.
+     */
+    @Test
+    void aKeyedCallIsAnsweredAtAnEntryThatHearsLateOfAChangeOfThePool() throws InterruptedException {
+        PlatformStandIn platform = site.site().platform();
+        long before =
+                new HttpObjectStore(platform.url()).members(0, Duration.ZERO).version();
+        platform.down(true);
+        Wait.pass(Duration.ofMillis(50));
+        platform.slow(STORE_DELAY_MILLIS);
+        platform.down(false);
+        platform.list(new ListedVm("other", "entry", "akl-east", "", 1, 1, true));
+        for (EndpointVm service : site.services()) {
+            announce(service, before + 1);
+        }
+        HttpResponse<String> response =
+                site.deposit(site.entry(0), "late", "late").join();
+        assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
+        assertThat(site.executions("late")).isEqualTo(1);
+    }
 }
