An entry with an old list of VMs reads it anew and asks the key's holder again

What callers saw: 502 old-members, outcome unknown, for keyed calls at an entry that heard later than another of any change of the list of VMs, though nothing had failed. Cause: a holder that knows of a newer list refuses the key, as it may have moved, and the entry passed that on as a verdict. Mend: the entry reads the list, as it does for an inquiry, chooses the holder anew and tries again, within the attempts that a keyed call has. The guard at the holder is the same; the refusal came before the key was looked at. KeyInquiryTest.aKeyedCallIsAnsweredAtAnEntryThatHearsLateOfAChangeOfThePool failed before.

--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyedRun.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyedRun.java
@@ -103,6 +103,10 @@
                 leftOut.add(link.name());
                 fencedFor = 0;
                 holder = holder();
+            } else if (reason == RefusalReason.OLD_MEMBERS && context.members().refresh()) {
+                // Refused before the key was looked at; by the newer list it may have another holder.
+                fencedFor = 0;
+                holder = holder();
             } else {
                 return refused(reason, refused.retryAfterMillis());
             }
