Failing test: a keyed call is told unreachable in the moment in which its holder's connection is cut

502 key-holder-unreachable, key-holder-not-connected … reached_before=true; the holder is up and would be connected some 20 ms later.

--- a/cli/src/test/java/org/quetzalseam/cli/KeyInquiryTest.java
+++ b/cli/src/test/java/org/quetzalseam/cli/KeyInquiryTest.java
@@ -120,6 +120,23 @@
         }
     }
 
+    /** A holder whose connection has just been cut is there again as soon as it is dialled. */
+    @Test
+    void aKeyedCallIsAnsweredThoughTheConnectionToItsHolderHasJustBeenCut() {
+        for (int i = 0; i < DEPOSITS; i++) {
+            site.services().forEach(vm -> vm.proxy().cut());
+            Wait.until(
+                    TestSite.LIMIT,
+                    "the cut",
+                    () -> site.entry(0).daemon().connectedEndpoints()
+                            < site.services().size() + 3);
+            HttpResponse<String> response =
+                    site.deposit(site.entry(0), "lost-" + i, "lost-" + i).join();
+            assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
+            assertThat(site.executions("lost-" + i)).isEqualTo(1);
+        }
+    }
+
     /**
      * Entries hear of a change of the pool one after the other. A holder that has heard of it from one of them doesn't take a key from
      * another that goes by the old list, as the key may have moved; that one can read the list anew instead of telling its caller
