An endpoint that has left counts by its last word only while it is down

Suspected from reading, against the model, not seen: an inquiry took the word of a process that had left as planned for as long as the link had no connection, up to two seconds after the next process was up at the same address; two endpoints back at once, each unknown to another one of two entries, could both run a key. The model asks whether the process is up, and so does the code now: the link dials at once, and again where an attempt was under way, and two refusals show a moment since the inquiry began in which nobody answered. One that is silent leaves the key in doubt (left-and-maybe-back). Attempts ahead of their time don't put later ones off. The whole scenario isn't tested, as it takes an entry that is kept from one endpoint only; the new tests of EndpointLinkTest show the three verdicts, which the code before couldn't give.

--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
@@ -119,6 +119,31 @@
         return connected();
     }
 
+    /** What an effort to connect has shown of the endpoint's process. */
+    enum Reach {
+        /** There is a connection. */
+        CONNECTED,
+        /** No process answered at its address at some moment since the effort began. */
+        DOWN,
+        /** Neither, within the limit. */
+        UNKNOWN
+    }
+
+    /** Finds out at once whether the endpoint's process is up, instead of when the link would dial next. */
+    Reach reach(Duration limit) {
+        long before = dialer.refusals();
+        // The first refusal may answer an attempt that was made before.
+        BooleanSupplier undecided = () -> dialer.refusals() - before < 2;
+        boolean connected = awaitConnected(limit, () -> {
+            dialer.dialNow();
+            return undecided.getAsBoolean();
+        });
+        if (connected) {
+            return Reach.CONNECTED;
+        }
+        return undecided.getAsBoolean() ? Reach.UNKNOWN : Reach.DOWN;
+    }
+
     boolean connected() {
         Connection connection = current;
         return connection != null && connection.open();
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
@@ -13,6 +13,7 @@
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.attempt.AttemptId;
+import org.quetzalseam.daemon.entry.EndpointLink.Reach;
 import org.quetzalseam.wire.message.FenceKey;
 import org.quetzalseam.wire.message.KeyFenced;
 
@@ -48,6 +49,8 @@
         POOL_NOT_LINKED,
         /** An endpoint that can't be asked left no word that it had not seen the key. */
         ABSENT_WITHOUT_WORD,
+        /** An endpoint left word and is silent now: another process may be up at its address. */
+        LEFT_AND_MAYBE_BACK,
         /** An endpoint that was asked was lost before it answered, twice. */
         ASKED_AND_LOST,
         /** An endpoint that was asked did not answer in time. */
@@ -73,6 +76,7 @@
     private final Set<EndpointLink> askedAgain = new HashSet<>();
     private final Set<EndpointLink> unanswered = new LinkedHashSet<>();
     private final List<EndpointLink> absent = new ArrayList<>();
+    private final Set<EndpointLink> maybeBack = new HashSet<>();
     private final Inbox inbox = new Inbox();
     private final long startedAt;
 
@@ -111,6 +115,9 @@
         if (finding.answer() == Answer.NEVER_SEEN && !absent.stream().allMatch(link -> denied(link.departedKeys()))) {
             return unknown(Doubt.ABSENT_WITHOUT_WORD);
         }
+        if (finding.answer() == Answer.NEVER_SEEN && !maybeBack.isEmpty()) {
+            return unknown(Doubt.LEFT_AND_MAYBE_BACK);
+        }
         return finding;
     }
 
@@ -124,14 +131,28 @@
     }
 
     private void ask(EndpointLink link) {
-        asked.add(link);
-        if (!awaitConnection(link) || !link.begin(new FenceKey(id, key, mintedAtMillis), inbox, 0)) {
-            asked.remove(link);
-            unanswered.remove(link);
-            absent.add(link);
+        Reach reach = reach(link);
+        if (reach == Reach.CONNECTED && link.begin(new FenceKey(id, key, mintedAtMillis), inbox, 0)) {
+            asked.add(link);
+            return;
+        }
+        asked.remove(link);
+        unanswered.remove(link);
+        absent.add(link);
+        if (reach != Reach.DOWN) {
+            maybeBack.add(link);
         }
     }
 
+    /**
+     * Waits for a link that has just been made. One that leaves counts by its word only where its process is down: the next one
+     * at its address may have seen the key since, and the link dials it late.
+     */
+    private static Reach reach(EndpointLink link) {
+        boolean connected = link.awaitConnected(CONNECTION_WAIT, () -> link.departedKeys() == null);
+        return connected ? Reach.CONNECTED : link.reach(CONNECTION_WAIT);
+    }
+
     private Finding unknown(Doubt doubt) {
         logger.atInfo().log(
                 "event=key-inquiry-in-doubt request=%s holder=%s reason=%s asked=%s unanswered=%s absent=%s age_ms=%d",
@@ -157,11 +178,6 @@
         return seen != null && !seen.contains(key);
     }
 
-    /** Waits for a link that has just been made; an endpoint that has said that it leaves isn't waited for. */
-    private static boolean awaitConnection(EndpointLink link) {
-        return link.awaitConnected(CONNECTION_WAIT, () -> link.departedKeys() == null);
-    }
-
     /** Waits for the answers, for a lease: one that is connected and silent for longer counts as gone elsewhere too. */
     private Finding collect() {
         long until =
--- a/daemon/src/test/java/org/quetzalseam/daemon/entry/EndpointLinkTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/entry/EndpointLinkTest.java
@@ -2,6 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -44,6 +48,10 @@
     /** Longer than any test, so that nothing is given up because of time. */
     private static final Duration LONG = Duration.ofSeconds(60);
 
+    /** After it a link waits for a second or more before it dials again. */
+    private static final Duration DOWN = Duration.ofMillis(2_500);
+
+    private static final Duration AT_ONCE = Duration.ofMillis(300);
     private static final int RESTARTS = 60;
     private static final int SENDERS = 3;
     private static final Work WORK = new Work("owner", "entry", WorkClass.SHORT, 1, 10, 10, 1_000, 10);
@@ -234,6 +242,48 @@
         link.stop();
     }
 
+    /**
+     * A link dials a process that was down again after up to two seconds. Until then it went by that process's last word on its keys, even
+     * where another one had long been up at its address and had seen more. Whoever needs to know makes it dial at once.
+     */
+    @Test
+    void aRestartedEndpointIsReachedAtOnceByWhoNeedsToKnow() {
+        EndpointLink link = link();
+        await("a connection", link::connected);
+        int port = endpoint.port();
+        endpoint.stop();
+        await("its end", () -> !link.connected());
+        LockSupport.parkNanos(DOWN.toNanos());
+        endpoint = FakeEndpoint.start(port);
+        assertThat(link.reach(AT_ONCE)).isEqualTo(EndpointLink.Reach.CONNECTED);
+        link.stop();
+    }
+
+    @Test
+    void anEndpointThatIsDownIsKnownToBeAtOnce() {
+        EndpointLink link = link();
+        await("a connection", link::connected);
+        endpoint.stop();
+        await("its end", () -> !link.connected());
+        assertThat(link.reach(LIMIT)).isEqualTo(EndpointLink.Reach.DOWN);
+        link.stop();
+    }
+
+    @Test
+    void anEndpointThatIsSilentIsNotTakenToBeDown() throws IOException {
+        EndpointLink link = link();
+        await("a connection", link::connected);
+        int port = endpoint.port();
+        endpoint.stop();
+        await("its end", () -> !link.connected());
+        try (ServerSocket silent = new ServerSocket()) {
+            silent.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            LockSupport.parkNanos(DOWN.toNanos());
+            assertThat(link.reach(AT_ONCE)).isEqualTo(EndpointLink.Reach.UNKNOWN);
+        }
+        link.stop();
+    }
+
     /** Passes on to a link what comes on another process's connection. */
     private static final class LateMessages implements Dialer.Listener {
         private final EndpointLink link;
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Dialer.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Dialer.java
@@ -5,15 +5,19 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.wire.WireException;
+import org.quetzalseam.wire.WireException.Code;
 import org.quetzalseam.wire.message.Message;
 import org.quetzalseam.wire.runtime.Service;
 import org.quetzalseam.wire.runtime.Threads;
 import org.quetzalseam.wire.runtime.TimerService;
+import org.quetzalseam.wire.runtime.TimerService.Subscription;
 
 /**
  * Keeps one connection to one process open: after a loss it dials again, with a delay that doubles up to a bound and has
@@ -39,8 +43,13 @@
     private final TimerService timers;
     private final Listener listener;
     private final AtomicLong numbers = new AtomicLong();
+    /** Whether an attempt is to be made after the delay or at once, and isn't being made yet. */
+    private final AtomicBoolean due = new AtomicBoolean();
+
+    private final AtomicLong refusals = new AtomicLong();
     private volatile @Nullable Connection current;
     private volatile boolean stopped;
+    private volatile Subscription delayed = () -> {};
     private long delayMillis = FIRST_DELAY_MILLIS;
 
     /**
@@ -77,13 +86,31 @@
     }
 
     private void dialSoon(Duration delay) {
-        // Dialling blocks, so it has a thread of its own instead of one of the timer's.
-        timers.after(
-                delay,
-                () -> Threads.daemon("dial-" + host + ":" + port, this::dial).start());
+        due.set(true);
+        delayed = timers.after(delay, () -> dialIfDue(false));
+    }
+
+    /** Makes the attempt that is due after a delay now. Does nothing while there is a connection or an attempt is being made. */
+    public void dialNow() {
+        if (due.get()) {
+            delayed.cancel();
+            dialIfDue(true);
+        }
+    }
+
+    private void dialIfDue(boolean hurried) {
+        if (due.compareAndSet(true, false)) {
+            // Dialling blocks, so it has a thread of its own instead of one of the timer's.
+            Threads.daemon("dial-" + host + ":" + port, () -> dial(hurried)).start();
+        }
     }
 
-    private void dial() {
+    /** Returns how many attempts have found no process that answers at the address; one that stays silent isn't counted. */
+    public long refusals() {
+        return refusals.get();
+    }
+
+    private void dial(boolean hurried) {
         if (stopped) {
             return;
         }
@@ -99,7 +126,10 @@
             }
         } catch (IOException | WireException e) {
             logger.atFine().log("event=dial-failed peer=%s:%d reason=%s", host, port, e.getMessage());
-            retry();
+            if (isRefusal(e)) {
+                refusals.incrementAndGet();
+            }
+            retry(hurried);
         }
     }
 
@@ -116,13 +146,23 @@
         }
     }
 
-    private void retry() {
+    /** Returns whether an attempt failed because nobody talks at the address. */
+    private static boolean isRefusal(Exception failure) {
+        return failure instanceof WireException rejected
+                ? rejected.code() == Code.DISCONNECTED
+                : !(failure instanceof SocketTimeoutException);
+    }
+
+    /** Waits for the next attempt; one that was made ahead of its time doesn't put those after it off. */
+    private void retry(boolean hurried) {
         if (stopped) {
             return;
         }
         long jitter = ThreadLocalRandom.current().nextLong(delayMillis / 2 + 1);
         dialSoon(Duration.ofMillis(delayMillis / 2 + jitter));
-        delayMillis = Math.min(MAX_DELAY_MILLIS, delayMillis * 2);
+        if (!hurried) {
+            delayMillis = Math.min(MAX_DELAY_MILLIS, delayMillis * 2);
+        }
     }
 
     /** Sends a message over the current connection. Returns false when there is none. */
@@ -140,7 +180,7 @@
         @Override
         public void closed(Connection connection) {
             listener.closed(connection);
-            retry();
+            retry(false);
         }
     }
 
