A call with a key dials its holder at once where the connection was cut

What callers saw: 502 key-holder-unreachable for each keyed call that came in the moments between the cut of a connection and the next attempt, though the holder was up. Cause: only the first connection was waited for. Mend: the link dials at once and says what that shows; a holder that is down is still answered for at once, one that is silent after a second.

--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyedRun.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyedRun.java
@@ -11,6 +11,7 @@
 import org.quetzalseam.core.keyed.KeyAge;
 import org.quetzalseam.core.placement.Rendezvous;
 import org.quetzalseam.daemon.catalogue.Digests;
+import org.quetzalseam.daemon.entry.EndpointLink.Reach;
 import org.quetzalseam.daemon.entry.KeyInquiry.Finding;
 import org.quetzalseam.daemon.entry.TraceLog.Trace;
 import org.quetzalseam.wire.message.Answer;
@@ -27,7 +28,7 @@
  */
 final class KeyedRun {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** How long a call waits for the first connection to its key's holder: tens of handshakes in one region. */
+    /** How long a call waits for a connection to its key's holder: tens of handshakes in one region. */
     private static final Duration OPENING_WAIT = Duration.ofSeconds(1);
 
     private static final int MAX_ATTEMPTS = 6;
@@ -114,11 +115,12 @@
     }
 
     /**
-     * Returns whether a holder can be reached, after a wait for the first connection to it: one that has restarted as planned is listed
-     * before it is connected. Nothing is sent meanwhile, so the wait proves and spoils nothing.
+     * Returns whether a holder can be reached. The first connection to one that has restarted as planned is waited for, as it is
+     * listed before; one whose connection was cut is dialled, and is out of reach as soon as that shows it to be down. Nothing is sent
+     * meanwhile, so the wait proves and spoils nothing.
      */
     private static boolean connected(EndpointLink link) {
-        return link.awaitConnected(OPENING_WAIT, link::opening);
+        return link.awaitConnected(OPENING_WAIT, link::opening) || link.reach(OPENING_WAIT) == Reach.CONNECTED;
     }
 
     private KeyInquiry inquiry(EndpointLink holder) {
