The refusal of a body that is too large arrives, and says that its connection ends

What callers saw: after a body of more than 2 MB the refusal was lost in a reset, or it came and the next request on the connection was reset: a POST that nobody repeats. Cause: the rest of the body was left unread, and the JDK's server then closes the connection without a word. Mend: the rest is taken, up to 16 MB and within the time that a body has; and any refusal of a request whose body may be longer than what that server takes by itself says Connection: close.

--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/BodyReader.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/BodyReader.java
@@ -11,6 +11,10 @@
 final class BodyReader {
     /** Longest body accepted, in bytes. */
     static final int MAX_BYTES = 2 << 20;
+    /** How much more is taken before a refusal, so that a caller can't keep an entry busy for nothing. */
+    private static final long MAX_DISCARDED_BYTES = 8L * MAX_BYTES;
+
+    private static final int PIECE_BYTES = 1 << 16;
 
     private static final Duration TIME = Duration.ofSeconds(10);
 
@@ -35,6 +39,7 @@
         try {
             byte[] body = in.readNBytes(MAX_BYTES + 1);
             if (body.length > MAX_BYTES) {
+                discardRest(in);
                 throw CallerException.bad(
                         Statuses.CONTENT_TOO_LARGE, "too-large", "the body is longer than " + MAX_BYTES + " bytes");
             }
@@ -50,6 +55,17 @@
         }
     }
 
+    /** Takes what the caller is still sending: closing a connection with unread bytes would lose the refusal on its way. */
+    private static void discardRest(InputStream in) throws IOException {
+        byte[] piece = new byte[PIECE_BYTES];
+        long left = MAX_DISCARDED_BYTES;
+        int read = in.read(piece);
+        while (read >= 0 && left > 0) {
+            left -= read;
+            read = in.read(piece);
+        }
+    }
+
     /** Ends a read that takes too long. Interrupting the reader closes its connection; closing the exchange would wait. */
     private static final class Limit {
         private final HttpExchange exchange;
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/ErrorReply.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/ErrorReply.java
@@ -15,6 +15,8 @@
 final class ErrorReply implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int NOT_COMMITTED = -1;
+    /** How much of an unread body the JDK's server takes after an answer to keep the connection. */
+    private static final long READ_AFTER_ANSWER_BYTES = 64 << 10;
 
     private final HttpExchange exchange;
     private final RequestId id;
@@ -59,12 +61,28 @@
                 body("internal", "an internal error; see the log of this entry", Outcome.UNKNOWN, false, id));
     }
 
+    /**
+     * Returns whether the request's body may be longer than what the server reads of it after an answer. It then closes the
+     * connection, and a caller that isn't told so sends its next request into the closing.
+     */
+    private boolean mayLeaveUnread() {
+        String length = CallerServer.header(exchange, "Content-Length");
+        if (length == null) {
+            return CallerServer.header(exchange, "Transfer-Encoding") != null;
+        }
+        // The server refuses a length that is no number before it hands a request over.
+        return Long.parseLong(length.trim()) > READ_AFTER_ANSWER_BYTES;
+    }
+
     private void write(int status, ObjectNode body) {
         if (exchange.getResponseCode() != NOT_COMMITTED) {
             return;
         }
         try {
             byte[] bytes = Json.write(body);
+            if (mayLeaveUnread()) {
+                exchange.getResponseHeaders().set("Connection", "close");
+            }
             exchange.getResponseHeaders().set("Content-Type", "application/json");
             exchange.sendResponseHeaders(status, bytes.length);
             exchange.getResponseBody().write(bytes);
