Sight: an engine that fails, and an answer that isn't whole, say why

An answer that was begun and not ended well left no line, and an engine's failure none either. Logging only.

--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/CompletionHandler.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/CompletionHandler.java
@@ -1,5 +1,6 @@
 package org.quetzalseam.daemon.caller;
 
+import com.google.common.flogger.FluentLogger;
 import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import java.time.Duration;
@@ -17,6 +18,7 @@
 
 /** Answers requests for completions. Thread-safe. */
 final class CompletionHandler {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int AFFINITY_CHARS = 1024;
     private static final long NO_DEADLINE_MILLIS = Duration.ofDays(1).toMillis();
 
@@ -61,6 +63,11 @@
             TimedSink sink = new TimedSink(answer, arrived);
             RunResult result = router.run(request, sink);
             record(request.entry(), result, sink);
+            if (result.outcome() != Outcome.ANSWERED && sink.admittedAfter().isPresent()) {
+                logger.atInfo().log(
+                        "event=answer-not-whole request=%s code=%s outcome=%s outputs=%d message=\"%s\"",
+                        id, result.code(), result.outcome().label(), result.outputs(), result.message());
+            }
             answer.end(result);
         } finally {
             admittance.leave(request.entry());
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/DecodeGate.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/DecodeGate.java
@@ -1,5 +1,6 @@
 package org.quetzalseam.daemon.endpoint;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
@@ -27,6 +28,7 @@
  * output. Where places are booked ahead, a decode whose place is not free yet waits for it. Thread-safe.
  */
 final class DecodeGate implements Gate, Backend {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private final Engine engine;
     private final Sessions sessions;
     private final Admission admission;
@@ -151,6 +153,9 @@
                 // The engine still frees its memory; abort() gives the place back when it has.
                 return;
             }
+            logger.atWarning().log(
+                    "event=engine-failed attempt=%s outputs=%d reason=%s",
+                    job.id(), job.outputCount(), failure.getMessage());
             FailureCode code = EngineFailures.code(failure);
             job.settle(new Failed(job.id(), code, String.valueOf(failure.getMessage()), admission.load()));
             abort(job);
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/PrefillGate.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/PrefillGate.java
@@ -1,5 +1,6 @@
 package org.quetzalseam.daemon.endpoint;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.quetzalseam.core.admission.WorkClass;
@@ -16,6 +17,8 @@
 
 /** The gate before an engine that prefills: a place is one prompt being prefilled. Thread-safe. */
 final class PrefillGate implements Gate, Backend {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     private final Engine engine;
     private final Sessions sessions;
     private final Admission admission;
@@ -62,6 +65,7 @@
 
     private void fail(Job job, Throwable failure) {
         EngineException cause = EngineFailures.of(failure);
+        logger.atWarning().log("event=engine-failed attempt=%s reason=%s", job.id(), cause.getMessage());
         if (cause.code() == EngineException.Code.NOT_RUN) {
             job.settle(new Refused(job.id(), RefusalReason.BACKEND_DOWN, 0, admission.load()));
             return;
