--- a/daemon/src/test/java/org/quetzalseam/daemon/service/HttpServiceClientTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/service/HttpServiceClientTest.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.quetzalseam.core.admission.WorkClass;
@@ -153,4 +155,19 @@
         ServiceException failure = failure(call("POST", "{}", false, TIMEOUT_MILLIS));
         assertThat(failure.code()).isEqualTo(ServiceException.Code.NOT_RUN);
     }
+
+    /**
+     * A call that must not run twice was told {@code backend-failed}, outcome unknown, when its service took longer than two seconds, however
+     * long it might take: {@code service-gave-no-answer … reason=the service gave no answer: 2000 MILLISECONDS}, 32 times beside a load of 50 to
+     * 119. The limit for making the connection stays on it as the limit of its silence.
+     */
+    @Test
+    void aCallMayTakeLongerThanItsConnectionMayTakeToBeMade() {
+        long millis = HttpClients.CONNECT_TIMEOUT.toMillis() + 500;
+        serve((request, connection) -> {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+            connection.reply(200, request.body());
+        });
+        assertThat(send(call("POST", "{}", false, TIMEOUT_MILLIS)).status()).isEqualTo(200);
+    }
 }
