--- a/gateway/src/test/java/org/quetzalseam/gateway/EndOfLeavingTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/EndOfLeavingTest.java
@@ -200,7 +200,7 @@
         service.script((request, connection) -> connection.answer(request, "whole"));
         try (TestEntry.Caller caller = entry.caller()) {
             caller.write(call("before"));
-            sleep(200);
+            awaitFirstRun();
             assertThat(service.runs()).hasSize(1);
             CompletableFuture<Void> left = leave(60_000);
             awaitClosedListener();
@@ -214,6 +214,12 @@
         }
     }
 
+    private void awaitFirstRun() {
+        for (int i = 0; i < 5_000 && service.runs().isEmpty(); i++) {
+            sleep(1);
+        }
+    }
+
     private void awaitClosedListener() {
         boolean listening = true;
         while (listening) {
