Stand-in server: a closed one refuses connections, and leaves none silent

Cause of HttpServiceClientTest#aServiceThatDoesNotListenHasRunNothing failing at times: the accepting thread holds the listener until it has left its system call, so a connection made right after close() was still accepted; the pool that should have served it was shut down by then, and it stayed open without a word. close() now waits for the accepting thread, and what it still takes is reset. An accepted connection whose caller has gone no longer ends accepting. LinkProxy had the first half of the fault: it relayed such a connection.

Ruled out: the product's client, which told the truth (sent, no answer).

--- a/standins/src/main/java/org/quetzalseam/standins/LinkProxy.java
+++ b/standins/src/main/java/org/quetzalseam/standins/LinkProxy.java
@@ -133,7 +133,8 @@
     }
 
     private void connect(Socket caller) {
-        if (refusing) {
+        // A listener that is closed may hand out one more connection.
+        if (refusing || server.isClosed()) {
             close(caller);
             return;
         }
--- a/standins/src/main/java/org/quetzalseam/standins/raw/RawServer.java
+++ b/standins/src/main/java/org/quetzalseam/standins/raw/RawServer.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -27,6 +28,7 @@
     private final AtomicInteger accepted = new AtomicInteger();
     private final Set<RawConnection> open = ConcurrentHashMap.newKeySet();
     private final Script script;
+    private final Thread acceptor = daemonThread(this::accept);
 
     /** Starts a server. */
     public RawServer(Script script) {
@@ -36,7 +38,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        threads.execute(this::accept);
+        acceptor.start();
     }
 
     private static Thread daemonThread(Runnable task) {
@@ -63,15 +65,23 @@
     private void accept() {
         while (!listener.isClosed()) {
             try {
-                RawConnection connection = new RawConnection(listener.accept());
-                accepted.incrementAndGet();
-                threads.execute(() -> serve(connection));
+                take(listener.accept());
             } catch (IOException expected) {
-                return;
+                // Closed, or the caller has gone: the loop's condition tells.
             }
         }
     }
 
+    private void take(Socket socket) throws IOException {
+        RawConnection connection = new RawConnection(socket);
+        if (listener.isClosed()) {
+            connection.reset();
+            return;
+        }
+        accepted.incrementAndGet();
+        threads.execute(() -> serve(connection));
+    }
+
     private void serve(RawConnection connection) {
         open.add(connection);
         try {
@@ -88,6 +98,7 @@
         }
     }
 
+    /** Stops the server and resets its connections. From then on connections are refused. */
     @Override
     public void close() {
         try {
@@ -95,7 +106,17 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
+        awaitAcceptor();
         resetAll();
         threads.shutdownNow();
     }
+
+    /** Waits for the accepting thread: until it has left its system call the port still takes connections. */
+    private void awaitAcceptor() {
+        try {
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
