A call that must not run twice may take as long as it is given

HttpCore keeps the limit for making a connection as the limit of its silence, so each such call was told 502 backend-failed, unknown, after two seconds. It is given the call's own limit now; the wait for the connection is ended by a limit of ours, and whichever comes first, connection or end of the wait, decides whether the call is sent: one told as not run never is.

--- a/daemon/src/main/java/org/quetzalseam/daemon/service/SingleUseClient.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/SingleUseClient.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +47,8 @@
     /** An endpoint stands before one service, whose answers one thread copies as fast as loopback brings them. */
     private static final int IO_THREADS = 1;
 
+    private static final String STOPPED = "stopped";
+
     private final HttpHost host;
     private final HttpAsyncRequester requester;
 
@@ -84,8 +87,8 @@
     CompletableFuture<ServiceAnswer> call(Call call) {
         long limit = Math.max(1, call.timeoutMillis());
         Pending pending = new Pending(request(call));
-        Timeout connecting = Timeout.ofMilliseconds(Math.min(limit, HttpClients.CONNECT_TIMEOUT.toMillis()));
-        Future<AsyncClientEndpoint> unused = requester.connect(host, connecting, null, pending);
+        // HttpCore keeps the limit given here as the limit of the connection's silence.
+        Future<AsyncClientEndpoint> unused = requester.connect(host, Timeout.ofMilliseconds(limit), null, pending);
         return pending.answer(limit);
     }
 
@@ -103,6 +106,9 @@
     /** One call, from its connection to its answer. */
     private static final class Pending implements FutureCallback<AsyncClientEndpoint> {
         private final AsyncRequestProducer request;
+        /** Whichever completes it first decides whether the call is sent: the connection, or the end of the wait for it. */
+        private final CompletableFuture<AsyncClientEndpoint> connecting = new CompletableFuture<>();
+
         private final CompletableFuture<ServiceAnswer> answer = new CompletableFuture<>();
 
         Pending(AsyncRequestProducer request) {
@@ -111,6 +117,14 @@
 
         /** Returns the answer. After the limit the call counts as begun, also where it was still connecting. */
         CompletableFuture<ServiceAnswer> answer(long limitMillis) {
+            CompletableFuture<Void> unused = connecting
+                    .orTimeout(HttpClients.CONNECT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                    .handle((connection, failure) -> {
+                        if (failure != null) {
+                            notConnected(failure);
+                        }
+                        return null;
+                    });
             return answer.orTimeout(limitMillis, TimeUnit.MILLISECONDS).exceptionallyCompose(failure -> {
                 boolean late = HttpClients.cause(failure) instanceof TimeoutException;
                 return CompletableFuture.failedFuture(
@@ -120,9 +134,17 @@
             });
         }
 
+        private void notConnected(Throwable failure) {
+            boolean late = failure instanceof TimeoutException;
+            String reason = late
+                    ? "no connection within " + HttpClients.CONNECT_TIMEOUT.toMillis() + " ms"
+                    : String.valueOf(failure.getMessage());
+            fail(Code.NOT_RUN, reason, failure);
+        }
+
         @Override
         public void completed(AsyncClientEndpoint connection) {
-            if (answer.isDone()) {
+            if (!connecting.complete(connection) || answer.isDone()) {
                 connection.releaseAndDiscard();
                 return;
             }
@@ -134,16 +156,15 @@
 
         @Override
         public void failed(Exception failure) {
-            fail(Code.NOT_RUN, failure);
+            connecting.completeExceptionally(failure);
         }
 
         @Override
         public void cancelled() {
-            fail(Code.NOT_RUN, null);
+            connecting.completeExceptionally(new CancellationException(STOPPED));
         }
 
-        private void fail(Code code, @Nullable Exception failure) {
-            String reason = failure == null ? "stopped" : String.valueOf(failure.getMessage());
+        private void fail(Code code, String reason, @Nullable Throwable failure) {
             answer.completeExceptionally(new ServiceException(code, "the service gave no answer: " + reason, failure));
         }
 
@@ -155,12 +176,12 @@
 
             @Override
             public void failed(Exception failure) {
-                fail(Code.NO_ANSWER, failure);
+                fail(Code.NO_ANSWER, String.valueOf(failure.getMessage()), failure);
             }
 
             @Override
             public void cancelled() {
-                fail(Code.NO_ANSWER, null);
+                fail(Code.NO_ANSWER, STOPPED, null);
             }
         }
     }
