--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/RestoredStoreTest.java
@@ -0,0 +1,165 @@
+package org.quetzalseam.gateway.stage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.MemoryStore;
+
+/**
+ * The lease when the store has come back from a copy some seconds old: what was written since is gone, and its revisions are
+ * given out again. Entries took the record they found for an old answer, renewals and take-overs conflicted for ever, and a new
+ * holder was given an epoch that a forgotten one had had.
+ */
+class RestoredStoreTest {
+    private static final String KIND = "quetzalseam-leases";
+    private static final int MANY_TURNS = 250;
+
+    private final MemoryStore store = new MemoryStore();
+    private final Map<StageLease, Integer> orders = new HashMap<>();
+    private long steadyNanos = 1;
+    private long wallMillis = 1_000_000;
+    private int writes;
+
+    private StageLease lease(String name) {
+        Timers timers = new Timers(new EmbeddedChannel().eventLoop(), () -> steadyNanos, () -> wallMillis);
+        return new StageLease(timers, store, "s", name);
+    }
+
+    private void turn(StageLease... leases) {
+        for (StageLease lease : leases) {
+            lease.keep();
+            if (lease.held()) {
+                lease.renew(() -> order(lease));
+            }
+        }
+        steadyNanos += TimeUnit.MILLISECONDS.toNanos(StageLease.RENEW_MILLIS);
+        wallMillis += StageLease.RENEW_MILLIS;
+    }
+
+    private void turns(int count, StageLease... leases) {
+        for (int i = 0; i < count; i++) {
+            turn(leases);
+        }
+    }
+
+    private void order(StageLease lease) {
+        if (lease.mayOrder()) {
+            orders.merge(lease, 1, Integer::sum);
+        }
+    }
+
+    private int ordersOf(StageLease lease) {
+        return orders.getOrDefault(lease, 0);
+    }
+
+    private void writeElsewhere(int count) {
+        for (int i = 0; i < count; i++) {
+            store.put("others", "other-" + writes++, JsonNodeFactory.instance.objectNode());
+        }
+    }
+
+    private void turnsWithOtherWrites(int count, StageLease... leases) {
+        for (int i = 0; i < count; i++) {
+            writeElsewhere(1);
+            turn(leases);
+        }
+    }
+
+    @Test
+    void aLeaseWhoseLastRenewalsAreGoneIsHeldAgain() {
+        StageLease lease = lease("a");
+        turns(5, lease);
+        MemoryStore.Copy copy = store.copy();
+        turns(3, lease);
+        int before = ordersOf(lease);
+        assertThat(before).isPositive();
+        store.restore(copy);
+        turnsWithOtherWrites(MANY_TURNS, lease);
+        assertThat(ordersOf(lease)).isGreaterThan(before + MANY_TURNS / 2);
+    }
+
+    @Test
+    void aLeaseThatIsYoungerThanTheCopyIsHeldAgain() {
+        MemoryStore.Copy copy = store.copy();
+        StageLease lease = lease("a");
+        turns(5, lease);
+        int before = ordersOf(lease);
+        assertThat(before).isPositive();
+        store.restore(copy);
+        turnsWithOtherWrites(MANY_TURNS, lease);
+        assertThat(ordersOf(lease)).isGreaterThan(before + MANY_TURNS / 2);
+    }
+
+    @Test
+    void anEpochOfAHolderThatNobodyRemembersIsNotGivenAgain() {
+        StageLease a = lease("a");
+        turns(3, a);
+        writeElsewhere(3);
+        MemoryStore.Copy copy = store.copy();
+        StageLease b = lease("b");
+        turns(7, b);
+        assertThat(b.held()).isTrue();
+        assertThat(ordersOf(b)).isPositive();
+        store.restore(copy);
+        StageLease c = lease("c");
+        for (int i = 0; i < MANY_TURNS && !c.held(); i++) {
+            turn(c);
+        }
+        assertThat(c.held()).isTrue();
+        assertThat(c.epoch()).isGreaterThan(b.epoch());
+    }
+
+    @Test
+    void aHolderOfBeforeGivesNoOrderOnceAnotherHoldsItAgain() {
+        StageLease a = lease("a");
+        turns(3, a);
+        MemoryStore.Copy copy = store.copy();
+        StageLease b = lease("b");
+        turns(7, b);
+        store.restore(copy);
+        for (int i = 0; i < MANY_TURNS && !a.held(); i++) {
+            turn(a);
+        }
+        turns(5, a);
+        int before = ordersOf(b);
+        turns(MANY_TURNS, a, b);
+        assertThat(ordersOf(a)).isGreaterThan(MANY_TURNS / 2);
+        assertThat(ordersOf(b)).isEqualTo(before);
+        assertThat(b.held()).isFalse();
+    }
+
+    @Test
+    void twoRestoresInARowLeaveOneHolder() {
+        StageLease a = lease("a");
+        StageLease b = lease("b");
+        turns(3, a, b);
+        MemoryStore.Copy copy = store.copy();
+        for (int i = 0; i < 2; i++) {
+            turnsWithOtherWrites(2, a, b);
+            store.restore(copy);
+        }
+        turnsWithOtherWrites(20, a, b);
+        int before = ordersOf(a) + ordersOf(b);
+        turnsWithOtherWrites(MANY_TURNS, a, b);
+        assertThat(ordersOf(a) + ordersOf(b)).isGreaterThan(before + MANY_TURNS / 2);
+        assertThat(a.held() != b.held()).as("one holds it").isTrue();
+    }
+
+    @Test
+    void aRecordThatAnOperatorDeletesIsLeftAgainUnderAHigherEpoch() {
+        StageLease lease = lease("a");
+        turns(5, lease);
+        int before = ordersOf(lease);
+        long epoch = lease.epoch();
+        store.remove(KIND, "s");
+        turnsWithOtherWrites(MANY_TURNS, lease);
+        assertThat(ordersOf(lease)).isGreaterThan(before + MANY_TURNS / 2);
+        assertThat(lease.epoch()).isGreaterThan(epoch);
+    }
+}
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
@@ -51,6 +51,27 @@
         return object;
     }
 
+    /** What the store held at a moment. */
+    public record Copy(Map<String, StoredObject> objects, long revision) {}
+
+    /** Returns a copy to come back from. */
+    public Copy copy() {
+        return new Copy(Map.copyOf(objects), revision);
+    }
+
+    /** Comes back from a copy: what was written since is gone, and its revisions are given out again. */
+    public void restore(Copy copy) {
+        objects.clear();
+        objects.putAll(copy.objects());
+        revision = copy.revision();
+    }
+
+    /** Removes an object. */
+    public void remove(String kind, String name) {
+        revision++;
+        objects.remove(kind + "/" + name);
+    }
+
     private boolean declined(Consumer<StoreFailure> failed) {
         if (declining) {
             failed.accept(new StoreFailure(StoreFailure.Kind.DECLINED, "status 503"));
