The store's era is part of each position, and what is told and ordered stays true after a restore

A store that comes back from an older copy gives its revisions out again. A revision is now compared only as part of a typed position (era, then revision), read in the adapter from Store-Era; a store that states none is as before.

Cause, by case of the finding: - Lease: a record with a lower revision was taken for an old answer for ever. Positions of a later era are newer; a write that had no effect for sure makes the entry forget what it knew and read anew; a missing record is left again, also by who knew one. - Epochs: 'one above the revision' was given twice. An epoch now counts the era before the revision, so it rises over all eras, holders that nobody remembers and restarts. A record whose epoch is of an earlier era is nobody's. - Census: a name was left once. It is left again when it has gone, for whatever reason; an entry always counts itself; after a restore the count doesn't fall before the others could leave theirs. - KindWatch went on from the greater of two revisions: an answer of another era lists anew, and what is missing then has the two seconds of an outage. Pages of two eras are no list. - A write whose condition is of an earlier era isn't sent; one that is under way comes back with a later position, which the lease doesn't count as held.

Looked at and found right: endpoints are compared by their start, desired state by its version, so neither goes back.

The tests of KindWatch, OrderLease, StoreAnswers and StoreObjects say positions where they said revisions, with the same checks.

--- a/core/src/main/java/org/quetzalseam/core/generation/OrderLease.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/OrderLease.java
@@ -1,13 +1,14 @@
 package org.quetzalseam.core.generation;
 
 import java.util.concurrent.TimeUnit;
+import org.quetzalseam.core.store.StorePosition;
 
 /**
  * What one process knows of a lease that is a record in a shared store: who holds it, and when it may be taken over or used.
  * Not thread-safe.
  *
- * <p>The record's revision rises with each renewal. A process takes a lease over when its revision has stood still for far
- * longer than a holder lets pass between renewals, by its own monotonic clock; the take-over is conditional on that revision,
+ * <p>The record's position rises with each renewal. A process takes a lease over when its position has stood still for far
+ * longer than a holder lets pass between renewals, by its own monotonic clock; the take-over is conditional on that position,
  * so that one process wins. An order is given only right after a renewal, and by a new holder only when any order of the
  * holder before it is long past.
  */
@@ -22,7 +23,7 @@
     private final long quietMillis;
     private String holder = "";
     private long epoch;
-    private long revision = -1;
+    private StorePosition position = StorePosition.NONE;
     private long seenAt;
     private long ordersFrom;
     private long renewedSteady;
@@ -43,24 +44,30 @@
     }
 
     /** Notes the record as read or written. */
-    public void seen(String recordHolder, long recordEpoch, long recordRevision, long now) {
-        if (recordRevision <= revision) {
+    public void seen(String recordHolder, long recordEpoch, StorePosition recordPosition, long now) {
+        if (!position.before(recordPosition)) {
             return;
         }
         holder = recordHolder;
         epoch = recordEpoch;
-        revision = recordRevision;
+        position = recordPosition;
         seenAt = now;
     }
 
     /** Returns whether the record has been read, or written, since the start. */
     public boolean known() {
-        return revision >= 0;
+        return !position.equals(StorePosition.NONE);
     }
 
-    /** Returns the record's newest revision. */
-    public long revision() {
-        return revision;
+    /** Forgets the record: what is read next is believed, whatever its position. */
+    public void forget() {
+        holder = "";
+        position = StorePosition.NONE;
+    }
+
+    /** Returns the record's newest position. */
+    public StorePosition position() {
+        return position;
     }
 
     /** Returns the number of the present holding; it rises with each take-over. */
--- a/core/src/test/java/org/quetzalseam/core/generation/OrderLeaseTest.java
+++ b/core/src/test/java/org/quetzalseam/core/generation/OrderLeaseTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.store.StorePosition;
 
 class OrderLeaseTest {
     private static final long SECOND = 1_000_000_000L;
@@ -11,8 +12,12 @@
 
     private final OrderLease lease = new OrderLease("me", RENEW, QUIET);
 
+    private static StorePosition at(long revision) {
+        return new StorePosition(StorePosition.NO_ERA, revision);
+    }
+
     private void hold() {
-        lease.seen("me", 1, 10, 0);
+        lease.seen("me", 1, at(10), 0);
         lease.taken(false, 0);
     }
 
@@ -43,7 +48,7 @@
 
     @Test
     void aNewHolderWaitsUntilOrdersOfTheOneBeforeAreLongPast() {
-        lease.seen("me", 2, 11, 0);
+        lease.seen("me", 2, at(11), 0);
         lease.taken(true, 0);
         lease.renewed(SECOND, 1_000);
         assertThat(lease.mayOrder(SECOND, 1_000)).isFalse();
@@ -53,11 +58,11 @@
 
     @Test
     void aLeaseIsTakenOverOnlyWhenItsRevisionStandsStillForLong() {
-        lease.seen("other", 1, 10, 0);
+        lease.seen("other", 1, at(10), 0);
         assertThat(lease.lapsed(11 * SECOND)).isFalse();
-        lease.seen("other", 1, 11, 11 * SECOND);
+        lease.seen("other", 1, at(11), 11 * SECOND);
         assertThat(lease.lapsed(22 * SECOND)).isFalse();
-        lease.seen("other", 1, 11, 22 * SECOND);
+        lease.seen("other", 1, at(11), 22 * SECOND);
         assertThat(lease.lapsed(24 * SECOND))
                 .as("the same revision again is no sign of life")
                 .isTrue();
@@ -67,15 +72,15 @@
     void whoSeesAnotherHolderStopsOrdering() {
         hold();
         lease.renewed(0, 0);
-        lease.seen("other", 2, 12, 0);
+        lease.seen("other", 2, at(12), 0);
         assertThat(lease.held()).isFalse();
         assertThat(lease.mayOrder(0, 0)).isFalse();
     }
 
     @Test
     void anOlderRevisionIsNotBelieved() {
-        lease.seen("other", 2, 12, 0);
-        lease.seen("me", 1, 10, 0);
+        lease.seen("other", 2, at(12), 0);
+        lease.seen("me", 1, at(10), 0);
         assertThat(lease.held()).isFalse();
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryCensus.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryCensus.java
@@ -2,18 +2,23 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.flogger.FluentLogger;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectPage;
 import org.quetzalseam.gateway.store.ObjectStore;
 import org.quetzalseam.gateway.store.StoreFailure;
+import org.quetzalseam.gateway.store.StoredObject;
 
 /**
  * Counts the entries that share a site's budgets: each leaves its name in the platform's store. Used on the event loop only.
  *
  * <p>Names of entries that were killed stay, so the count may be too high but not too low for long; a share of a budget that is
- * worked out from it is then too small, never too large.
+ * worked out from it is then too small, never too large. A name that has gone from the store is left again, and where the store
+ * has come back from an older copy the others are given time to do so too before they are taken for gone.
  */
 public final class EntryCensus {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -26,6 +31,11 @@
      * counting takes 0.6 KB a second at most, however many there are.
      */
     private static final int ENTRIES_A_COUNT = 20;
+    /**
+     * How long after the store has come back from an older copy the count doesn't fall, in nanoseconds: each entry hears of it
+     * within one turn and leaves its name in the next at the latest.
+     */
+    private static final long RETURN_NANOS = TimeUnit.MILLISECONDS.toNanos(2 * COUNT_MILLIS);
 
     private final Timers timers;
     private final ObjectStore store;
@@ -34,6 +44,9 @@
     private boolean registered;
     private @Nullable EntryCount known;
     private int turnsLeft;
+    private long era;
+    private boolean everRestored;
+    private long restoredAt;
 
     /**
      * Creates a census.
@@ -57,6 +70,7 @@
     }
 
     private void turn() {
+        noteEra(store.position().era());
         if (!registered) {
             register();
         } else if (turnsLeft > 0) {
@@ -82,6 +96,7 @@
 
     private void registeredAs() {
         registered = true;
+        era = store.position().era();
         count();
     }
 
@@ -93,17 +108,39 @@
                         "event=census-failed kind=%s detail=\"%s\"", failure.kind(), failure.detail()));
     }
 
+    private void noteEra(long seen) {
+        if (registered && seen != era) {
+            logger.atInfo().log("event=census-restored era_before=%d era=%d", era, seen);
+            registered = false;
+            everRestored = true;
+            restoredAt = timers.now();
+        }
+        era = seen;
+    }
+
     private void page(ObjectPage page) {
-        int entries = page.objects().size();
-        int before = (int) page.objects().stream()
-                .filter(object -> object.name().compareTo(self) < 0)
-                .count();
-        EntryCount count = new EntryCount(entries, Math.min(before, entries - 1));
-        if (entries == 0 || count.equals(known)) {
+        noteEra(page.position().era());
+        Set<String> names = page.objects().stream().map(StoredObject::name).collect(Collectors.toSet());
+        if (names.add(self)) {
+            // Whoever removed it, this entry lives; an old answer may also lack it, and leaving it again does no harm.
+            registered = false;
+        }
+        int before =
+                (int) names.stream().filter(name -> name.compareTo(self) < 0).count();
+        EntryCount count = new EntryCount(names.size(), before);
+        if (count.equals(known) || mayBeTooLow(count)) {
             return;
         }
         known = count;
-        logger.atInfo().log("event=entries-counted entries=%d rank=%d", entries, count.rank());
+        logger.atInfo().log("event=entries-counted entries=%d rank=%d", count.entries(), count.rank());
         counted.accept(count);
     }
+
+    private boolean mayBeTooLow(EntryCount count) {
+        EntryCount last = known;
+        return last != null
+                && count.entries() < last.entries()
+                && everRestored
+                && timers.now() - restoredAt < RETURN_NANOS;
+    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/operator/GatewayMetrics.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/operator/GatewayMetrics.java
@@ -100,6 +100,11 @@
         count("quetzalseam.store.calls", "kind", kind, "outcome", outcome);
     }
 
+    /** Counts that the platform's store has come back from an older copy. */
+    public void storeRestored() {
+        count("quetzalseam.store.restores", "entry", "all", "reason", "older-copy");
+    }
+
     /** Notes how long a generation waited for decode memory. */
     public void bookingWait(String route, long millis) {
         timer("quetzalseam.booking.wait", route).record(Duration.ofMillis(millis));
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/EntrySettings.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/EntrySettings.java
@@ -11,6 +11,7 @@
  * @param bookedDeviations standard deviations above a generation's median length that stay booked
  * @param admittedDeviations standard deviations above it that must be free when a generation is admitted
  * @param prefillShare share of a service's engines that read prompts, assumed until load has been seen
+ * @param firstStart whether the whole site starts for the first time
  */
 public record EntrySettings(
         String name,
@@ -20,4 +21,5 @@
         long retryWindowMillis,
         double bookedDeviations,
         double admittedDeviations,
-        double prefillShare) {}
+        double prefillShare,
+        boolean firstStart) {}
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeeper.java
@@ -17,6 +17,7 @@
 import org.quetzalseam.gateway.http.WholeReply;
 import org.quetzalseam.gateway.protocol.EngineLoad;
 import org.quetzalseam.gateway.protocol.Protocol;
+import org.quetzalseam.gateway.route.EntrySettings;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectStore;
 
@@ -64,15 +65,14 @@
             Protocol protocol,
             ObjectStore store,
             String service,
-            String self,
-            double assumedPrefillShare) {
+            EntrySettings settings) {
         this.timers = timers;
         this.directory = directory;
         this.protocol = protocol;
         this.service = service;
-        this.self = self;
-        this.lease = new StageLease(timers, store, service, self);
-        this.split = new StageSplit(assumedPrefillShare);
+        this.self = settings.name();
+        this.lease = new StageLease(timers, store, service, self, settings.firstStart());
+        this.split = new StageSplit(settings.prefillShare());
     }
 
     void start() {
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeepers.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageKeepers.java
@@ -42,8 +42,7 @@
     }
 
     private StageKeeper begin(String service) {
-        StageKeeper keeper =
-                new StageKeeper(timers, directory, protocol, store, service, settings.name(), settings.prefillShare());
+        StageKeeper keeper = new StageKeeper(timers, directory, protocol, store, service, settings);
         keeper.start();
         return keeper;
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
@@ -1,7 +1,9 @@
 package org.quetzalseam.gateway.stage;
 
 import com.google.common.flogger.FluentLogger;
+import org.quetzalseam.core.generation.OrderEpoch;
 import org.quetzalseam.core.generation.OrderLease;
+import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectFaults;
 import org.quetzalseam.gateway.store.ObjectStore;
@@ -9,7 +11,13 @@
 import org.quetzalseam.gateway.store.StoredObject;
 import org.quetzalseam.gateway.store.UnreadableException;
 
-/** The lease, in the platform's store, on ordering one service's engines between stages. Used on the event loop only. */
+/**
+ * The lease, in the platform's store, on ordering one service's engines between stages. Used on the event loop only.
+ *
+ * <p>Where the store has come back from an older copy, the record that it holds is nobody's, whomever it names: a later holder may
+ * have been forgotten with what was written since. Whoever held the lease has lost it, and it is taken over like that of a holder
+ * that has gone silent.
+ */
 final class StageLease {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Kind of the lease's record in the store. */
@@ -33,14 +41,27 @@
     private final OrderLease lease;
     private final ObjectFaults faults = new ObjectFaults(KIND);
     private LeaseRecord record = NOBODYS;
+    private final boolean firstStart;
+    private StorePosition newest = StorePosition.NONE;
     private long highestEpoch;
+    private boolean everKnown;
     private boolean calling;
 
     StageLease(Timers timers, ObjectStore store, String service, String self) {
+        this(timers, store, service, self, true);
+    }
+
+    /**
+     * Creates a lease.
+     *
+     * @param firstStart whether the whole site starts for the first time, so that a missing record never was another's
+     */
+    StageLease(Timers timers, ObjectStore store, String service, String self, boolean firstStart) {
         this.timers = timers;
         this.store = store;
         this.service = service;
         this.self = self;
+        this.firstStart = firstStart;
         this.lease = new OrderLease(self, RENEW_MILLIS, QUIET_MILLIS);
     }
 
@@ -66,7 +87,7 @@
         } else if (lease.held()) {
             renew(() -> {});
         } else if (lease.lapsed(timers.now())) {
-            takeOver();
+            takeOver(true);
         } else {
             look();
         }
@@ -75,7 +96,17 @@
     /** Looks whether another holder renews. An old answer at worst puts a take-over off; taking over is conditional. */
     private void look() {
         calling = true;
-        store.readRecent(KIND, service, this::taken, this::readFailed);
+        store.readRecent(KIND, service, this::taken, this::lookFailed);
+    }
+
+    /** An old answer may lack the record that is there by now. */
+    private void lookFailed(StoreFailure failure) {
+        if (failure.kind() == StoreFailure.Kind.NOT_FOUND) {
+            forget();
+            read();
+        } else {
+            readFailed(failure);
+        }
     }
 
     private void read() {
@@ -94,9 +125,33 @@
     }
 
     private void create() {
+        StorePosition known = StorePosition.later(store.position(), newest);
+        if (inexpressible(known)) {
+            return;
+        }
         calling = true;
-        LeaseRecord first = new LeaseRecord(self, 1, 0);
-        store.create(KIND, service, first.json(), object -> won(object, false, NOBODY), this::createFailed);
+        LeaseRecord first = new LeaseRecord(self, OrderEpoch.after(known), 0);
+        store.create(KIND, service, first.json(), object -> created(object, known, first.epoch()), this::createFailed);
+    }
+
+    /** A record that has been gone may have stood under any epoch up to its creation: one below that is not held but replaced. */
+    private void created(StoredObject object, StorePosition before, long epoch) {
+        boolean after = everKnown || !firstStart || object.position().era() != before.era();
+        if (epoch >= OrderEpoch.highestAt(object.position())) {
+            won(object, after, NOBODY);
+        } else {
+            taken(object);
+            takeOver(after);
+        }
+    }
+
+    /** Returns whether epochs can't tell the era of the store's answers from others: nobody may order by them then. */
+    private boolean inexpressible(StorePosition position) {
+        boolean inexpressible = !OrderEpoch.expressible(position.era());
+        if (inexpressible) {
+            logger.atWarning().log("event=lease-impossible service=%s era=%d", service, position.era());
+        }
+        return inexpressible;
     }
 
     /** Another entry may have been first; what stands in the store shows at the next turn. */
@@ -116,7 +171,7 @@
         store.replace(
                 KIND,
                 service,
-                lease.revision(),
+                lease.position(),
                 record.renewed().json(),
                 object -> {
                     taken(object);
@@ -126,20 +181,18 @@
                 this::writeFailed);
     }
 
-    private void takeOver() {
+    /** Takes the lease over; {@code after} tells whether another holder's orders may still be on their way. */
+    private void takeOver(boolean after) {
+        if (inexpressible(lease.position())) {
+            return;
+        }
         calling = true;
         String before = holder();
-        LeaseRecord mine = new LeaseRecord(self, nextEpoch(), 0);
+        // Above all that were ever given, also above those that this process hasn't seen and the record doesn't tell
+        // any more.
+        LeaseRecord mine = new LeaseRecord(self, OrderEpoch.after(lease.position()), 0);
         store.replace(
-                KIND, service, lease.revision(), mine.json(), object -> won(object, true, before), this::writeFailed);
-    }
-
-    /**
-     * Returns an epoch above all that were ever given, also above those that this process has not seen and that the record
-     * doesn't tell any more: none is above the revision at which it was written.
-     */
-    private long nextEpoch() {
-        return lease.revision() + 1;
+                KIND, service, lease.position(), mine.json(), object -> won(object, after, before), this::writeFailed);
     }
 
     private String holder() {
@@ -157,14 +210,16 @@
 
     private void taken(StoredObject object) {
         calling = false;
-        if (object.revision() < lease.revision()) {
+        if (object.position().before(lease.position())) {
             // An old answer: what is known already is newer.
             return;
         }
         boolean heldBefore = lease.held();
+        everKnown = true;
+        newest = StorePosition.later(newest, object.position());
         record = read(object);
         highestEpoch = Math.max(highestEpoch, record.epoch());
-        lease.seen(record.holder(), record.epoch(), object.revision(), timers.now());
+        lease.seen(record.holder(), record.epoch(), object.position(), timers.now());
         if (!heldBefore && lease.held()) {
             // Nothing tells yet that no order of a holder before is on its way.
             lease.taken(true, timers.now());
@@ -183,11 +238,21 @@
     private LeaseRecord read(StoredObject object) {
         try {
             LeaseRecord found = LeaseRecord.of(object.spec());
-            if (found.epoch() < highestEpoch || found.epoch() > object.revision()) {
+            if (OrderEpoch.era(found.epoch()) < object.position().era()) {
+                logger.atInfo().log(
+                        "event=lease-of-earlier-era service=%s holder=%s epoch=%d era=%d",
+                        service,
+                        found.holder(),
+                        found.epoch(),
+                        object.position().era());
+                return NOBODYS;
+            }
+            long highest = OrderEpoch.highestAt(object.position());
+            if (found.epoch() < highestEpoch || found.epoch() > highest) {
                 throw new UnreadableException(
                         UnreadableException.Code.NOT_ALLOWED,
                         "lease.epoch",
-                        highestEpoch + " to its revision " + object.revision(),
+                        highestEpoch + " to " + highest,
                         Long.toString(found.epoch()));
             }
             faults.readable(service);
@@ -198,10 +263,23 @@
         }
     }
 
-    /** The write may have had its effect all the same: what stands in the store is read before anything else. */
+    /**
+     * The write may have had its effect all the same: what stands in the store is read before anything else. Where it had none for
+     * sure, what was known of the record is wrong, and its position may never be reached again.
+     */
     private void writeFailed(StoreFailure failure) {
         logger.atInfo().log(
                 "event=lease-write-failed service=%s kind=%s detail=\"%s\"", service, failure.kind(), failure.detail());
+        if (failure.kind() == StoreFailure.Kind.CONFLICT || failure.kind() == StoreFailure.Kind.NOT_FOUND) {
+            forget();
+        }
         read();
     }
+
+    private void forget() {
+        if (lease.held()) {
+            logger.atInfo().log("event=lease-lost service=%s to=%s epoch=%d", service, NOBODY, lease.epoch());
+        }
+        lease.forget();
+    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -6,11 +6,12 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.gateway.runtime.Timers;
 
 /**
- * Keeps up with one kind of objects: lists it, then watches it, and lists again when the store has dropped the history. Used
- * on the event loop only.
+ * Keeps up with one kind of objects: lists it, then watches it, and lists again when the store has dropped the history or has
+ * come back from an older copy. Used on the event loop only.
  *
  * <p>A watch waits briefly, so that one that has gone silent is noticed before a change is overdue.
  */
@@ -39,6 +40,8 @@
     private final KindListener listener;
     private final List<StoredObject> pages = new ArrayList<>();
     private long pauseMillis = FIRST_PAUSE_MILLIS;
+    private long listEra;
+    private StorePosition listed = StorePosition.NONE;
     private boolean away;
     private boolean everAway;
     private long returnedAt;
@@ -72,15 +75,37 @@
     }
 
     private void page(ObjectPage page, @Nullable String after) {
+        if (after == null) {
+            listEra = page.position().era();
+        } else if (listEra != page.position().era()) {
+            // Pages of two eras together are no list.
+            listAll();
+            return;
+        }
         pages.addAll(page.objects());
         if (page.more()) {
             nextPage(page, after);
             return;
         }
         heard();
+        noteEra(page.position());
         guarded("all", () -> listener.listed(List.copyOf(pages), justReturned()));
-        logger.atInfo().log("event=listed kind=%s objects=%d revision=%d", kind, pages.size(), page.revision());
-        watch(page.revision());
+        logger.atInfo().log(
+                "event=listed kind=%s objects=%d era=%d revision=%d",
+                kind, pages.size(), listed.era(), listed.revision());
+        watch(listed);
+    }
+
+    /** A store that has come back from an older copy lacks entries that live, as after an outage. */
+    private void noteEra(StorePosition position) {
+        if (!listed.equals(StorePosition.NONE) && listed.era() != position.era()) {
+            logger.atWarning().log(
+                    "event=store-restored kind=%s era_before=%d revision_before=%d era=%d revision=%d",
+                    kind, listed.era(), listed.revision(), position.era(), position.revision());
+            everAway = true;
+            returnedAt = System.nanoTime();
+        }
+        listed = position;
     }
 
     /** Part of a list would make the rest look gone: where no name leads on from a page, all is asked for again. */
@@ -98,16 +123,21 @@
         afterPause(failure, this::listAll);
     }
 
-    private void watch(long revision) {
+    private void watch(StorePosition from) {
         store.watch(
                 kind,
-                revision,
+                from,
                 away ? AWAY_WAIT_MILLIS : WAIT_MILLIS,
-                changes -> changes(revision, changes),
-                failure -> watchFailed(revision, failure));
+                changes -> changes(from, changes),
+                failure -> watchFailed(from, failure));
     }
 
-    private void changes(long from, ObjectChanges changes) {
+    private void changes(StorePosition from, ObjectChanges changes) {
+        if (from.era() != changes.position().era()) {
+            // The revision asked about has been given out again: what came before it in this era would be missed.
+            listAll();
+            return;
+        }
         heard();
         for (ObjectChanges.Change change : changes.changes()) {
             if (change.deleted()) {
@@ -116,7 +146,7 @@
                 guarded(change.object().name(), () -> listener.changed(change.object()));
             }
         }
-        long next = Math.max(from, changes.revision());
+        StorePosition next = StorePosition.later(from, changes.position());
         timers.after(changes.changes().isEmpty() ? 0 : GATHER_MILLIS, () -> watch(next));
     }
 
@@ -129,15 +159,15 @@
         }
     }
 
-    private void watchFailed(long revision, StoreFailure failure) {
+    private void watchFailed(StorePosition from, StoreFailure failure) {
         if (failure.kind() == StoreFailure.Kind.HISTORY_GONE) {
-            logger.atInfo().log("event=history-gone kind=%s revision=%d", kind, revision);
+            logger.atInfo().log("event=history-gone kind=%s era=%d revision=%d", kind, from.era(), from.revision());
             listAll();
             return;
         }
         // The same changes would be as unreadable again; a list tells what came of them.
         boolean listAgain = failure.kind() == StoreFailure.Kind.UNREADABLE;
-        afterPause(failure, listAgain ? this::listAll : () -> watch(revision));
+        afterPause(failure, listAgain ? this::listAll : () -> watch(from));
     }
 
     private void afterPause(StoreFailure failure, Runnable next) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectChanges.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectChanges.java
@@ -1,14 +1,15 @@
 package org.quetzalseam.gateway.store;
 
 import java.util.List;
+import org.quetzalseam.core.store.StorePosition;
 
 /**
- * What has changed since a revision. Immutable.
+ * What has changed since a position. Immutable.
  *
  * @param changes the changes, oldest first; empty when the wait ended without one
- * @param revision the revision to go on from
+ * @param position the position to go on from; of a later era than the one asked about, it leaves out what that era lacks
  */
-public record ObjectChanges(List<Change> changes, long revision) {
+public record ObjectChanges(List<Change> changes, StorePosition position) {
     /**
      * One change. Immutable.
      *
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/StoredObject.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/StoredObject.java
@@ -1,15 +1,16 @@
 package org.quetzalseam.gateway.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.quetzalseam.core.store.StorePosition;
 
 /**
  * One object of the store. Immutable.
  *
  * @param name its name, unique in its kind; empty where none could be read
- * @param revision the store's revision at its last change, or {@link #UNKNOWN_REVISION}
+ * @param position the store's position at its last change, with {@link #UNKNOWN_REVISION} where it could not be read
  * @param spec its content as its writer left it, of any type; a missing node where it could not be read
  */
-public record StoredObject(String name, long revision, JsonNode spec) {
+public record StoredObject(String name, StorePosition position, JsonNode spec) {
     /** Stands for a revision that could not be read: less than any of the store's. */
     public static final long UNKNOWN_REVISION = -1;
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
@@ -36,7 +36,7 @@
 
     /** Creates an entry with a retry budget: retries for each request, and in a window besides, of all entries together. */
     TestEntry(double retryRatio, double retrySlack) {
-        EntrySettings settings = new EntrySettings("entry-1", "a", retryRatio, retrySlack, 10_000, 1, 2, 0.25);
+        EntrySettings settings = new EntrySettings("entry-1", "a", retryRatio, retrySlack, 10_000, 1, 2, 0.25, true);
         process = new EntryProcess(new TestProtocol(), settings);
         InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         listening = process.start(anyPort, anyPort, anyPort);
--- a/gateway/src/test/java/org/quetzalseam/gateway/stage/StageKeeperTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/StageKeeperTest.java
@@ -18,6 +18,7 @@
 import org.quetzalseam.gateway.endpoint.Directory;
 import org.quetzalseam.gateway.endpoint.Endpoint;
 import org.quetzalseam.gateway.http.Connector;
+import org.quetzalseam.gateway.route.EntrySettings;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.MemoryStore;
 import org.quetzalseam.standins.raw.RawConnection;
@@ -33,12 +34,14 @@
 
     private static final long FIRST_START = 1_000;
     private static final long SECOND_START = 2_000;
+    private static final EntrySettings SETTINGS =
+            new EntrySettings("entry-1", "a", 0.2, 20, 10_000, 0.7, 2.2, 0.25, true);
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final Timers timers = new Timers(group.next());
     private final Directory directory = new Directory(new Connector(group.next(), "x-id"));
     private final StageKeeper keeper =
-            new StageKeeper(timers, directory, new TestProtocol(), new MemoryStore(), "s", "entry-1", 0.25);
+            new StageKeeper(timers, directory, new TestProtocol(), new MemoryStore(), "s", SETTINGS);
     private final List<String> orders = new CopyOnWriteArrayList<>();
     /** The engine that is ordered: of two equal ones, the one with the least id. */
     private final RawServer first = new RawServer(this::reply);
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.gateway.runtime.Timers;
 
 class KindWatchTest {
@@ -30,22 +31,26 @@
         channel.runScheduledPendingTasks();
     }
 
+    private static StorePosition at(long revision) {
+        return new StorePosition(StorePosition.NO_ERA, revision);
+    }
+
     private static StoredObject object(String name, long revision) {
-        return new StoredObject(name, revision, JsonNodeFactory.instance.objectNode());
+        return new StoredObject(name, at(revision), JsonNodeFactory.instance.objectNode());
     }
 
     @Test
     void pagesAreListedTogetherAndTheWatchGoesOnFromTheLastOne() {
-        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, 5));
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, at(5)));
         assertThat(store.after).isEqualTo("a");
-        store.listed.accept(new ObjectPage(List.of(object("b", 4)), false, 6));
+        store.listed.accept(new ObjectPage(List.of(object("b", 4)), false, at(6)));
         assertThat(seen.lines).containsExactly("listed a b away=false");
         assertThat(store.watchedFrom).isEqualTo(6);
     }
 
     @Test
     void aStoreThatHasGoneSilentIsAskedForAnAnswerAtOnceUntilItIsBack() {
-        store.listed.accept(new ObjectPage(List.of(), false, 6));
+        store.listed.accept(new ObjectPage(List.of(), false, at(6)));
         assertThat(store.waitMillis).isEqualTo(KindWatch.WAIT_MILLIS);
         store.failed.accept(new StoreFailure(StoreFailure.Kind.UNKNOWN, "no answer in time"));
         pass(100);
@@ -53,14 +58,14 @@
                 .as("a long wait at a silent store would hide its return for as long")
                 .isEqualTo(KindWatch.AWAY_WAIT_MILLIS);
         assertThat(store.watchedFrom).isEqualTo(6);
-        store.changed.accept(new ObjectChanges(List.of(), 7));
+        store.changed.accept(new ObjectChanges(List.of(), at(7)));
         pass(0);
         assertThat(store.waitMillis).isEqualTo(KindWatch.WAIT_MILLIS);
     }
 
     @Test
     void anOutageIsRetriedAtLeastThreeTimesASecond() {
-        store.listed.accept(new ObjectPage(List.of(), false, 6));
+        store.listed.accept(new ObjectPage(List.of(), false, at(6)));
         for (int i = 0; i < 20; i++) {
             store.failed.accept(new StoreFailure(StoreFailure.Kind.DECLINED, "status 503"));
             int calls = store.calls;
@@ -71,18 +76,18 @@
 
     @Test
     void aLostHistoryIsListedAnew() {
-        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, 6));
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, at(6)));
         store.failed.accept(new StoreFailure(StoreFailure.Kind.HISTORY_GONE, "status 410"));
-        store.listed.accept(new ObjectPage(List.of(object("b", 9)), false, 9));
+        store.listed.accept(new ObjectPage(List.of(object("b", 9)), false, at(9)));
         assertThat(seen.lines).containsExactly("listed a away=false", "listed b away=false");
     }
 
     @Test
     void anObjectThatCanNotBeReadDoesNotEndTheWatch() {
-        store.listed.accept(new ObjectPage(List.of(), false, 6));
+        store.listed.accept(new ObjectPage(List.of(), false, at(6)));
         ObjectChanges.Change bad = new ObjectChanges.Change(object(Seen.UNREADABLE, 7), false);
         ObjectChanges.Change good = new ObjectChanges.Change(object("a", 8), false);
-        store.changed.accept(new ObjectChanges(List.of(bad, good), 8));
+        store.changed.accept(new ObjectChanges(List.of(bad, good), at(8)));
         assertThat(seen.lines).last().isEqualTo("changed a");
         pass(KindWatch.GATHER_MILLIS);
         assertThat(store.watchedFrom).isEqualTo(8);
@@ -90,52 +95,52 @@
 
     @Test
     void objectsWithoutANameDoNotEndTheListBeforeItsLastPage() {
-        store.listed.accept(new ObjectPage(List.of(object("a", 3), object("", -1)), true, 5));
+        store.listed.accept(new ObjectPage(List.of(object("a", 3), object("", -1)), true, at(5)));
         assertThat(store.after).isEqualTo("a");
-        store.listed.accept(new ObjectPage(List.of(object("b", 4)), false, 6));
+        store.listed.accept(new ObjectPage(List.of(object("b", 4)), false, at(6)));
         assertThat(seen.lines).containsExactly("listed a  b away=false");
     }
 
     @Test
     void aPageThatLeadsNoFurtherIsNoListAndAllIsAskedForAgain() {
-        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, 5));
-        store.listed.accept(new ObjectPage(List.of(object("", -1)), true, 5));
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, at(5)));
+        store.listed.accept(new ObjectPage(List.of(object("", -1)), true, at(5)));
         assertThat(seen.lines).as("the rest would look gone").isEmpty();
         pass(300);
         assertThat(store.after).isNull();
-        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, 5));
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, at(5)));
         int calls = store.calls;
-        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, 5));
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, at(5)));
         assertThat(store.calls).as("the same page for ever").isEqualTo(calls);
         assertThat(seen.lines).isEmpty();
     }
 
     @Test
     void aWatchWhoseAnswerCanNotBeReadListsAnew() {
-        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, 6));
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, at(6)));
         int calls = store.calls;
         store.failed.accept(new StoreFailure(StoreFailure.Kind.UNREADABLE, "cut short"));
         pass(100);
         assertThat(store.calls).isEqualTo(calls + 1);
-        store.listed.accept(new ObjectPage(List.of(object("a", 3), object("b", 7)), false, 8));
+        store.listed.accept(new ObjectPage(List.of(object("a", 3), object("b", 7)), false, at(8)));
         assertThat(store.watchedFrom).isEqualTo(8);
         assertThat(seen.lines).last().isEqualTo("listed a b away=true");
     }
 
     @Test
     void aRevisionBelowTheOneAskedForDoesNotLeadTheWatchBack() {
-        store.listed.accept(new ObjectPage(List.of(), false, 6));
-        store.changed.accept(new ObjectChanges(List.of(), 2));
+        store.listed.accept(new ObjectPage(List.of(), false, at(6)));
+        store.changed.accept(new ObjectChanges(List.of(), at(2)));
         pass(0);
         assertThat(store.watchedFrom).isEqualTo(6);
     }
 
     @Test
     void changesThatComeOneAfterTheOtherAreAskedForTogether() {
-        store.listed.accept(new ObjectPage(List.of(), false, 6));
+        store.listed.accept(new ObjectPage(List.of(), false, at(6)));
         int calls = store.calls;
         ObjectChanges.Change first = new ObjectChanges.Change(object("a", 7), false);
-        store.changed.accept(new ObjectChanges(List.of(first), 7));
+        store.changed.accept(new ObjectChanges(List.of(first), at(7)));
         assertThat(seen.lines).as("the first change is in force at once").last().isEqualTo("changed a");
         pass(KindWatch.GATHER_MILLIS - 1);
         assertThat(store.calls).isEqualTo(calls);
@@ -146,10 +151,10 @@
 
     @Test
     void whatIsDeletedRightAfterAnOutageIsMarkedSo() {
-        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, 6));
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, at(6)));
         store.failed.accept(new StoreFailure(StoreFailure.Kind.UNKNOWN, "reset"));
         pass(100);
-        store.changed.accept(new ObjectChanges(List.of(new ObjectChanges.Change(object("a", 7), true)), 7));
+        store.changed.accept(new ObjectChanges(List.of(new ObjectChanges.Change(object("a", 7), true)), at(7)));
         assertThat(seen.lines).last().isEqualTo("deleted a away=true");
     }
 
@@ -199,14 +204,23 @@
 
         @Override
         public void watch(
-                String kind, long revision, long wait, Consumer<ObjectChanges> done, Consumer<StoreFailure> failure) {
+                String kind,
+                StorePosition from,
+                long wait,
+                Consumer<ObjectChanges> done,
+                Consumer<StoreFailure> failure) {
             calls++;
-            watchedFrom = revision;
+            watchedFrom = from.revision();
             waitMillis = wait;
             changed = done;
             failed = failure;
         }
 
+        @Override
+        public StorePosition position() {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public void listRecent(String kind, Consumer<ObjectPage> done, Consumer<StoreFailure> failure) {
             throw new UnsupportedOperationException();
@@ -232,7 +246,7 @@
         public void replace(
                 String kind,
                 String name,
-                long revision,
+                StorePosition expected,
                 JsonNode spec,
                 Consumer<StoredObject> done,
                 Consumer<StoreFailure> failure) {
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
@@ -7,10 +7,13 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.store.StorePosition;
 
 /** A store in memory that answers at once, unless a test has it decline calls or lose the answers of writes. */
 public final class MemoryStore implements ObjectStore {
     private final Map<String, StoredObject> objects = new TreeMap<>();
+    private StorePosition shown = StorePosition.NONE;
+    private long era;
     private long revision;
     private int lists;
     private boolean declining;
@@ -46,7 +49,7 @@
     /** Writes an object, whatever it was before. */
     public StoredObject put(String kind, String name, JsonNode spec) {
         revision++;
-        StoredObject object = new StoredObject(name, revision, spec);
+        StoredObject object = new StoredObject(name, now(), spec);
         objects.put(kind + "/" + name, object);
         return object;
     }
@@ -59,10 +62,17 @@
         return new Copy(Map.copyOf(objects), revision);
     }
 
-    /** Comes back from a copy: what was written since is gone, and its revisions are given out again. */
+    /** Comes back from a copy, in a new era: what was written since is gone, and its revisions are given out again. */
     public void restore(Copy copy) {
+        era++;
         objects.clear();
-        objects.putAll(copy.objects());
+        copy.objects()
+                .forEach((path, object) -> objects.put(
+                        path,
+                        new StoredObject(
+                                object.name(),
+                                new StorePosition(era, object.position().revision()),
+                                object.spec())));
         revision = copy.revision();
     }
 
@@ -72,7 +82,17 @@
         objects.remove(kind + "/" + name);
     }
 
+    private StorePosition now() {
+        return new StorePosition(era, revision);
+    }
+
+    @Override
+    public StorePosition position() {
+        return shown;
+    }
+
     private boolean declined(Consumer<StoreFailure> failed) {
+        shown = new StorePosition(era, shown.revision());
         if (declining) {
             failed.accept(new StoreFailure(StoreFailure.Kind.DECLINED, "status 503"));
         }
@@ -83,6 +103,7 @@
         if (losingAnswers) {
             failed.accept(new StoreFailure(StoreFailure.Kind.UNKNOWN, "reset"));
         } else {
+            shown = now();
             done.accept(object);
         }
     }
@@ -99,7 +120,8 @@
                 found.add(object);
             }
         });
-        done.accept(new ObjectPage(found, false, revision));
+        shown = now();
+        done.accept(new ObjectPage(found, false, now()));
     }
 
     @Override
@@ -109,7 +131,11 @@
 
     @Override
     public void watch(
-            String kind, long from, long waitMillis, Consumer<ObjectChanges> done, Consumer<StoreFailure> failed) {
+            String kind,
+            StorePosition from,
+            long waitMillis,
+            Consumer<ObjectChanges> done,
+            Consumer<StoreFailure> failed) {
         throw new UnsupportedOperationException("this store is not watched");
     }
 
@@ -153,7 +179,7 @@
     public void replace(
             String kind,
             String name,
-            long expected,
+            StorePosition expected,
             JsonNode spec,
             Consumer<StoredObject> done,
             Consumer<StoreFailure> failed) {
@@ -161,7 +187,7 @@
             return;
         }
         StoredObject present = objects.get(kind + "/" + name);
-        if (present == null || present.revision() != expected) {
+        if (present == null || !present.position().equals(expected)) {
             failed.accept(new StoreFailure(StoreFailure.Kind.CONFLICT, "status 409"));
             return;
         }
