--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/LeaseOverRestoresTest.java
@@ -0,0 +1,239 @@
+package org.quetzalseam.gateway.stage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.store.StorePosition;
+import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.MemoryStore;
+import org.quetzalseam.gateway.store.ObjectChanges;
+import org.quetzalseam.gateway.store.ObjectPage;
+import org.quetzalseam.gateway.store.ObjectStore;
+import org.quetzalseam.gateway.store.StoreFailure;
+import org.quetzalseam.gateway.store.StoredObject;
+
+/**
+ * Entries that take the lease over, start anew, and have their calls and answers held up, before a store that comes back from older
+ * copies at random. Orders take up to three seconds; each is judged when it is carried out.
+ */
+class LeaseOverRestoresTest {
+    private static final int SITES = 300;
+    private static final int STEPS = 2_000;
+    private static final int STEP_MILLIS = 500;
+    private static final int LONGEST_ORDER_MILLIS = 3_000;
+    private static final int LONGEST_ANSWER_MILLIS = 700;
+
+    @Test
+    void epochsRiseAndEachBelongsToOneHolder() {
+        int carriedOut = 0;
+        int takenOver = 0;
+        for (int seed = 0; seed < SITES; seed++) {
+            RandomSite site = new RandomSite(seed);
+            for (int i = 0; i < STEPS; i++) {
+                site.step();
+            }
+            assertThat(site.findings).as("seed %d", seed).isEmpty();
+            carriedOut += site.carriedOut;
+            takenOver += site.holderOfEpoch.size();
+        }
+        assertThat(carriedOut).as("orders judged").isGreaterThan(10 * SITES);
+        assertThat(takenOver).as("holdings judged").isGreaterThan(2 * SITES);
+    }
+
+    private record Due(long atMillis, Runnable what) {}
+
+    private static final class RandomSite {
+        private final Random random;
+        private final MemoryStore store = new MemoryStore();
+        private final List<StageLease> leases = new ArrayList<>();
+        private final List<Due> due = new ArrayList<>();
+        private final List<MemoryStore.Copy> copies = new ArrayList<>();
+        private final Map<Long, String> holderOfEpoch = new HashMap<>();
+        private final List<String> findings = new ArrayList<>();
+        private final long[] nextTurn = new long[3];
+        private long highest;
+        private long millis = 1_000;
+        private int carriedOut;
+
+        RandomSite(long seed) {
+            random = new Random(seed);
+            for (int i = 0; i < 3; i++) {
+                leases.add(lease("e" + i));
+            }
+        }
+
+        private StageLease lease(String name) {
+            Timers timers = new Timers(
+                    new EmbeddedChannel().eventLoop(), () -> TimeUnit.MILLISECONDS.toNanos(millis), () -> millis);
+            return new StageLease(timers, new SlowStore(this), "s", name, false);
+        }
+
+        private void step() {
+            millis += random.nextInt(STEP_MILLIS);
+            deliver();
+            for (int i = 0; i < leases.size(); i++) {
+                turn(i);
+            }
+            if (random.nextInt(20) == 0) {
+                copies.add(store.copy());
+            }
+            if (random.nextInt(250) == 0 && !copies.isEmpty()) {
+                // A copy may be come back from twice.
+                store.restore(copies.get(copies.size() - 1 - random.nextInt(Math.min(2, copies.size()))));
+            }
+            if (random.nextInt(250) == 0) {
+                int which = random.nextInt(leases.size());
+                leases.set(which, lease("e" + which));
+            }
+            if (random.nextInt(3) == 0) {
+                store.put("others", "other-" + random.nextInt(5), JsonNodeFactory.instance.objectNode());
+            }
+        }
+
+        /** An entry's turn comes late at times, and now and then not for long. */
+        private void turn(int which) {
+            if (millis < nextTurn[which]) {
+                return;
+            }
+            boolean silent = random.nextInt(40) == 0;
+            nextTurn[which] = millis + StageLease.RENEW_MILLIS + (silent ? random.nextInt(30_000) : 0);
+            StageLease lease = leases.get(which);
+            if (lease.held() && random.nextBoolean()) {
+                lease.renew(() -> send(which, lease));
+            } else {
+                lease.keep();
+            }
+        }
+
+        private void send(int which, StageLease lease) {
+            if (lease.mayOrder()) {
+                long epoch = lease.epoch();
+                after(random.nextInt(LONGEST_ORDER_MILLIS), () -> carryOut("e" + which, epoch));
+            }
+        }
+
+        private void carryOut(String holder, long epoch) {
+            carriedOut++;
+            if (epoch < highest) {
+                findings.add("epoch " + epoch + " of " + holder + " after " + highest);
+            }
+            highest = Math.max(highest, epoch);
+            String before = holderOfEpoch.putIfAbsent(epoch, holder);
+            if (before != null && !before.equals(holder)) {
+                findings.add("epoch " + epoch + " of " + before + " and of " + holder);
+            }
+        }
+
+        private void after(long delayMillis, Runnable what) {
+            due.add(new Due(millis + delayMillis, what));
+        }
+
+        private void deliver() {
+            List<Due> now =
+                    due.stream().filter(item -> item.atMillis() <= millis).toList();
+            due.removeAll(now);
+            now.forEach(item -> item.what().run());
+        }
+    }
+
+    /** Calls reach the store, and answers the entry, some time later; an answer may be lost. */
+    private static final class SlowStore implements ObjectStore {
+        private final RandomSite site;
+        private StorePosition shown = StorePosition.NONE;
+
+        SlowStore(RandomSite site) {
+            this.site = site;
+        }
+
+        private void call(Runnable call) {
+            site.after(site.random.nextInt(LONGEST_ANSWER_MILLIS), call);
+        }
+
+        private <T> Consumer<T> late(Consumer<T> taker, Consumer<StoreFailure> failed) {
+            boolean lost = site.random.nextInt(10) == 0;
+            return value -> site.after(site.random.nextInt(LONGEST_ANSWER_MILLIS), () -> {
+                shown = site.store.position();
+                if (lost) {
+                    failed.accept(new StoreFailure(StoreFailure.Kind.UNKNOWN, "no answer in time"));
+                } else {
+                    taker.accept(value);
+                }
+            });
+        }
+
+        private Consumer<StoreFailure> late(Consumer<StoreFailure> failed) {
+            return late(failed, failed);
+        }
+
+        @Override
+        public void read(String kind, String name, Consumer<StoredObject> done, Consumer<StoreFailure> failed) {
+            call(() -> site.store.read(kind, name, late(done, failed), late(failed)));
+        }
+
+        @Override
+        public void readRecent(String kind, String name, Consumer<StoredObject> done, Consumer<StoreFailure> failed) {
+            read(kind, name, done, failed);
+        }
+
+        @Override
+        public void create(
+                String kind, String name, JsonNode spec, Consumer<StoredObject> done, Consumer<StoreFailure> failed) {
+            call(() -> site.store.create(kind, name, spec, late(done, failed), late(failed)));
+        }
+
+        /** The store compares revisions alone, in whatever era it is when the call reaches it. */
+        @Override
+        public void replace(
+                String kind,
+                String name,
+                StorePosition expected,
+                JsonNode spec,
+                Consumer<StoredObject> done,
+                Consumer<StoreFailure> failed) {
+            call(() -> site.store.replace(
+                    kind,
+                    name,
+                    new StorePosition(site.store.era(), expected.revision()),
+                    spec,
+                    late(done, failed),
+                    late(failed)));
+        }
+
+        @Override
+        public StorePosition position() {
+            return shown;
+        }
+
+        @Override
+        public void list(
+                String kind, @Nullable String after, Consumer<ObjectPage> done, Consumer<StoreFailure> failed) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void listRecent(String kind, Consumer<ObjectPage> done, Consumer<StoreFailure> failed) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void watch(
+                String kind,
+                StorePosition from,
+                long waitMillis,
+                Consumer<ObjectChanges> done,
+                Consumer<StoreFailure> failed) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
@@ -76,6 +76,11 @@
         revision = copy.revision();
     }
 
+    /** Returns the store's own era. */
+    public long era() {
+        return era;
+    }
+
     /** Removes an object. */
     public void remove(String kind, String name) {
         revision++;
