Memory: generations are booked for their ends again

GrowingMemoryTest had arrivals that are independent; in a burst streams begin together, and so do end together. Fewer can be booked for only once those that run are known to be at different ages.

--- a/core/src/main/java/org/quetzalseam/core/generation/MemoryBooking.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/MemoryBooking.java
@@ -8,14 +8,10 @@
  * it got long, but only its usual size stays booked. What the others leave of that room serves those who do get long.
  */
 public final class MemoryBooking {
-    /** Part of its output that a generation holds on average: its memory grows evenly from its prompt to its end. */
-    private static final double MEAN_HELD = 0.5;
-
     private final OutputLengthModel lengths = new OutputLengthModel();
     private final double bookedDeviations;
     private final double admittedDeviations;
     private final int blockTokens;
-    private long engineTokens;
 
     /**
      * Creates a policy.
@@ -39,28 +35,9 @@
         lengths.ended(demand.expectedOutput(), length);
     }
 
-    /** Sets how much memory an engine has, in tokens. Until then each generation is booked up to its end. */
-    public void engineTokens(long tokens) {
-        engineTokens = tokens;
-    }
-
     /** Returns the tokens to book. */
     public int tokens(TokenDemand demand) {
-        double output = output(demand, bookedDeviations);
-        return inBlocks(demand.prompt() + heldShare(demand.prompt() + output) * output);
-    }
-
-    /**
-     * Returns the part of its output that is booked for a generation. Those that run at an engine are not at their ends together: each
-     * holds half of its output on average, and what they hold in all varies about that by the root of their number. A generation that
-     * has an engine to itself is booked up to its end.
-     */
-    private double heldShare(double most) {
-        if (engineTokens == 0) {
-            return 1;
-        }
-        double fitting = Math.max(1, engineTokens / most);
-        return MEAN_HELD * (1 + 1 / Math.sqrt(fitting));
+        return inBlocks(demand.prompt() + output(demand, bookedDeviations));
     }
 
     /** Returns the tokens that must be free beside those that are booked. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ReservationDesk.java
@@ -85,7 +85,6 @@
         this.booking = new MemoryBooking(
                 context.settings().bookedDeviations(), context.settings().admittedDeviations(), BLOCK_TOKENS);
         context.timers().every(FORGET_MILLIS, this::forgetGone);
-        new EngineMemory(context, service, booking::engineTokens).start();
     }
 
     private void forgetGone() {
