--- a/core/src/main/java/org/quetzalseam/core/generation/StageSplit.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/StageSplit.java
@@ -23,11 +23,6 @@
     private static final int SAME_SAMPLES = 3;
     /** Share of the time that prefill engines may be busy after one of them has left: room for bursts of twice the mean. */
     private static final double SPARE_PREFILL_BUSY = 0.5;
-    /**
-     * The same where engines are many: what arrives apart varies by the root of its mean, and what arrives together for some seconds
-     * may exceed it by more than half only as long as a queue of a fraction of a second is worked off in time.
-     */
-    private static final double SPARE_OF_MANY_BUSY = 2.0 / 3;
     /** Use of decode memory from which another decode engine is wanted. */
     private static final double SHORT_FILL = 0.6;
     /** Share of the time that prefill engines are busy from which another one is wanted. */
@@ -162,17 +157,14 @@
     /** Returns how many prefill engines the others can do without. */
     private int sparePrefill(int prefill, int decode) {
         int spare = 0;
-        while (spare < movedAtOnce(prefill + decode) && prefill - spare > 1 && enoughPrefill(prefill - spare - 1)) {
+        while (spare < movedAtOnce(prefill + decode)
+                && prefill - spare > 1
+                && busy / (prefill - spare - 1) < SPARE_PREFILL_BUSY) {
             spare++;
         }
         return spare;
     }
 
-    private boolean enoughPrefill(int engines) {
-        boolean ofMany = busy + Math.sqrt(busy) <= engines && busy / engines <= SPARE_OF_MANY_BUSY;
-        return ofMany || busy / engines < SPARE_PREFILL_BUSY;
-    }
-
     /** Returns how many decode engines the others can do without. */
     private int spareDecode(int prefill, int decode) {
         int spare = 0;
