Model: orders under a lease whose store comes back from an older copy

restore.als: eras, revisions given out again, writes that meet another writer's revision, processes that start anew and know nothing. Holds: under one epoch one process orders, and no order is carried out under a lower epoch than one before.

--- /dev/null
+++ b/spec/src/main/alloy/restore.als
@@ -0,0 +1,181 @@
+/**
+ * Orders to engines under a lease whose record is in a store that may come back from an older copy: what was written since is gone,
+ * and its revisions are given out again. The store states its era, which rises. A position is an era and a revision; the epoch of a
+ * holding is the position of the record that it replaced. A process may start anew and then knows nothing.
+ *
+ * Time is in the preconditions, as in orders.als: what lasts at most one second has ended when something that takes several has
+ * passed. A restore may come at any moment, also within such a second.
+ */
+module restore
+
+open util/ordering[Era] as eras
+open util/ordering[Revision] as revisions
+
+sig Process {}
+sig Era {}
+sig Revision {}
+
+one sig Store {
+  var era: one Era,
+  var at: one Revision,               -- the record's revision
+  var holder: lone Process,           -- whom the record names, and under which epoch
+  var holdingEra: lone Era,
+  var holdingAt: lone Revision,
+  var done: Process -> Era -> Revision -- under which epochs orders of each were carried out
+}
+
+one sig Known {
+  var seenEra: Process -> lone Era,   -- the record's position as each has seen it last
+  var seenAt: Process -> lone Revision,
+  var mineEra: Process -> lone Era,   -- the epoch under which each takes itself for the holder
+  var mineAt: Process -> lone Revision
+}
+
+var sig Quiet in Process {}           -- waits before its first order
+var sig Recent in Process {}          -- its newest renewal was confirmed, and sent within the last second
+var sig Sent in Process {}            -- an order of its is on its way
+
+fun believes: set Process { Known.mineEra.Era }
+
+pred init {
+  Store.era = eras/first and Store.at = revisions/first
+  no Store.holder and no Store.holdingEra and no Store.holdingAt and no Store.done
+  no Known.seenEra and no Known.seenAt and no Known.mineEra and no Known.mineAt
+  no Quiet and no Recent and no Sent
+}
+
+pred keepStore { era' = era and at' = at and holder' = holder and holdingEra' = holdingEra and holdingAt' = holdingAt }
+pred keepKnown { seenEra' = seenEra and seenAt' = seenAt and mineEra' = mineEra and mineAt' = mineAt and Quiet' = Quiet }
+pred keepTime { Recent' = Recent and Sent' = Sent and done' = done }
+
+pred above[e: Era, r: Revision, f: Era, s: Revision] {
+  eras/gt[e, f] or (e = f and revisions/gt[r, s])
+}
+
+-- The copy may name anyone, under any epoch given up to then.
+pred restore {
+  some f: eras/next[Store.era] | era' = Store -> f
+  some r: Revision | not revisions/gt[r, Store.at] and at' = Store -> r
+  one Store.holder' and one Store.holdingEra' and one Store.holdingAt'
+  not above[Store.holdingEra', Store.holdingAt', Store.era, Store.at']
+  keepKnown and keepTime
+}
+
+pred restart[p: Process] {
+  seenEra' = seenEra - (Known -> p -> Era) and seenAt' = seenAt - (Known -> p -> Revision)
+  mineEra' = mineEra - (Known -> p -> Era) and mineAt' = mineAt - (Known -> p -> Revision)
+  Quiet' = Quiet - p and Recent' = Recent - p and Sent' = Sent and done' = done
+  keepStore
+}
+
+pred sees[p: Process, r: Revision] {
+  seenEra' = seenEra ++ (Known -> p -> Store.era) and seenAt' = seenAt ++ (Known -> p -> r)
+}
+
+pred holds[p: Process, e: Era, r: Revision] {
+  mineEra' = mineEra ++ (Known -> p -> e) and mineAt' = mineAt ++ (Known -> p -> r)
+}
+
+pred holdsNone[p: Process] {
+  mineEra' = mineEra - (Known -> p -> Era) and mineAt' = mineAt - (Known -> p -> Revision)
+  Quiet' = Quiet - p
+}
+
+pred readAnothers[p: Process] {
+  sees[p, Store.at] and holdsNone[p] and keepStore and keepTime
+}
+
+-- Who finds itself the holder waits like one that took over, unless it knew.
+pred readOwn[p: Process] {
+  p in Store.holder
+  Store.holdingEra = Store.era //@guard a record whose epoch is of an earlier era is nobody's
+  sees[p, Store.at] and holds[p, Store.holdingEra, Store.holdingAt]
+  Quiet' = (p in believes implies Quiet else Quiet + p)
+  keepStore and keepTime
+}
+
+-- The store compares revisions alone.
+pred write[p: Process] {
+  Known.seenAt[p] = Store.at
+  some r: Revision | revisions/gt[r, Store.at] and at' = Store -> r and sees[p, r]
+  holder' = Store -> p and era' = era
+}
+
+-- Timing: a record that has stood still for long in this era means that no renewal is recent.
+pred takeOver[p: Process] {
+  p not in believes and no Recent and write[p]
+  Known.seenEra[p] = Store.era //@guard what is answered in a later era is no take-over
+  holdingEra' = Store -> Known.seenEra[p]
+  holdingAt' = Store -> Known.seenAt[p]
+  holds[p, Known.seenEra[p], Known.seenAt[p]]
+  Quiet' = Quiet + p and keepTime
+}
+
+pred renew[p: Process] {
+  p in believes and write[p]
+  Known.seenEra[p] = Store.era //@guard what is answered in a later era is no renewal
+  holdingEra' = Store -> Known.mineEra[p] and holdingAt' = Store -> Known.mineAt[p]
+  mineEra' = mineEra and mineAt' = mineAt and Quiet' = Quiet
+  Recent' = Recent + p and Sent' = Sent and done' = done
+}
+
+-- A write of an earlier era that finds its revision given out again spoils the record of whoever wrote it.
+pred stray[p: Process] {
+  Known.seenEra[p] != Store.era and write[p]
+  holdingEra' = Store -> Known.seenEra[p] and holdingAt' = Store -> Known.seenAt[p]
+  holdsNone[p] and keepTime
+}
+
+-- Timing: what others did before the take-over has ended by now.
+pred quietEnds[p: Process] {
+  p in Quiet and no Recent - p and no Sent
+  Quiet' = Quiet - p and seenEra' = seenEra and seenAt' = seenAt and mineEra' = mineEra and mineAt' = mineAt
+  keepStore and keepTime
+}
+
+pred secondPasses[p: Process] {
+  p in Recent and Recent' = Recent - p and Sent' = Sent and done' = done
+  keepStore and keepKnown
+}
+
+pred order[p: Process] {
+  p in believes and p in Recent and p not in Sent
+  p not in Quiet //@guard a new holder waits until orders of before the restore are long past
+  Sent' = Sent + p and Recent' = Recent and done' = done
+  keepStore and keepKnown
+}
+
+-- The epoch of an order is that of its holding: while it is on its way its sender takes no other one.
+pred arrive[p: Process] {
+  p in Sent and p in believes
+  Sent' = Sent - p and Recent' = Recent
+  done' = done + (Store -> p -> Known.mineEra[p] -> Known.mineAt[p])
+  keepStore and keepKnown
+}
+
+pred lost[p: Process] {
+  p in Sent and Sent' = Sent - p and Recent' = Recent and done' = done
+  keepStore and keepKnown
+}
+
+pred idle { keepStore and keepKnown and keepTime }
+
+fact behaviour {
+  init
+  always (idle or restore or some p: Process {
+    restart[p] or readAnothers[p] or readOwn[p] or takeOver[p] or renew[p] or stray[p] or quietEnds[p] or secondPasses[p]
+    or order[p] or arrive[p] or lost[p]
+  })
+}
+
+/** Under one epoch one process orders, and none is carried out under a lower epoch than one that was before. */
+assert EpochsRise {
+  always no disj p, q: Process | some Store.done[p] & Store.done[q]
+  always all p: Process | arrive[p] implies
+    (no e: Era, r: Revision | e -> r in Process.(Store.done) and above[e, r, Known.mineEra[p], Known.mineAt[p]])
+}
+check EpochsRise for 2 Process, 2 Era, 4 Revision, 14 steps expect 0
+
+/** Both can order, with a restore between. */
+run OrdersInBothEras { some disj p, q: Process | eventually (some Store.done[p] and eventually (restore and eventually some Store.done[q])) }
+  for 2 Process, 2 Era, 4 Revision, 16 steps expect 1
