--- a/gateway/src/test/java/org/quetzalseam/gateway/PromptReadingTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/PromptReadingTest.java
@@ -97,6 +97,23 @@
         assertThat(reads()).isEqualTo(1);
     }
 
+    /**
+     * The only prefill engine took a prompt and said nothing more. Its caller was kept until the route's limit of 30 s, though callers
+     * leave a stream that shows nothing for 8 s here: {@code caller-gone … age_ms=8012} (soak, seed 1026), and no refusal that would
+     * have let it ask elsewhere.
+     */
+    @Test
+    void aPromptThatItsOnlyEngineDoesNotReadIsRefusedBeforeItsCallerLeaves() {
+        entry.routesOfVersion(2, 30_000);
+        entry.endpoints(first.member("s", Stage.PREFILL), decode.member("s", Stage.DECODE));
+        first.script((request, connection) -> pause(20_000));
+        long begun = System.nanoTime();
+        String answer = entry.ask("/stream/x", "r1", SIZE);
+        long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
+        assertThat(answer).startsWith("HTTP/1.1 503").containsIgnoringCase("retry-after");
+        assertThat(tookMillis).isLessThan(8_000);
+    }
+
     @Test
     void slowEnginesReadEachPromptOnceAlsoWhenSeveralComeTogether() {
         first.script(after(SLOW_MILLIS));
--- a/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
@@ -61,6 +61,15 @@
 
     /** The same, before endpoints that take so many connections from all entries together. */
     void routes(long timeoutMillis, int maxConnections) {
+        routes(1, timeoutMillis, maxConnections);
+    }
+
+    /** Puts the routes in force as another version. */
+    void routesOfVersion(long version, long timeoutMillis) {
+        routes(version, timeoutMillis, 100);
+    }
+
+    private void routes(long version, long timeoutMillis, int maxConnections) {
         List<RouteRule> rules = new ArrayList<>();
         rules.add(rule("once", CallKind.NON_IDEMPOTENT, false, timeoutMillis, 0));
         rules.add(rule("many", CallKind.IDEMPOTENT, false, timeoutMillis, 0));
@@ -68,7 +77,7 @@
         rules.add(rule("resumable", CallKind.STREAM, true, timeoutMillis, 0));
         rules.add(rule("paced", CallKind.STREAM, false, timeoutMillis, PAUSE_MILLIS));
         RouteTable table =
-                new RouteTable(1, rules, List.of(new ServiceRule("s", maxConnections)), CallerLimits.DEFAULT);
+                new RouteTable(version, rules, List.of(new ServiceRule("s", maxConnections)), CallerLimits.DEFAULT);
         onLoop(() -> process.router().update(table));
     }
 
