A prompt that isn't read is refused before its caller leaves

Cause: a prompt under way at a silent engine was given up only for another engine or at the request's own limit. Where that is longer than callers stay without an event, they left, and could not ask elsewhere, as nothing told them that their request had not run. It is refused now up to 200 ms before that, truly: nothing has run. The silent engine counts as failing.

--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
@@ -27,6 +27,11 @@
     /** Why a prompt isn't begun. */
     static final String NOT_BEGUN = "the engines have no time to read the prompt now";
 
+    /** How long before its caller leaves a prompt that isn't read is given up, in milliseconds, so that the refusal still arrives. */
+    private static final double NOTICE_MILLIS = 200;
+    /** The same, at most, as a part of the time that the caller had left. */
+    private static final double NOTICE_SHARE = 0.1;
+
     private static final int MAX_REPLY_BYTES = 64 * 1024;
 
     /** What becomes of the reading. */
@@ -57,6 +62,7 @@
     private ReadingPool<Endpoint>.@Nullable Reading reading;
     private @Nullable EndpointCall call;
     private @Nullable Subscription timer;
+    private @Nullable Subscription callerLeaves;
 
     PromptReading(
             RunContext context,
@@ -122,6 +128,24 @@
                 reply);
         call = asked;
         lookAfter(Math.round(begun.silenceMillis()), asked, engine, decoder, begun);
+        double left = due.now().leftMillis();
+        long until = Math.round(left - Math.min(NOTICE_MILLIS, NOTICE_SHARE * left));
+        callerLeaves = context.after(Math.max(0, until), () -> giveUp(asked, engine));
+    }
+
+    /** Nothing has run so far, so the caller may ask elsewhere. */
+    private void giveUp(EndpointCall asked, Endpoint engine) {
+        if (!asked.active()) {
+            return;
+        }
+        asked.cancel();
+        end();
+        engine.health().failed(context.now());
+        log.callFailed(
+                "prefill",
+                engine,
+                new CallFailure(CallFailure.Kind.TIMED_OUT, "the caller leaves before the prompt is read"));
+        outcome.failed("the prompt isn't read in time");
     }
 
     private void lookAfter(
@@ -190,14 +214,18 @@
     }
 
     private void end() {
-        Subscription limit = timer;
-        if (limit != null) {
-            limit.cancel();
-        }
+        stop(timer);
+        stop(callerLeaves);
         ReadingPool<Endpoint>.Reading begun = reading;
         if (begun != null) {
             begun.ended();
             reading = null;
         }
     }
+
+    private static void stop(@Nullable Subscription subscription) {
+        if (subscription != null) {
+            subscription.cancel();
+        }
+    }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/PromptReadingTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/PromptReadingTest.java
@@ -108,9 +108,9 @@
         entry.endpoints(first.member("s", Stage.PREFILL), decode.member("s", Stage.DECODE));
         first.script((request, connection) -> pause(20_000));
         long begun = System.nanoTime();
-        String answer = entry.ask("/stream/x", "r1", SIZE);
+        String answer = entry.ask("/stream/x", "r1", SIZE, "x-patience: 30000");
         long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
-        assertThat(answer).startsWith("HTTP/1.1 503").containsIgnoringCase("retry-after");
+        assertThat(answer).startsWith("HTTP/1.1 503").contains("x-come-back");
         assertThat(tookMillis).isLessThan(8_000);
     }
 
