--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
@@ -39,14 +39,15 @@
     private final String service;
     private final String self;
     private final OrderLease lease;
+    private final boolean firstStart;
     private final ObjectFaults faults = new ObjectFaults(KIND);
     private LeaseRecord record = NOBODYS;
-    private final boolean firstStart;
     private StorePosition newest = StorePosition.NONE;
     private long highestEpoch;
     private boolean everKnown;
     private boolean calling;
 
+    /** Creates a lease at a site that starts for the first time. */
     StageLease(Timers timers, ObjectStore store, String service, String self) {
         this(timers, store, service, self, true);
     }
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -149,6 +149,35 @@
         assertThat(store.watchedFrom).isEqualTo(7);
     }
 
+    private static StorePosition ofNextEra(long revision) {
+        return new StorePosition(StorePosition.NO_ERA + 1, revision);
+    }
+
+    /** The revision that was asked about exists again, so the store answers, without what came before it in this era. */
+    @Test
+    void anAnswerOfALaterEraListsAnewAndWhatIsMissingThenMayBeBackSoon() {
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, at(6)));
+        int calls = store.calls;
+        ObjectChanges.Change change = new ObjectChanges.Change(object("c", 8), false);
+        store.changed.accept(new ObjectChanges(List.of(change), ofNextEra(8)));
+        pass(0);
+        assertThat(store.calls).as("a list, at once").isEqualTo(calls + 1);
+        store.listed.accept(new ObjectPage(List.of(object("b", 4)), false, ofNextEra(8)));
+        assertThat(seen.lines).containsExactly("listed a away=false", "listed b away=true");
+        assertThat(store.watchedFrom).isEqualTo(8);
+    }
+
+    @Test
+    void pagesOfTwoErasAreNoList() {
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, at(5)));
+        store.listed.accept(new ObjectPage(List.of(object("b", 4)), false, ofNextEra(4)));
+        assertThat(seen.lines).isEmpty();
+        assertThat(store.after).isNull();
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, ofNextEra(5)));
+        store.listed.accept(new ObjectPage(List.of(object("b", 4)), false, ofNextEra(5)));
+        assertThat(seen.lines).containsExactly("listed a b away=false");
+    }
+
     @Test
     void whatIsDeletedRightAfterAnOutageIsMarkedSo() {
         store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, at(6)));
