A stand-in endpoint of the tests waits for its entry before it speaks

Cause: the entry's side of a handshake ends first; the stand-in's one word, said between the two ends, went to nobody, as its own list of connections was still empty. Ruled out: the link dropped the word (it is taken whenever it comes from the process that was last reached, and nothing the stand-in sends replaces it). Test and bound unchanged.

--- a/daemon/src/test/java/org/quetzalseam/daemon/entry/FakeEndpoint.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/entry/FakeEndpoint.java
@@ -30,7 +30,8 @@
 final class FakeEndpoint implements Connection.Listener {
     private static final Load LOAD = Load.unknown();
     private static final Duration PORT_WAIT = Duration.ofSeconds(5);
-    private static final Duration PORT_LOOK = Duration.ofMillis(1);
+    private static final Duration LOOK = Duration.ofMillis(1);
+    private static final Duration CONNECTION_WAIT = Duration.ofSeconds(5);
 
     private final Acceptor acceptor;
     private final Set<AttemptId> taken = ConcurrentHashMap.newKeySet();
@@ -60,7 +61,7 @@
                 if (System.nanoTime() - end > 0) {
                     throw e;
                 }
-                LockSupport.parkNanos(PORT_LOOK.toNanos());
+                LockSupport.parkNanos(LOOK.toNanos());
             }
         }
     }
@@ -74,8 +75,12 @@
         return taken.contains(id);
     }
 
-    /** Sends a message to every entry. */
+    /** Sends a message to every entry. The first is waited for: it ends its handshake, and is connected, before this process does. */
     void say(Message message) {
+        long end = System.nanoTime() + CONNECTION_WAIT.toNanos();
+        while (connections.isEmpty() && System.nanoTime() - end < 0) {
+            LockSupport.parkNanos(LOOK.toNanos());
+        }
         connections.forEach(connection -> connection.send(message));
     }
 
