A stopping process ends the connections that it has accepted and not greeted

Cause: stopAccepting dropped the handshakes that waited for a thread, sockets open, and left those in hand to their own limit of 3 s. A peer that had dialled in that moment waited for its limit of 2 s and meanwhile couldn't tell whether the process is up: an inquiry for a key gives such a link half a second. AcceptorStopTest (40 peers that say nothing): before, some had no end within 1 s; now all have. A connection made during the stop is among those that are ended, as it leaves the set of handshakes only after it is in the set of connections. Class searched: RawServer and LinkProxy (mended before); CallerServer and OperatorServer are the JDK's server, which closes its own sockets.

--- a/wire/src/main/java/org/quetzalseam/wire/connection/Acceptor.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Acceptor.java
@@ -35,6 +35,9 @@
     private final Transport transport;
     private final Connection.Listener listener;
     private final Consumer<Connection> opened;
+    /** Sockets that have been accepted and are not yet a connection. */
+    private final Set<Socket> handshaking = ConcurrentHashMap.newKeySet();
+
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
     private final ExecutorService handshakes;
     private volatile @Nullable ServerSocket server;
@@ -100,14 +103,24 @@
     private void acceptAll(ServerSocket bound) {
         while (!bound.isClosed()) {
             try {
-                Socket socket = bound.accept();
-                handshakes.execute(() -> handshake(socket));
-            } catch (IOException | RejectedExecutionException e) {
+                take(bound.accept());
+            } catch (IOException e) {
                 logger.atFine().log("event=accept-failed reason=%s", e.getMessage());
             }
         }
     }
 
+    private void take(Socket socket) {
+        handshaking.add(socket);
+        try {
+            handshakes.execute(() -> handshake(socket));
+        } catch (RejectedExecutionException e) {
+            // Left open, it would keep its peer waiting for an answer.
+            handshaking.remove(socket);
+            Sockets.close(socket);
+        }
+    }
+
     private void handshake(Socket socket) {
         try {
             socket.setTcpNoDelay(true);
@@ -123,6 +136,8 @@
             logger.atWarning().log(
                     "event=handshake-failed from=%s reason=%s", socket.getRemoteSocketAddress(), e.getMessage());
             Sockets.close(socket);
+        } finally {
+            handshaking.remove(socket);
         }
     }
 
@@ -151,12 +166,14 @@
         return CompletableFuture.allOf(open.stream().map(Connection::whenClosed).toArray(CompletableFuture[]::new));
     }
 
+    /** Ends what is not yet a connection too: its peer is to learn at once that nobody answers here. */
     private void stopAccepting() {
         ServerSocket bound = server;
         if (bound != null) {
             Sockets.close(bound);
         }
         handshakes.shutdownNow();
+        handshaking.forEach(Sockets::close);
     }
 
     @Override
--- /dev/null
+++ b/wire/src/test/java/org/quetzalseam/wire/connection/AcceptorStopTest.java
@@ -0,0 +1,87 @@
+package org.quetzalseam.wire.connection;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.wire.message.Message;
+import org.quetzalseam.wire.message.Role;
+
+class AcceptorStopTest {
+    /** More than are greeted at a time, so that some wait. */
+    private static final int PEERS = 40;
+
+    private static final Duration AT_ONCE = Duration.ofSeconds(1);
+    private static final Duration ACCEPTED = Duration.ofMillis(200);
+
+    private final Acceptor acceptor = new Acceptor(
+            "127.0.0.1",
+            0,
+            Identity.start(Role.ENDPOINT, "endpoint", "zone"),
+            SiteKey.loopback(),
+            Transport.plain(),
+            new Ignoring(),
+            connection -> {});
+    private final List<Socket> peers = new ArrayList<>();
+
+    @BeforeEach
+    void start() {
+        acceptor.start();
+    }
+
+    @AfterEach
+    void stop() {
+        acceptor.stop();
+        peers.forEach(Sockets::close);
+    }
+
+    private static final class Ignoring implements Connection.Listener {
+        @Override
+        public void received(Connection connection, Message message) {
+            // Nothing is said here.
+        }
+
+        @Override
+        public void closed(Connection connection) {
+            // Nothing is opened here.
+        }
+    }
+
+    /**
+     * A process that dials another one that is stopping has to learn at once that nobody answers there. A connection that was accepted
+     * and never greeted kept it waiting for its own time limit, in which it couldn't tell whether the other is up.
+     */
+    @Test
+    void whoIsAcceptedAndNotYetGreetedLearnsOfTheStopAtOnce() throws IOException {
+        for (int i = 0; i < PEERS; i++) {
+            Socket peer = new Socket(InetAddress.getLoopbackAddress(), acceptor.port());
+            peer.setSoTimeout((int) AT_ONCE.toMillis());
+            peers.add(peer);
+        }
+        LockSupport.parkNanos(ACCEPTED.toNanos());
+        assertThat(acceptor.finish()).isCompleted();
+        assertThat(peers).allSatisfy(peer -> assertThat(ended(peer)).isTrue());
+    }
+
+    private static boolean ended(Socket peer) {
+        try {
+            while (peer.getInputStream().read() >= 0) {
+                // A greeting may have been sent before the stop.
+            }
+            return true;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+}
