An inquiry for a key waits a lease for an endpoint that left to be shown up or down

Cause: of an endpoint that left word an inquiry needs to know whether a process is up at its address; it gave that half a second, where an answer gets a lease. All links of an inquiry share the one lease; an endpoint without a word is waited for as before, as waiting can't settle it more cheaply. Nothing is sent while waiting, so no guard of the keys changes and the model stays.

--- a/cli/src/test/java/org/quetzalseam/cli/KeyInquiryTest.java
+++ b/cli/src/test/java/org/quetzalseam/cli/KeyInquiryTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -35,6 +38,9 @@
     /** How late calls to the store take effect, in milliseconds. */
     private static final long STORE_DELAY_MILLIS = 1_000;
 
+    /** How long an address accepts connections and says nothing: less than a lease, as when a process starts there beside load. */
+    private static final Duration SILENCE = Duration.ofMillis(700);
+
     private final TestSite site = TestSite.start();
     private final TimerService timers = new TimerService("test");
 
@@ -160,4 +166,28 @@
         assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
         assertThat(site.executions("late")).isEqualTo(1);
     }
+
+    /**
+     * A keyed call was told {@code key-holder-unreachable}, {@code reason=left-and-maybe-back}, in the moment in which another endpoint
+     * was stopped as planned and started again: nobody said within half a second whether a process is up there. The endpoint left word
+     * of its keys, and is shown to be down a little later.
+     */
+    @Test
+    void aKeyedCallIsAnsweredThoughAnEndpointThatLeftIsSilentForAMomentBeforeItIsDown() throws IOException {
+        EndpointVm left = site.services().get(0);
+        left.stop();
+        List<CompletableFuture<HttpResponse<String>>> deposits = new ArrayList<>();
+        try (ServerSocket silent = new ServerSocket(0, DEPOSITS, InetAddress.getLoopbackAddress())) {
+            left.proxy().target(silent.getLocalPort());
+            for (int i = 0; i < DEPOSITS; i++) {
+                deposits.add(site.deposit(site.entry(i % 2), "silent-" + i, "silent-" + i));
+            }
+            Wait.pass(SILENCE);
+        }
+        for (int i = 0; i < DEPOSITS; i++) {
+            HttpResponse<String> response = deposits.get(i).join();
+            assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
+            assertThat(site.executions("silent-" + i)).isEqualTo(1);
+        }
+    }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
@@ -26,7 +26,7 @@
  */
 final class KeyInquiry {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** How long a link without a connection is waited for: tens of handshakes in one region. */
+    /** How long a link without a connection is waited for at least: tens of handshakes in one region. */
     private static final Duration CONNECTION_WAIT = Duration.ofMillis(500);
 
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -146,11 +146,25 @@
 
     /**
      * Waits for a link that has just been made. One that leaves counts by its word only where its process is down: the next one
-     * at its address may have seen the key since, and the link dials it late.
+     * at its address may have seen the key since, and the link dials it late. Whether it is down, or up, may take as long to show as a
+     * process that isn't heard counts as there; one without a word leaves the key in doubt either way, and is not waited for so long.
      */
-    private static Reach reach(EndpointLink link) {
+    private Reach reach(EndpointLink link) {
         boolean connected = link.awaitConnected(CONNECTION_WAIT, () -> link.departedKeys() == null);
-        return connected ? Reach.CONNECTED : link.reach(CONNECTION_WAIT);
+        if (connected) {
+            return Reach.CONNECTED;
+        }
+        return link.reach(link.departedKeys() == null ? CONNECTION_WAIT : restOfLease());
+    }
+
+    /** Returns what is left of one lease, which all links share, but time to connect in any case. */
+    private Duration restOfLease() {
+        Duration rest = lease().minusNanos(context.timers().now() - startedAt);
+        return rest.compareTo(CONNECTION_WAIT) > 0 ? rest : CONNECTION_WAIT;
+    }
+
+    private Duration lease() {
+        return context.settings().timing().lease();
     }
 
     private Finding unknown(Doubt doubt) {
@@ -180,8 +194,7 @@
 
     /** Waits for the answers, for a lease: one that is connected and silent for longer counts as gone elsewhere too. */
     private Finding collect() {
-        long until =
-                context.timers().now() + context.settings().timing().lease().toNanos();
+        long until = context.timers().now() + lease().toNanos();
         while (!unanswered.isEmpty()) {
             Event event = inbox.poll(Math.max(0, (until - context.timers().now()) / NANOS_PER_MILLI));
             if (event == null) {
