An inquiry for a key asks an endpoint that came back at another address

The holder is known by its name now: the one that follows it at another address isn't barred by its own inquiry. Model unchanged: in it an inquiry sees who is up and asks all who are listed; the code did less.

--- a/cli/src/test/java/org/quetzalseam/cli/KeyInquiryTest.java
+++ b/cli/src/test/java/org/quetzalseam/cli/KeyInquiryTest.java
@@ -190,4 +190,29 @@
             assertThat(site.executions("silent-" + i)).isEqualTo(1);
         }
     }
+
+    /**
+     * The same, and meanwhile the endpoint is started again at another address. The link to the one before was stopped, and a stopped link
+     * dials nobody: an inquiry that waited for it learnt nothing, however long it waited ({@code reason=left-and-maybe-back}, at 514 ms
+     * and, with a longer wait, at 1,501 ms). The new process is to be asked instead.
+     */
+    @Test
+    void aKeyedCallIsAnsweredThoughAnEndpointThatLeftComesBackAtAnotherAddressDuringItsInquiry() throws IOException {
+        EndpointVm left = site.services().get(0);
+        left.stop();
+        List<CompletableFuture<HttpResponse<String>>> deposits = new ArrayList<>();
+        try (ServerSocket silent = new ServerSocket(0, DEPOSITS, InetAddress.getLoopbackAddress())) {
+            left.proxy().target(silent.getLocalPort());
+            for (int i = 0; i < DEPOSITS; i++) {
+                deposits.add(site.deposit(site.entry(i % 2), "back-" + i, "back-" + i));
+            }
+            Wait.pass(Duration.ofMillis(200));
+            left.start();
+            for (int i = 0; i < DEPOSITS; i++) {
+                HttpResponse<String> response = deposits.get(i).join();
+                assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
+                assertThat(site.executions("back-" + i)).isEqualTo(1);
+            }
+        }
+    }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
@@ -59,7 +59,7 @@
     private final AtomicInteger sentCount = new AtomicInteger();
     private final Ejection ejection = new Ejection();
     private long changes;
-    private boolean stopped;
+    private volatile boolean stopped;
     private volatile @Nullable Connection current;
     private volatile Load load = Load.unknown();
     private volatile long incarnation;
@@ -126,7 +126,9 @@
         /** No process answered at its address at some moment since the effort began. */
         DOWN,
         /** Neither, within the limit. */
-        UNKNOWN
+        UNKNOWN,
+        /** The link was dropped: the endpoint is off the list, or has another address there. */
+        DROPPED
     }
 
     /** Finds out at once whether the endpoint's process is up, instead of when the link would dial next. */
@@ -136,11 +138,14 @@
         BooleanSupplier undecided = () -> dialer.refusals() - before < 2;
         boolean connected = awaitConnected(limit, () -> {
             dialer.dialNow();
-            return undecided.getAsBoolean();
+            return !stopped && undecided.getAsBoolean();
         });
         if (connected) {
             return Reach.CONNECTED;
         }
+        if (stopped) {
+            return Reach.DROPPED;
+        }
         return undecided.getAsBoolean() ? Reach.UNKNOWN : Reach.DOWN;
     }
 
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
@@ -72,6 +72,7 @@
     private final long mintedAtMillis;
     private final AttemptId id;
     private final long retentionNanos;
+    private final Set<EndpointLink> met = new HashSet<>();
     private final Set<EndpointLink> asked = new LinkedHashSet<>();
     private final Set<EndpointLink> askedAgain = new HashSet<>();
     private final Set<EndpointLink> unanswered = new LinkedHashSet<>();
@@ -106,10 +107,12 @@
         if (!context.fleet().linksWholePool(pool)) {
             return unknown(Doubt.POOL_NOT_LINKED);
         }
-        absent.addAll(context.fleet()
-                .history(pool)
-                .departedWithin(retentionNanos, context.timers().now()));
+        absent.addAll(departed());
         askAll();
+        // Who was dropped before it could be met is not among those asked.
+        departed().stream()
+                .filter(link -> !met.contains(link) && !absent.contains(link))
+                .forEach(absent::add);
         Finding finding = collect();
         asked.forEach(link -> link.end(id));
         if (finding.answer() == Answer.NEVER_SEEN && !absent.stream().allMatch(link -> denied(link.departedKeys()))) {
@@ -121,11 +124,23 @@
         return finding;
     }
 
+    private List<EndpointLink> departed() {
+        return context.fleet()
+                .history(pool)
+                .departedWithin(retentionNanos, context.timers().now());
+    }
+
+    /** Asks also who is listed anew meanwhile, as an endpoint is that comes back at another address. */
     private void askAll() {
-        for (EndpointLink link : context.fleet().pool(pool)) {
-            if (link != holder) {
-                unanswered.add(link);
-                ask(link);
+        boolean asking = true;
+        while (asking) {
+            asking = false;
+            for (EndpointLink link : context.fleet().pool(pool)) {
+                if (!link.name().equals(holder.name()) && met.add(link)) {
+                    asking = true;
+                    unanswered.add(link);
+                    ask(link);
+                }
             }
         }
     }
@@ -139,7 +154,7 @@
         asked.remove(link);
         unanswered.remove(link);
         absent.add(link);
-        if (reach != Reach.DOWN) {
+        if (reach == Reach.CONNECTED || reach == Reach.UNKNOWN) {
             maybeBack.add(link);
         }
     }
@@ -208,6 +223,7 @@
             } else if (askedAgain.add(event.link())) {
                 // The question was lost with its connection. To bar a key twice is the same as once.
                 ask(event.link());
+                askAll();
             } else {
                 return unknown(Doubt.ASKED_AND_LOST);
             }
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyedRun.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyedRun.java
@@ -66,11 +66,15 @@
                 return unknown("no-endpoint", "no endpoint of the service takes work");
             }
             EndpointLink link = holder.get();
-            if (!connected(link)) {
-                logger.atInfo().log(
-                        "event=key-holder-not-connected request=%s holder=%s reached_before=%s",
-                        id.requestId(), link.name(), !link.opening());
-                return unknown("key-holder-unreachable", "the endpoint that would know the key can't be reached");
+            Reach reach = reach(link);
+            if (reach == Reach.DROPPED) {
+                // The list has changed, and nothing was sent by the one before.
+                fencedFor = 0;
+                holder = holder();
+                continue;
+            }
+            if (reach != Reach.CONNECTED) {
+                return unreachable(link);
             }
             long incarnation = link.incarnation();
             AttemptReply reply = attempts.call(
@@ -114,13 +118,20 @@
         }
     }
 
+    private ServiceResult unreachable(EndpointLink holder) {
+        logger.atInfo().log(
+                "event=key-holder-not-connected request=%s holder=%s reached_before=%s",
+                id.requestId(), holder.name(), !holder.opening());
+        return unknown("key-holder-unreachable", "the endpoint that would know the key can't be reached");
+    }
+
     /**
-     * Returns whether a holder can be reached. The first connection to one that has restarted as planned is waited for, as it is
+     * Finds out whether a holder can be reached. The first connection to one that has restarted as planned is waited for, as it is
      * listed before; one whose connection was cut is dialled, and is out of reach as soon as that shows it to be down. Nothing is sent
      * meanwhile, so the wait proves and spoils nothing.
      */
-    private static boolean connected(EndpointLink link) {
-        return link.awaitConnected(OPENING_WAIT, link::opening) || link.reach(OPENING_WAIT) == Reach.CONNECTED;
+    private static Reach reach(EndpointLink link) {
+        return link.awaitConnected(OPENING_WAIT, link::opening) ? Reach.CONNECTED : link.reach(OPENING_WAIT);
     }
 
     private KeyInquiry inquiry(EndpointLink holder) {
