The daemon's store adapter knows eras: nothing of an older copy counts as newer, or as the last word

Cause: versions were bare revisions, which a store that comes back from an older copy gives out again. A version is now the number of a position, made and taken apart in HttpObjectStore; a planned stop names its era; who was listed before the return stays for 2.5 s. OrderEpoch uses the same number. A store that states no era behaves as before.

--- /dev/null
+++ b/cli/src/test/java/org/quetzalseam/cli/RestoredPlatformTest.java
@@ -0,0 +1,136 @@
+package org.quetzalseam.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.cli.load.Sample;
+import org.quetzalseam.cli.load.Told;
+import org.quetzalseam.cli.site.EndpointVm;
+import org.quetzalseam.cli.site.Wait;
+import org.quetzalseam.daemon.catalogue.CatalogueStore;
+import org.quetzalseam.daemon.platform.HttpObjectStore;
+import org.quetzalseam.standins.PlatformStandIn;
+import org.quetzalseam.standins.PlatformStandIn.ListedVm;
+
+/** The platform's store comes back from an older copy: what was written since is gone, and its versions are given out again. */
+class RestoredPlatformTest {
+    /** Within it those who are there are on the list again. */
+    private static final Duration LISTED_AGAIN = Duration.ofSeconds(2);
+
+    /** Reads of the store in a second by two entries that only wait, at most. */
+    private static final long READS_A_SECOND = 40;
+
+    private final TestSite site = TestSite.start();
+    private final PlatformStandIn platform = site.site().platform();
+
+    @AfterEach
+    void stop() {
+        site.close();
+    }
+
+    private ListedVm listed(EndpointVm vm) {
+        return new ListedVm(
+                vm.name(),
+                "endpoint",
+                "akl-east",
+                vm.pool().name(),
+                vm.proxy().port(),
+                vm.daemon().operatorPort(),
+                false);
+    }
+
+    private void awaitListed(int endpoints) {
+        Wait.until(
+                TestSite.LIMIT,
+                endpoints + " endpoints on the list",
+                () -> site.site().entries().stream()
+                        .allMatch(entry -> entry.daemon().listedEndpoints() == endpoints));
+    }
+
+    /** Each answer showed a list that seemed older than the entry's own: it was never taken, and asked for again at once. */
+    @Test
+    void whoIsListedAfterTheStoreCameBackIsSeenAndNobodyAsksWithoutPause() {
+        PlatformStandIn.Copy copy = platform.copy();
+        for (int i = 0; i < 10; i++) {
+            platform.list(new ListedVm("other-" + i, "entry", "akl-east", "", 1, 1, true));
+        }
+        Wait.pass(Duration.ofMillis(500));
+        platform.restore(copy);
+        EndpointVm gone = site.services().get(0);
+        gone.crash();
+        gone.unlist();
+        awaitListed(5);
+        long before = platform.reads();
+        Wait.pass(Duration.ofSeconds(1));
+        assertThat(platform.reads() - before).isLessThan(READS_A_SECOND);
+    }
+
+    /** The copy is from before the endpoint was listed; it serves all the while. */
+    @Test
+    void whatRunsAtAnEndpointThatTheCopyDoesNotShowIsNotCut() {
+        EndpointVm late = site.decoders().get(0);
+        EndpointVm other = site.decoders().get(1);
+        platform.unlist(late.name());
+        platform.unlist(other.name());
+        awaitListed(4);
+        PlatformStandIn.Copy copy = platform.copy();
+        platform.list(listed(late));
+        platform.list(listed(other));
+        Wait.until(
+                TestSite.LIMIT,
+                "the links",
+                () -> site.site().entries().stream()
+                        .allMatch(entry -> entry.daemon().connectedEndpoints() == 6));
+        CompletableFuture<Sample> running = site.digest(site.entry(0), 1200, 600, -1);
+        site.awaitHeld(1);
+        platform.restore(copy);
+        Wait.pass(LISTED_AGAIN.dividedBy(2));
+        platform.list(listed(late));
+        platform.list(listed(other));
+        assertThat(running.join().told()).as("%s", running.join().code()).isEqualTo(Told.ANSWERED);
+        assertThat(site.note(site.entry(0)).join().told()).isEqualTo(Told.ANSWERED);
+    }
+
+    @Test
+    void whoIsNotListedAgainIsGoneAfterAMoment() {
+        EndpointVm late = site.services().get(0);
+        platform.unlist(late.name());
+        awaitListed(5);
+        PlatformStandIn.Copy copy = platform.copy();
+        platform.list(listed(late));
+        awaitListed(6);
+        platform.restore(copy);
+        Wait.pass(LISTED_AGAIN.dividedBy(2));
+        assertThat(site.entry(0).daemon().listedEndpoints()).isEqualTo(6);
+        awaitListed(5);
+    }
+
+    /** What entries run isn't taken back, and the next change comes above it. */
+    @Test
+    void aChangeThatTheCopyDoesNotShowStaysInForceAndTheNextOneFollows() {
+        CatalogueStore store = new CatalogueStore(new HttpObjectStore(platform.url()));
+        PlatformStandIn.Copy copy = platform.copy();
+        long first = change(store, "one");
+        site.site().awaitCatalogue(first);
+        platform.restore(copy);
+        Wait.until(
+                TestSite.LIMIT,
+                "the change is stored again",
+                () -> store.accepted().value().version() == first);
+        assertThat(site.entry(0).daemon().catalogueVersion()).isEqualTo(first);
+        long second = change(store, "two");
+        assertThat(second).isGreaterThan(first);
+        site.site().awaitCatalogue(second);
+    }
+
+    private long change(CatalogueStore store, String owner) {
+        Map<String, String> files = new HashMap<>(site.site().catalogue());
+        files.put("extra.ini", "[owner " + owner + "]\nweight = 2\n");
+        return store.propose(files, store.accepted().value().version(), "me").version();
+    }
+}
--- a/core/src/main/java/org/quetzalseam/core/generation/OrderEpoch.java
+++ b/core/src/main/java/org/quetzalseam/core/generation/OrderEpoch.java
@@ -8,8 +8,6 @@
  * revision of an earlier one. Stateless.
  */
 public final class OrderEpoch {
-    /** Bits for the revision: for thirty years at a thousand changes a second. */
-    private static final int REVISION_BITS = 40;
     /** Largest epoch: up to here every reader of JSON has the same whole numbers. */
     public static final long MAX = (1L << 53) - 1;
 
@@ -18,7 +16,7 @@
     /** Returns the highest epoch that a holder can have been given in a record at a position. */
     public static long highestAt(StorePosition position) {
         // A position whose revision is unknown has none below it.
-        return (position.era() << REVISION_BITS) + Math.max(0, position.revision());
+        return position.number();
     }
 
     /** Returns an epoch above all that were given up to a position. */
@@ -28,7 +26,7 @@
 
     /** Returns the era in which an epoch was given. */
     public static long era(long epoch) {
-        return epoch >> REVISION_BITS;
+        return StorePosition.ofNumber(epoch).era();
     }
 
     /** Returns whether epochs of an era can be told from those of the others. */
--- a/core/src/main/java/org/quetzalseam/core/store/StorePosition.java
+++ b/core/src/main/java/org/quetzalseam/core/store/StorePosition.java
@@ -15,9 +15,22 @@
     /** Before all that a store can show. */
     public static final StorePosition NONE = new StorePosition(NO_ERA, -1);
 
+    /** Bits of a number for the revision: for thirty years at a thousand changes a second. */
+    private static final int REVISION_BITS = 40;
+
     private static final Comparator<StorePosition> ORDER =
             Comparator.comparingLong(StorePosition::era).thenComparingLong(StorePosition::revision);
 
+    /** Returns one number for the position; numbers have the order of positions. A revision below 0 counts as 0. */
+    public long number() {
+        return (era << REVISION_BITS) + Math.max(0, revision);
+    }
+
+    /** Returns the position of a number. */
+    public static StorePosition ofNumber(long number) {
+        return new StorePosition(number >> REVISION_BITS, number & ((1L << REVISION_BITS) - 1));
+    }
+
     /** Returns whether this position is before another. */
     public boolean before(StorePosition other) {
         return compareTo(other) < 0;
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/Tenure.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/Tenure.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.platform.ObjectStore;
 import org.quetzalseam.daemon.platform.StoreException;
@@ -14,7 +15,8 @@
  * Finds out what the process that ran under the same name before may have done with idempotency keys. Each process leaves
  * an object in the platform's store: one write when it starts, one when it stops as planned. A process that finds none has
  * no predecessor; one that finds the record of a planned stop knows all keys that were seen; any other must assume that
- * its predecessor crashed and may have seen any key. Thread-safe.
+ * its predecessor crashed and may have seen any key. So must one that finds what an older copy of the store shows: a later process's
+ * record may be gone. Thread-safe.
  */
 final class Tenure {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -25,9 +27,10 @@
      * @param incarnation incarnation of the process
      * @param left whether it stopped as planned
      * @param atMillis when the record was written, in milliseconds of the epoch
+     * @param era the store's era when it was written
      * @param keys digests of the keys it had seen, when it stopped as planned
      */
-    record Mark(long incarnation, boolean left, long atMillis, List<String> keys) {
+    record Mark(long incarnation, boolean left, long atMillis, long era, List<String> keys) {
         Mark {
             keys = List.copyOf(keys);
         }
@@ -63,7 +66,7 @@
                 storeVersion = before.get().version();
             } else {
                 predecessorKeys = keysOf(mark);
-                storeVersion = write(new Mark(incarnation, false, System.currentTimeMillis(), List.of()), before);
+                storeVersion = write(mark(false, List.of()), before);
             }
             begun = true;
             return true;
@@ -73,11 +76,16 @@
         }
     }
 
-    private static Optional<Set<String>> keysOf(Optional<Mark> before) {
+    private Optional<Set<String>> keysOf(Optional<Mark> before) {
         if (before.isEmpty()) {
-            return Optional.of(Set.of());
+            return store.era() == StorePosition.NO_ERA ? Optional.of(Set.of()) : Optional.empty();
         }
-        return before.get().left() ? Optional.of(Set.copyOf(before.get().keys())) : Optional.empty();
+        boolean lastWord = before.get().left() && before.get().era() == store.era();
+        return lastWord ? Optional.of(Set.copyOf(before.get().keys())) : Optional.empty();
+    }
+
+    private Mark mark(boolean left, List<String> keys) {
+        return new Mark(incarnation, left, System.currentTimeMillis(), store.era(), keys);
     }
 
     private static Mark mark(StoredObject object) throws IOException {
@@ -97,10 +105,29 @@
             return;
         }
         try {
-            store.replace(
-                    name, Json.write(new Mark(incarnation, true, System.currentTimeMillis(), keys)), storeVersion);
-        } catch (StoreException e) {
+            writeEnd(keys);
+        } catch (StoreException | IOException e) {
             logger.atWarning().log("event=tenure-not-ended name=%s reason=\"%s\"", name, e.getMessage());
         }
     }
+
+    /** Reads the record first: only an answer tells whether the store came back, and a condition of before may name another's record. */
+    private void writeEnd(List<String> keys) throws IOException {
+        Optional<StoredObject> shown = store.read(name);
+        if (StorePosition.ofNumber(storeVersion).era() == store.era()) {
+            store.replace(name, Json.write(mark(true, keys)), storeVersion);
+        } else if (isSuccessors(shown)) {
+            logger.atWarning().log("event=tenure-not-ended name=%s reason=\"a successor has begun\"", name);
+        } else {
+            write(mark(true, keys), shown);
+        }
+    }
+
+    private boolean isSuccessors(Optional<StoredObject> shown) throws IOException {
+        if (shown.isEmpty()) {
+            return false;
+        }
+        Mark mark = mark(shown.get());
+        return mark.incarnation() != incarnation && mark.era() == store.era();
+    }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/EntryRouter.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/EntryRouter.java
@@ -118,7 +118,7 @@
 
     /** Returns the state of this entry. */
     public EntryStatus status() {
-        List<EntryStatus.Peer> peers = site.vms().stream()
+        List<EntryStatus.Peer> peers = fleet.listed().stream()
                 .filter(vm -> vm.role() == Role.ENDPOINT)
                 .sorted(Comparator.comparing(Vm::name))
                 .map(this::peer)
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/Fleet.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/Fleet.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,6 +15,7 @@
 import org.quetzalseam.core.admission.WorkClass;
 import org.quetzalseam.core.placement.Placement;
 import org.quetzalseam.core.placement.Rendezvous;
+import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.daemon.platform.MemberList;
 import org.quetzalseam.wire.message.Load;
 import org.quetzalseam.wire.message.Role;
@@ -29,6 +31,8 @@
     static final int LINKS_PER_POOL = 32;
 
     private static final long RETURN_POLL_MILLIS = 20;
+    /** How long after a return of the store from an older copy nobody counts as off the list: who is there is listed again within two seconds. */
+    private static final Duration LISTED_AGAIN = Duration.ofMillis(2_500);
 
     private final String self;
     private final String zone;
@@ -36,6 +40,10 @@
     private final Map<String, EndpointLink> links = new HashMap<>();
     private final Map<String, PoolHistory> pools = new HashMap<>();
     private @Nullable LinkContext context;
+    private MemberList newest = new MemberList(0, List.of());
+    /** Who was listed when the store came back; empty when that is long past. */
+    private List<Vm> before = List.of();
+
     private int entries = 1;
     private boolean stopped;
 
@@ -57,25 +65,56 @@
 
     @Override
     public synchronized void changed(MemberList members) {
+        LinkContext shared = context;
+        if (shared != null && era(members) > era(newest) && !newest.vms().isEmpty()) {
+            long era = era(members);
+            before = listed();
+            shared.timers().after(LISTED_AGAIN, () -> forgetBefore(era));
+        }
+        newest = members;
+        apply();
+    }
+
+    private static long era(MemberList members) {
+        return StorePosition.ofNumber(members.version()).era();
+    }
+
+    private synchronized void forgetBefore(long era) {
+        if (era == era(newest)) {
+            before = List.of();
+            apply();
+        }
+    }
+
+    /** Returns the newest list, with those who were on it when the store came back. */
+    synchronized List<Vm> listed() {
+        Map<String, Vm> vms = new LinkedHashMap<>();
+        before.forEach(vm -> vms.put(vm.name(), vm));
+        newest.vms().forEach(vm -> vms.put(vm.name(), vm));
+        return List.copyOf(vms.values());
+    }
+
+    private void apply() {
         LinkContext shared = context;
         if (stopped || shared == null) {
             return;
         }
+        List<Vm> vms = listed();
         long now = shared.timers().now();
         Map<String, Vm> wanted = new HashMap<>();
         Map<String, List<Vm>> byPool = new HashMap<>();
-        for (Vm vm : members.vms()) {
+        for (Vm vm : vms) {
             if (vm.role() == Role.ENDPOINT) {
                 byPool.computeIfAbsent(vm.pool(), unused -> new ArrayList<>()).add(vm);
             }
         }
-        byPool.forEach((pool, vms) -> {
-            subset(vms).forEach(vm -> wanted.put(vm.name(), vm));
-            pools.computeIfAbsent(pool, unused -> new PoolHistory()).update(vms, now);
+        byPool.forEach((pool, ofPool) -> {
+            subset(ofPool).forEach(vm -> wanted.put(vm.name(), vm));
+            pools.computeIfAbsent(pool, unused -> new PoolHistory()).update(ofPool, now);
         });
         drop(wanted, now);
         wanted.values().forEach(vm -> link(vm, shared));
-        entries = (int) members.vms().stream()
+        entries = (int) vms.stream()
                 .filter(vm -> vm.role() == Role.ENTRY && !vm.leaving())
                 .count();
     }
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/SiteSync.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/SiteSync.java
@@ -12,7 +12,6 @@
 import org.quetzalseam.wire.message.FetchState;
 import org.quetzalseam.wire.message.HeartbeatAck;
 import org.quetzalseam.wire.message.SiteState;
-import org.quetzalseam.wire.message.Vm;
 
 /**
  * The catalogue and the list of VMs at one entry, kept as new as the newest that the store or any endpoint has. Endpoints
@@ -45,10 +44,6 @@
         return members.version();
     }
 
-    synchronized List<Vm> vms() {
-        return members.vms();
-    }
-
     /** Takes a list of VMs if it is newer than the current one. */
     void offerMembers(MemberList candidate) {
         synchronized (this) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.daemon.HttpClients;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.platform.StoreException.Code;
@@ -23,7 +24,8 @@
 
 /**
  * The platform's store over HTTP and JSON: {@code GET}, {@code POST} and {@code PUT} of objects that carry a
- * {@code metadata.resourceVersion}, and a watch that answers when the version changes. Thread-safe.
+ * {@code metadata.resourceVersion}, and a watch that answers when the version changes. A store that has come back from an older
+ * copy gives versions out again: to its callers a version is the number of a position, era and revision. Thread-safe.
  */
 public final class HttpObjectStore implements ObjectStore {
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
@@ -32,10 +34,12 @@
     private static final int NO_CONTENT = 204;
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
+    private static final int GONE = 410;
     private static final int SERVER_ERROR = 500;
 
     private final String base;
     private final HttpClient client;
+    private final AnswerEra era = new AnswerEra();
 
     /** Creates a client of the store at a base address such as {@code http://10.0.0.5:8001}. */
     public HttpObjectStore(String base) {
@@ -54,7 +58,9 @@
     private HttpResponse<byte[]> send(HttpRequest request) {
         try {
             HttpResponse<byte[]> response = client.send(request, BodyHandlers.ofByteArray());
-            if (response.statusCode() >= SERVER_ERROR) {
+            boolean success = response.statusCode() < SERVER_ERROR;
+            era.take(response.headers().firstValue(AnswerEra.HEADER), success);
+            if (!success) {
                 throw new StoreException(Code.UNAVAILABLE, "the store answered " + response.statusCode(), null);
             }
             return response;
@@ -70,10 +76,15 @@
         JsonNode node = json(response);
         return new StoredObject(
                 node.path("metadata").path("name").asText(),
-                node.path("metadata").path("resourceVersion").asLong(),
+                version(response, node),
                 Base64.getDecoder().decode(node.path("data").asText()));
     }
 
+    private static long version(HttpResponse<byte[]> response, JsonNode node) {
+        long revision = node.path("metadata").path("resourceVersion").asLong();
+        return new StorePosition(AnswerEra.of(response), revision).number();
+    }
+
     private static JsonNode json(HttpResponse<byte[]> response) {
         try {
             return Json.read(response.body());
@@ -111,9 +122,18 @@
 
     @Override
     public StoredObject replace(String name, byte[] value, long version) {
-        return written(send(request(objectPath(name), TIMEOUT)
-                .PUT(BodyPublishers.ofByteArray(body(name, value, version)))
+        StorePosition condition = StorePosition.ofNumber(version);
+        if (condition.era() != era.known()) {
+            // Its revision may name what another has written since.
+            throw new StoreException(Code.CONFLICT, "the store came back from an older copy", null);
+        }
+        StoredObject written = written(send(request(objectPath(name), TIMEOUT)
+                .PUT(BodyPublishers.ofByteArray(body(name, value, condition.revision())))
                 .build()));
+        if (StorePosition.ofNumber(written.version()).era() != condition.era()) {
+            throw new StoreException(Code.UNAVAILABLE, "the store came back from an older copy meanwhile", null);
+        }
+        return written;
     }
 
     private static StoredObject written(HttpResponse<byte[]> response) {
@@ -124,15 +144,18 @@
         };
     }
 
-    private static String watchQuery(long version, Duration wait) {
-        return "?watch=true&resourceVersion=" + version + "&timeoutMillis=" + wait.toMillis();
+    private String watchQuery(long version, Duration wait) {
+        StorePosition seen = StorePosition.ofNumber(version);
+        long revision = seen.era() == era.known() ? seen.revision() : 0;
+        return "?watch=true&resourceVersion=" + revision + "&timeoutMillis=" + wait.toMillis();
     }
 
     @Override
     public Optional<StoredObject> watch(String name, long version, Duration wait) {
-        return found(send(request(objectPath(name) + watchQuery(version, wait), wait.plus(TIMEOUT))
+        HttpResponse<byte[]> response = send(request(objectPath(name) + watchQuery(version, wait), wait.plus(TIMEOUT))
                 .GET()
-                .build()));
+                .build());
+        return response.statusCode() == GONE ? read(name) : found(response);
     }
 
     @Override
@@ -141,13 +164,21 @@
                 send(request("/apis/quetzalseam/v1/vms" + watchQuery(version, wait), wait.plus(TIMEOUT))
                         .GET()
                         .build());
+        if (response.statusCode() == GONE && version != 0) {
+            return members(0, Duration.ZERO);
+        }
         if (response.statusCode() != OK) {
             throw new StoreException(Code.REFUSED, "the store answered " + response.statusCode(), null);
         }
         JsonNode node = json(response);
         List<Vm> vms = new ArrayList<>();
         node.path("items").forEach(item -> vms.add(vm(item)));
-        return new MemberList(node.path("metadata").path("resourceVersion").asLong(), vms);
+        return new MemberList(version(response, node), vms);
+    }
+
+    @Override
+    public long era() {
+        return era.known();
     }
 
     private static Vm vm(JsonNode item) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/platform/MemberList.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/platform/MemberList.java
@@ -6,7 +6,7 @@
 /**
  * The platform's list of VMs. It lags behind what happens. Immutable.
  *
- * @param version rises with each change of the list
+ * @param version rises with each change of the list, also over returns of the store from an older copy
  * @param vms the VMs
  */
 public record MemberList(long version, List<Vm> vms) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/platform/ObjectStore.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/platform/ObjectStore.java
@@ -22,4 +22,7 @@
 
     /** Returns the list of VMs, at once if its version isn't the given one, else when it changes or the wait is over. */
     MemberList members(long version, Duration wait);
+
+    /** Returns the era of the newest answer: it rises each time the store comes back from an older copy. */
+    long era();
 }
--- a/daemon/src/test/java/org/quetzalseam/daemon/endpoint/TenureTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/endpoint/TenureTest.java
@@ -66,4 +66,71 @@
         assertThat(first.begin()).isFalse();
         assertThat(first.mayHaveBeenSeen("k")).isTrue();
     }
+
+    /** The predecessor crashed after the store came back; its predecessor's word is what the copy shows. */
+    @Test
+    void thePlannedStopThatAnOlderCopyShowsIsNotTheLastWord() {
+        Tenure first = tenure(1);
+        first.begin();
+        first.end(List.of());
+        PlatformStandIn.Copy copy = platform.copy();
+        tenure(2).begin();
+        platform.restore(copy);
+        Tenure third = tenure(3);
+        assertThat(third.begin()).isTrue();
+        assertThat(third.mayHaveBeenSeen("k")).isTrue();
+    }
+
+    @Test
+    void thatAnOlderCopyShowsNoRecordDoesNotMeanThatNoProcessWasBefore() {
+        PlatformStandIn.Copy copy = platform.copy();
+        tenure(1).begin();
+        platform.restore(copy);
+        Tenure second = tenure(2);
+        assertThat(second.begin()).isTrue();
+        assertThat(second.mayHaveBeenSeen("k")).isTrue();
+    }
+
+    @Test
+    void aPlannedStopAfterTheStoreCameBackIsKnown() {
+        PlatformStandIn.Copy copy = platform.copy();
+        Tenure first = tenure(1);
+        first.begin();
+        platform.restore(copy);
+        first.end(List.of("seen"));
+        Tenure second = tenure(2);
+        second.begin();
+        assertThat(second.mayHaveBeenSeen("seen")).isTrue();
+        assertThat(second.mayHaveBeenSeen("other")).isFalse();
+    }
+
+    /** Where the copy is from before the process, its record there is its predecessor's. */
+    @Test
+    void aPlannedStopIsKnownThoughTheCopyShowsThePredecessor() {
+        tenure(1).begin();
+        PlatformStandIn.Copy copy = platform.copy();
+        Tenure second = tenure(2);
+        second.begin();
+        platform.restore(copy);
+        second.end(List.of("seen"));
+        Tenure third = tenure(3);
+        third.begin();
+        assertThat(third.mayHaveBeenSeen("seen")).isTrue();
+        assertThat(third.mayHaveBeenSeen("other")).isFalse();
+    }
+
+    /** A process that is told late to stop doesn't overwrite what its successor left in the new era. */
+    @Test
+    void aSuccessorsRecordOfTheNewEraIsLeftAsItIs() {
+        PlatformStandIn.Copy copy = platform.copy();
+        Tenure first = tenure(1);
+        first.begin();
+        platform.restore(copy);
+        Tenure second = tenure(2);
+        second.begin();
+        first.end(List.of());
+        Tenure third = tenure(3);
+        third.begin();
+        assertThat(third.mayHaveBeenSeen("k")).isTrue();
+    }
 }
--- a/standins/src/main/java/org/quetzalseam/standins/PlatformStandIn.java
+++ b/standins/src/main/java/org/quetzalseam/standins/PlatformStandIn.java
@@ -15,11 +15,12 @@
 
 /**
  * The platform: objects with versions, conditional updates and watches, and a list of VMs. Faults can be injected: an
- * outage, slowness, and answers that are lost after the write took effect. Thread-safe.
+ * outage, slowness, answers that are lost after the write took effect, and a return from an older copy. Thread-safe.
  */
 public final class PlatformStandIn {
     private static final String OBJECTS = "/apis/quetzalseam/v1/objects/";
     private static final String VMS = "/apis/quetzalseam/v1/vms";
+    private static final String ERA = "Store-Era";
 
     /**
      * A VM on the platform's list.
@@ -37,6 +38,21 @@
 
     private record Stored(long version, String data) {}
 
+    /** What the store held at some moment. Immutable. */
+    public static final class Copy {
+        private final Map<String, Stored> objects;
+        private final Map<String, ListedVm> vms;
+        private final long version;
+        private final long vmsVersion;
+
+        private Copy(PlatformStandIn store) {
+            objects = Map.copyOf(store.objects);
+            vms = new LinkedHashMap<>(store.vms);
+            version = store.version;
+            vmsVersion = store.vmsVersion;
+        }
+    }
+
     private final Object lock = new Object();
     private final Map<String, Stored> objects = new HashMap<>();
     private final Map<String, ListedVm> vms = new LinkedHashMap<>();
@@ -44,6 +60,7 @@
     private final AtomicLong writes = new AtomicLong();
     private long version;
     private long vmsVersion;
+    private long era;
     private boolean down;
     private long delayMillis;
     private int answersToLose;
@@ -111,6 +128,32 @@
         }
     }
 
+    /** Returns a copy of all that the store holds. */
+    public Copy copy() {
+        synchronized (lock) {
+            return new Copy(this);
+        }
+    }
+
+    /** Comes back from a copy: what was written since is gone, and its versions are given out again. */
+    public void restore(Copy copy) {
+        synchronized (lock) {
+            objects.clear();
+            objects.putAll(copy.objects);
+            vms.clear();
+            vms.putAll(copy.vms);
+            version = copy.version;
+            vmsVersion = copy.vmsVersion;
+            era++;
+            lock.notifyAll();
+        }
+    }
+
+    /** States the era in an answer; to be called with the lock held, where its content is taken. */
+    private void stamp(HttpExchange exchange) {
+        exchange.getResponseHeaders().set(ERA, Long.toString(era));
+    }
+
     /** Returns how many reads, a waiting watch counted as one, have been answered. */
     public long reads() {
         return reads.get();
@@ -166,6 +209,7 @@
             }
             stored = objects.get(name);
             available = !down;
+            stamp(exchange);
         }
         boolean unchanged = query.containsKey("watch") && stored != null && stored.version() == asked(query);
         if (!available) {
@@ -192,7 +236,8 @@
         long end = System.nanoTime()
                 + TimeUnit.MILLISECONDS.toNanos(Long.parseLong(query.getOrDefault("timeoutMillis", "0")));
         long left = end - System.nanoTime();
-        while (current.now() == asked(query) && left > 0 && !down) {
+        long before = era;
+        while (current.now() == asked(query) && left > 0 && !down && era == before) {
             try {
                 TimeUnit.NANOSECONDS.timedWait(lock, left);
             } catch (InterruptedException e) {
@@ -221,6 +266,7 @@
                 lost = answersToLose > 0;
                 answersToLose -= lost ? 1 : 0;
             }
+            stamp(exchange);
         }
         if (lost) {
             StandInServer.answerEmpty(exchange, 504);
@@ -245,6 +291,7 @@
         synchronized (lock) {
             await(query(exchange), () -> vmsVersion);
             available = !down;
+            stamp(exchange);
             node.putObject("metadata").put("resourceVersion", vmsVersion);
             ArrayNode items = node.putArray("items");
             List.copyOf(vms.values()).forEach(vm -> items.add(json(vm)));
