--- a/cli/src/test/java/org/quetzalseam/cli/KeyInquiryTest.java
+++ b/cli/src/test/java/org/quetzalseam/cli/KeyInquiryTest.java
@@ -84,6 +84,23 @@
         }
     }
 
+    /** Makes deposits at both entries at once, each with a key of its own. */
+    private List<CompletableFuture<HttpResponse<String>>> deposits(String prefix) {
+        List<CompletableFuture<HttpResponse<String>>> deposits = new ArrayList<>();
+        for (int i = 0; i < DEPOSITS; i++) {
+            deposits.add(site.deposit(site.entry(i % 2), prefix + i, prefix + i));
+        }
+        return deposits;
+    }
+
+    private void assertAnsweredOnce(List<CompletableFuture<HttpResponse<String>>> deposits, String prefix) {
+        for (int i = 0; i < DEPOSITS; i++) {
+            HttpResponse<String> response = deposits.get(i).join();
+            assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
+            assertThat(site.executions(prefix + i)).isEqualTo(1);
+        }
+    }
+
     /**
      * Keyed calls were told {@code key-holder-unreachable} beside load though nothing had stopped: their inquiry gave an endpoint half a
      * second to answer, and it answered just later. In the log, {@code key-inquiry-in-doubt … reason=no-answer-in-time
@@ -93,15 +110,7 @@
     @Test
     void aKeyedCallIsAnsweredThoughAnotherEndpointIsSlowToSayWhetherItHasSeenTheKey() {
         site.services().get(0).proxy().delay(PATH_DELAY_MILLIS);
-        List<CompletableFuture<HttpResponse<String>>> deposits = new ArrayList<>();
-        for (int i = 0; i < DEPOSITS; i++) {
-            deposits.add(site.deposit(site.entry(i % 2), "slow-" + i, "slow-" + i));
-        }
-        for (int i = 0; i < DEPOSITS; i++) {
-            HttpResponse<String> response = deposits.get(i).join();
-            assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
-            assertThat(site.executions("slow-" + i)).isEqualTo(1);
-        }
+        assertAnsweredOnce(deposits("slow-"), "slow-");
     }
 
     /**
@@ -112,18 +121,11 @@
     void aKeyedCallIsAnsweredThoughAConnectionIsCutDuringItsInquiry() {
         LinkProxy path = site.services().get(0).proxy();
         path.delay(PATH_DELAY_MILLIS);
-        List<CompletableFuture<HttpResponse<String>>> deposits = new ArrayList<>();
-        for (int i = 0; i < DEPOSITS; i++) {
-            deposits.add(site.deposit(site.entry(i % 2), "cut-" + i, "cut-" + i));
-        }
+        List<CompletableFuture<HttpResponse<String>>> deposits = deposits("cut-");
         Wait.pass(Duration.ofMillis(PATH_DELAY_MILLIS / 2));
         path.cut();
         path.delay(0);
-        for (int i = 0; i < DEPOSITS; i++) {
-            HttpResponse<String> response = deposits.get(i).join();
-            assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
-            assertThat(site.executions("cut-" + i)).isEqualTo(1);
-        }
+        assertAnsweredOnce(deposits, "cut-");
     }
 
     /** A holder whose connection has just been cut is there again as soon as it is dialled. */
@@ -176,19 +178,13 @@
     void aKeyedCallIsAnsweredThoughAnEndpointThatLeftIsSilentForAMomentBeforeItIsDown() throws IOException {
         EndpointVm left = site.services().get(0);
         left.stop();
-        List<CompletableFuture<HttpResponse<String>>> deposits = new ArrayList<>();
+        List<CompletableFuture<HttpResponse<String>>> deposits;
         try (ServerSocket silent = new ServerSocket(0, DEPOSITS, InetAddress.getLoopbackAddress())) {
             left.proxy().target(silent.getLocalPort());
-            for (int i = 0; i < DEPOSITS; i++) {
-                deposits.add(site.deposit(site.entry(i % 2), "silent-" + i, "silent-" + i));
-            }
+            deposits = deposits("silent-");
             Wait.pass(SILENCE);
         }
-        for (int i = 0; i < DEPOSITS; i++) {
-            HttpResponse<String> response = deposits.get(i).join();
-            assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
-            assertThat(site.executions("silent-" + i)).isEqualTo(1);
-        }
+        assertAnsweredOnce(deposits, "silent-");
     }
 
     /**
@@ -200,19 +196,12 @@
     void aKeyedCallIsAnsweredThoughAnEndpointThatLeftComesBackAtAnotherAddressDuringItsInquiry() throws IOException {
         EndpointVm left = site.services().get(0);
         left.stop();
-        List<CompletableFuture<HttpResponse<String>>> deposits = new ArrayList<>();
         try (ServerSocket silent = new ServerSocket(0, DEPOSITS, InetAddress.getLoopbackAddress())) {
             left.proxy().target(silent.getLocalPort());
-            for (int i = 0; i < DEPOSITS; i++) {
-                deposits.add(site.deposit(site.entry(i % 2), "back-" + i, "back-" + i));
-            }
+            List<CompletableFuture<HttpResponse<String>>> deposits = deposits("back-");
             Wait.pass(Duration.ofMillis(200));
             left.start();
-            for (int i = 0; i < DEPOSITS; i++) {
-                HttpResponse<String> response = deposits.get(i).join();
-                assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
-                assertThat(site.executions("back-" + i)).isEqualTo(1);
-            }
+            assertAnsweredOnce(deposits, "back-");
         }
     }
 }
