A leaving endpoint answers what was on its way when it said that it leaves

Cause: an endpoint with nothing to do ended its connections as soon as it had sent Leaving. A call sent in that moment could not be refused any more and was told endpoint-lost, outcome unknown, after the lease. New message LeavingHeard: after it an entry sends that process no new work, and the endpoint waits for it from each entry, for a lease at most (an entry of an earlier version never says it).

--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
@@ -33,6 +33,7 @@
 import org.quetzalseam.wire.message.Heartbeat;
 import org.quetzalseam.wire.message.HeartbeatAck;
 import org.quetzalseam.wire.message.Leaving;
+import org.quetzalseam.wire.message.LeavingHeard;
 import org.quetzalseam.wire.message.Load;
 import org.quetzalseam.wire.message.Message;
 import org.quetzalseam.wire.message.RefusalReason;
@@ -189,6 +190,8 @@
             SiteState known = state;
             connection.send(
                     new HeartbeatAck(gate.admission().load(), known.manifest().version(), known.members()));
+        } else if (message instanceof LeavingHeard) {
+            sessions.heard(connection);
         } else if (message instanceof FetchState) {
             connection.send(state);
         } else if (message instanceof SiteState given) {
@@ -245,6 +248,7 @@
                     "event=drain-incomplete name=%s left=%d",
                     self.name(), gate.admission().live());
         }
+        awaitHeard();
         serviceGate.ifPresent(ServiceGate::end);
         deliverLastMessages();
         release();
@@ -252,6 +256,17 @@
     }
 
     /** Work is over when its last output is handed to a connection, which may be seconds before that has left. */
+    /** Goes on answering until no entry sends work in the belief that it is taken here. */
+    private void awaitHeard() {
+        long until = timers.now() + settings.timing().lease().toNanos();
+        while (!sessions.allHeard() && timers.now() - until < 0 && !isAborted()) {
+            pause();
+        }
+        if (!sessions.allHeard()) {
+            logger.atInfo().log("event=leaving-not-heard name=%s", self.name());
+        }
+    }
+
     private void deliverLastMessages() {
         try {
             acceptor.finish().get(LAST_MESSAGES.toMillis(), TimeUnit.MILLISECONDS);
@@ -273,7 +288,7 @@
         leaving = true;
         gate.admission().leave();
         List<String> keys = serviceGate.map(ServiceGate::rememberedKeys).orElse(List.of());
-        sessions.sendAll(new Leaving(keys));
+        sessions.tellLeaving(new Leaving(keys));
         logger.atInfo().log(
                 "event=leaving name=%s live=%d", self.name(), gate.admission().live());
     }
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/Sessions.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/Sessions.java
@@ -2,8 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.quetzalseam.wire.connection.Connection;
+import org.quetzalseam.wire.message.Leaving;
 import org.quetzalseam.wire.message.Message;
 
 /**
@@ -14,6 +16,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final Map<Long, Connection> byIncarnation = new ConcurrentHashMap<>();
+    private final Set<Connection> unheard = ConcurrentHashMap.newKeySet();
 
     void opened(Connection connection) {
         long incarnation = connection.peer().incarnation();
@@ -29,6 +32,7 @@
     }
 
     void closed(Connection connection) {
+        unheard.remove(connection);
         byIncarnation.remove(connection.peer().incarnation(), connection);
     }
 
@@ -40,7 +44,23 @@
         }
     }
 
-    void sendAll(Message message) {
-        byIncarnation.keySet().forEach(incarnation -> send(incarnation, message));
+    /** Tells every entry that this process leaves. */
+    void tellLeaving(Leaving notice) {
+        byIncarnation.values().forEach(connection -> {
+            unheard.add(connection);
+            if (!connection.send(notice)) {
+                unheard.remove(connection);
+            }
+        });
+    }
+
+    /** Takes note that what an entry sends on a connection from now on it sends knowing that this process leaves. */
+    void heard(Connection connection) {
+        unheard.remove(connection);
+    }
+
+    /** Returns whether each entry that was told has heard that this process leaves, or its connection is closed. */
+    boolean allHeard() {
+        return unheard.isEmpty();
     }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
@@ -21,9 +21,11 @@
 import org.quetzalseam.wire.message.AttemptMessage;
 import org.quetzalseam.wire.message.AttemptReply;
 import org.quetzalseam.wire.message.Cancel;
+import org.quetzalseam.wire.message.FenceKey;
 import org.quetzalseam.wire.message.Heartbeat;
 import org.quetzalseam.wire.message.HeartbeatAck;
 import org.quetzalseam.wire.message.Leaving;
+import org.quetzalseam.wire.message.LeavingHeard;
 import org.quetzalseam.wire.message.Load;
 import org.quetzalseam.wire.message.Message;
 import org.quetzalseam.wire.message.Resume;
@@ -201,7 +203,8 @@
     }
 
     /**
-     * Sends the first order of an attempt. Returns false when it certainly was not sent.
+     * Sends the first order of an attempt. Returns false when it certainly was not sent, as to a process that has said that it leaves;
+     * questions about a key are put to that too.
      *
      * @param order the order
      * @param inbox receives what the endpoint says
@@ -209,7 +212,8 @@
      */
     boolean begin(AttemptMessage order, Inbox inbox, long cost) {
         synchronized (lock) {
-            if (!sendNow(order)) {
+            boolean unwanted = leaving && !(order instanceof FenceKey);
+            if (unwanted || !sendNow(order)) {
                 return false;
             }
             inFlight.put(order.attempt(), inbox);
@@ -376,6 +380,7 @@
             }
             leaving = true;
             departedKeys = Set.copyOf(notice.keys());
+            sendNow(new LeavingHeard());
         }
         context.poolChanged().accept(vm.pool());
         logger.atInfo().log("event=endpoint-leaving endpoint=%s", vm.name());
--- a/wire/src/main/java/org/quetzalseam/wire/message/MessageType.java
+++ b/wire/src/main/java/org/quetzalseam/wire/message/MessageType.java
@@ -12,6 +12,7 @@
     LEAVING(12, Leaving.class),
     FETCH_STATE(13, FetchState.class),
     SITE_STATE(14, SiteState.class),
+    LEAVING_HEARD(15, LeavingHeard.class),
     BOOK(20, Book.class),
     PREFILL(21, Prefill.class),
     DECODE(22, Decode.class),
