Stand-in paths deliver nothing beyond bytes that were lost

Cause in the stand-in: a healed path ended its silence before it reset the connections that had lost bytes, and what came between passed. The entry's log shows it: events=282, longest_pause_ms=2789, and CONNECTION_LOST right after; it cut the answer. No network does that, so the product could not know. Ruled out: a second attempt of the stream (tries=1, NOT_IDEMPOTENT).

--- a/standins/src/main/java/org/quetzalseam/standins/LinkProxy.java
+++ b/standins/src/main/java/org/quetzalseam/standins/LinkProxy.java
@@ -152,13 +152,20 @@
     }
 
     private void copy(Socket from, Socket to, boolean there) {
+        boolean holed = false;
         byte[] buffer = new byte[BUFFER];
         try {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             int length = in.read(buffer);
             while (length >= 0) {
-                pass(buffer, length, out, there);
+                awaitThaw();
+                sleep(delayMillis);
+                // What comes after a loss would not fit: a real connection delivers nothing beyond it.
+                holed |= there ? silentThere : silentBack;
+                if (!holed) {
+                    out.write(buffer, 0, length);
+                }
                 length = in.read(buffer);
             }
             close(to);
@@ -172,15 +179,6 @@
         sockets.remove(to);
     }
 
-    private void pass(byte[] buffer, int length, OutputStream out, boolean there) throws IOException {
-        awaitThaw();
-        sleep(delayMillis);
-        boolean lost = there ? silentThere : silentBack;
-        if (!lost) {
-            out.write(buffer, 0, length);
-        }
-    }
-
     private static void sleep(long millis) {
         try {
             TimeUnit.MILLISECONDS.sleep(millis);
