--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/SeedInquiry.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/SeedInquiry.java
@@ -6,6 +6,8 @@
 import org.quetzalseam.wire.connection.Dialer;
 import org.quetzalseam.wire.connection.Identity;
 import org.quetzalseam.wire.message.FetchState;
+import org.quetzalseam.wire.message.Leaving;
+import org.quetzalseam.wire.message.LeavingHeard;
 import org.quetzalseam.wire.message.Message;
 import org.quetzalseam.wire.message.SiteState;
 import org.quetzalseam.wire.runtime.Service;
@@ -48,6 +50,9 @@
         public void received(Connection connection, Message message) {
             if (message instanceof SiteState state) {
                 site.offer(state);
+            } else if (message instanceof Leaving) {
+                // No work is sent here; who leaves needn't wait for more.
+                connection.send(new LeavingHeard());
             }
         }
 
--- a/daemon/src/test/java/org/quetzalseam/daemon/entry/EndpointLinkTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/entry/EndpointLinkTest.java
@@ -21,6 +21,7 @@
 import org.quetzalseam.core.admission.WorkClass;
 import org.quetzalseam.core.attempt.AttemptId;
 import org.quetzalseam.core.catalogue.CatalogueInForce;
+import org.quetzalseam.daemon.settings.Settings.Seed;
 import org.quetzalseam.daemon.settings.Settings.Timing;
 import org.quetzalseam.wire.connection.Connection;
 import org.quetzalseam.wire.connection.Dialer;
@@ -221,6 +222,26 @@
         link.stop();
     }
 
+    @Test
+    void anEndpointThatSaysItLeavesIsToldThatThisIsKnownAndGetsNoWorkAfterIt() {
+        EndpointLink link = link();
+        await("a connection", link::connected);
+        endpoint.say(new Leaving(List.of()));
+        await("the word that it is known", () -> endpoint.leavingHeard());
+        assertThat(link.begin(order(1), new Inbox(), 1)).isFalse();
+        link.stop();
+    }
+
+    /** Whoever holds a connection only to ask for the newest state kept a leaving endpoint waiting for a whole lease. */
+    @Test
+    void anEndpointThatSaysItLeavesIsToldSoByAnInquiryForTheNewestStateToo() {
+        SeedInquiry inquiry = new SeedInquiry(List.of(new Seed("127.0.0.1", endpoint.port())), context);
+        inquiry.start();
+        endpoint.say(new Leaving(List.of()));
+        await("the word that it is known", () -> endpoint.leavingHeard());
+        inquiry.stop();
+    }
+
     /** The last message of a process may still be read when the next one is connected. */
     @Test
     void whatAnEarlierProcessSaidIsNotTakenForTheWordOfTheOneThatIsThere() {
--- a/daemon/src/test/java/org/quetzalseam/daemon/entry/FakeEndpoint.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/entry/FakeEndpoint.java
@@ -20,6 +20,7 @@
 import org.quetzalseam.wire.message.Call;
 import org.quetzalseam.wire.message.FenceKey;
 import org.quetzalseam.wire.message.KeyFenced;
+import org.quetzalseam.wire.message.LeavingHeard;
 import org.quetzalseam.wire.message.Load;
 import org.quetzalseam.wire.message.Message;
 import org.quetzalseam.wire.message.Prefill;
@@ -36,6 +37,7 @@
     private final Acceptor acceptor;
     private final Set<AttemptId> taken = ConcurrentHashMap.newKeySet();
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+    private volatile boolean leavingHeard;
 
     private FakeEndpoint(int port) {
         acceptor = new Acceptor(
@@ -75,6 +77,11 @@
         return taken.contains(id);
     }
 
+    /** Returns whether an entry has said that it knows of the process's leaving. */
+    boolean leavingHeard() {
+        return leavingHeard;
+    }
+
     /** Sends a message to every entry. The first is waited for: it ends its handshake, and is connected, before this process does. */
     void say(Message message) {
         long end = System.nanoTime() + CONNECTION_WAIT.toNanos();
@@ -90,7 +97,9 @@
 
     @Override
     public void received(Connection connection, Message message) {
-        if (message instanceof AttemptMessage order) {
+        if (message instanceof LeavingHeard) {
+            leavingHeard = true;
+        } else if (message instanceof AttemptMessage order) {
             taken.add(order.attempt());
             connection.send(reply(order));
         }
