A connection that is ended while it writes ends; an inquiry looks again where a connection closed

Cause of the first, in Connection since it ends in order: the writer read 'finishing' before it emptied the queue; an end queued meanwhile was polled as a message and lost, and the writer waited for ever. The stop of an endpoint took six seconds, its entry kept asking it. Found in the log of LeavingTest's 20 stops (one link-closed instead of two). ConnectionEndTest: before, a timeout; after, 300 of 300.

--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyInquiry.java
@@ -32,6 +32,7 @@
     /** How often connections that a question is on are looked at. */
     private static final Duration CLOSED_LOOK = Duration.ofMillis(10);
 
+    private static final int MAX_TRIES = 3;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     /** What is known of the key. */
@@ -150,14 +151,18 @@
 
     private void ask(EndpointLink link) {
         Reach reach = reach(link);
-        if (reach == Reach.CONNECTED && link.begin(new FenceKey(id, key, mintedAtMillis), inbox, 0)) {
-            asked.add(link);
-            return;
+        for (int tries = 1; reach == Reach.CONNECTED; tries++) {
+            if (link.begin(new FenceKey(id, key, mintedAtMillis), inbox, 0)) {
+                asked.add(link);
+                return;
+            }
+            // The connection closed in between; what is there now is to be seen again.
+            reach = tries < MAX_TRIES ? reach(link) : Reach.UNKNOWN;
         }
         asked.remove(link);
         unanswered.remove(link);
         absent.add(link);
-        if (reach == Reach.CONNECTED || reach == Reach.UNKNOWN) {
+        if (reach == Reach.UNKNOWN) {
             maybeBack.add(link);
         }
     }
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
@@ -116,11 +116,7 @@
     private void writeAll() {
         try {
             while (!closed.get()) {
-                byte[] frame = queue.take();
-                // Read before the queue is emptied: what was sent before the end is then among what is written.
-                boolean last = finishing;
-                writeQueued(frame);
-                if (last) {
+                if (writeQueued(queue.take())) {
                     socket.shutdownOutput();
                     return;
                 }
@@ -134,14 +130,19 @@
         close();
     }
 
-    private void writeQueued(byte[] first) throws IOException {
+    /** Writes all that is queued. Returns whether the end was among it, wherever it stood: it is queued once. */
+    private boolean writeQueued(byte[] first) throws IOException {
+        boolean ended = false;
         for (byte[] frame = first; frame != null; frame = queue.poll()) {
-            if (frame != END) {
+            if (frame == END) {
+                ended = true;
+            } else {
                 queuedBytes.addAndGet(-frame.length);
                 FrameCodec.write(out, frame);
             }
         }
         out.flush();
+        return ended;
     }
 
     private void readAll() {
--- a/wire/src/test/java/org/quetzalseam/wire/connection/ConnectionEndTest.java
+++ b/wire/src/test/java/org/quetzalseam/wire/connection/ConnectionEndTest.java
@@ -23,6 +23,10 @@
 class ConnectionEndTest {
     private static final int MESSAGES = 400;
     private static final int KEYS = 100;
+    private static final int ENDS = 300;
+    /** What the end comes later by from one connection to the next, so that some of them are ended in the midst of a message. */
+    private static final long STEP_NANOS = 1_000;
+
     /** Message size times messages is some megabytes: more than the buffers between the two ends take. */
     private static final Leaving LARGE = new Leaving(Collections.nCopies(KEYS, "k".repeat(300)));
 
@@ -134,4 +138,30 @@
         mayRead.countDown();
         dialer.stop();
     }
+
+    /** Waits for less time than a thread can be parked for. */
+    private static void spin(long nanos) {
+        long until = System.nanoTime() + nanos;
+        while (System.nanoTime() - until < 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /**
+     * An endpoint that stopped as planned ended one of its connections and not the other: the writer had taken a message just before the end was
+     * queued, took the end for one more message, and waited for the next. The entry went on asking there until the limit of six seconds.
+     */
+    @Test
+    void aConnectionThatIsEndedWhileItWritesEnds() throws Exception {
+        mayRead.countDown();
+        for (int i = 0; i < ENDS; i++) {
+            Dialer dialer = dial();
+            Connection connection = accepted.poll(5, TimeUnit.SECONDS);
+            connection.send(LARGE);
+            spin(i * STEP_NANOS);
+            connection.finish();
+            connection.whenClosed().get(2, TimeUnit.SECONDS);
+            dialer.stop();
+        }
+    }
 }
