A leaving endpoint says its word also on connections that open while it leaves

LeavingEndpointTest: before, no word in 3 s; after, at once. What a leaving endpoint had seen doesn't grow, so the same word holds later.

--- a/cli/src/test/java/org/quetzalseam/cli/LeavingEndpointTest.java
+++ b/cli/src/test/java/org/quetzalseam/cli/LeavingEndpointTest.java
@@ -32,6 +32,7 @@
     /** How late an entry hears that the endpoint leaves: within a lease. */
     private static final long LATE_MILLIS = 300;
 
+    private static final Duration WORD_LIMIT = Duration.ofSeconds(3);
     private static final Work WORK = new Work("owner", "entry", WorkClass.SHORT, 1, 10, 10, 1_000, 10);
 
     private final TestSite site = TestSite.start();
@@ -99,4 +100,42 @@
                         Refused.class, refused -> assertThat(refused.reason()).isEqualTo(RefusalReason.LEAVING));
         dialer.stop();
     }
+
+    /**
+     * An inquiry was in doubt, {@code reason=absent-without-word}, about an endpoint that had left as planned: its entry's connection had opened
+     * there a moment after the endpoint told all entries, and what it said then was all that they were to hear of its keys.
+     */
+    @Test
+    void anEntryWhoseConnectionOpensWhileAnEndpointLeavesHearsItsWordToo() throws Exception {
+        EndpointVm service = site.services().get(0);
+        service.daemon().leave();
+        WordEntry entry = new WordEntry();
+        Dialer dialer = new Dialer(
+                "127.0.0.1", service.daemon().port(), self, SiteKey.loopback(), Transport.plain(), timers, entry);
+        dialer.start();
+        assertThat(entry.word.get(WORD_LIMIT.toMillis(), TimeUnit.MILLISECONDS)).isNotNull();
+        dialer.stop();
+    }
+
+    /** Waits for the word of an endpoint that leaves. */
+    private static final class WordEntry implements Dialer.Listener {
+        private final CompletableFuture<Leaving> word = new CompletableFuture<>();
+
+        @Override
+        public void opened(Connection connection) {
+            // Nothing is sent.
+        }
+
+        @Override
+        public void received(Connection connection, Message message) {
+            if (message instanceof Leaving leaving) {
+                word.complete(leaving);
+            }
+        }
+
+        @Override
+        public void closed(Connection connection) {
+            // The test waits for the word.
+        }
+    }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/Sessions.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/Sessions.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.jspecify.annotations.Nullable;
 import org.quetzalseam.wire.connection.Connection;
 import org.quetzalseam.wire.message.Leaving;
 import org.quetzalseam.wire.message.Message;
@@ -17,6 +18,7 @@
 
     private final Map<Long, Connection> byIncarnation = new ConcurrentHashMap<>();
     private final Set<Connection> unheard = ConcurrentHashMap.newKeySet();
+    private volatile @Nullable Leaving notice;
 
     void opened(Connection connection) {
         long incarnation = connection.peer().incarnation();
@@ -24,6 +26,10 @@
         if (kept != connection) {
             connection.close();
         }
+        Leaving told = notice;
+        if (told != null) {
+            tell(connection, told);
+        }
     }
 
     /** Returns whether a message that arrived on the connection is to be taken. */
@@ -44,14 +50,17 @@
         }
     }
 
-    /** Tells every entry that this process leaves. */
-    void tellLeaving(Leaving notice) {
-        byIncarnation.values().forEach(connection -> {
-            unheard.add(connection);
-            if (!connection.send(notice)) {
-                unheard.remove(connection);
-            }
-        });
+    /** Tells every entry that this process leaves, also those whose connection opens later. */
+    void tellLeaving(Leaving leaving) {
+        notice = leaving;
+        byIncarnation.values().forEach(connection -> tell(connection, leaving));
+    }
+
+    private void tell(Connection connection, Leaving leaving) {
+        unheard.add(connection);
+        if (!connection.send(leaving)) {
+            unheard.remove(connection);
+        }
     }
 
     /** Takes note that what an entry sends on a connection from now on it sends knowing that this process leaves. */
