--- a/core/src/main/java/org/quetzalseam/core/store/StorePosition.java
+++ b/core/src/main/java/org/quetzalseam/core/store/StorePosition.java
@@ -18,6 +18,9 @@
     /** Bits of a number for the revision: for thirty years at a thousand changes a second. */
     private static final int REVISION_BITS = 40;
 
+    /** Last era whose positions have numbers of their own. */
+    public static final long MAX_ERA = (1L << (Long.SIZE - 1 - REVISION_BITS)) - 1;
+
     private static final Comparator<StorePosition> ORDER =
             Comparator.comparingLong(StorePosition::era).thenComparingLong(StorePosition::revision);
 
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
@@ -255,7 +255,6 @@
         logger.atInfo().log("event=stopped role=endpoint name=%s", self.name());
     }
 
-    /** Work is over when its last output is handed to a connection, which may be seconds before that has left. */
     /** Goes on answering until no entry sends work in the belief that it is taken here. */
     private void awaitHeard() {
         long until = timers.now() + settings.timing().lease().toNanos();
@@ -267,6 +266,7 @@
         }
     }
 
+    /** Work is over when its last output is handed to a connection, which may be seconds before that has left. */
     private void deliverLastMessages() {
         try {
             acceptor.finish().get(LAST_MESSAGES.toMillis(), TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/quetzalseam/daemon/platform/AnswerEra.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/platform/AnswerEra.java
@@ -51,8 +51,8 @@
             return;
         }
         long era = parse(header.get());
-        if (era < 0 || (stated && era < known)) {
-            throw unusable(header.get(), "expected a whole number of at least " + known);
+        if (era < known || era > StorePosition.MAX_ERA) {
+            throw unusable(header.get(), "expected a whole number from " + known + " to " + StorePosition.MAX_ERA);
         }
         if (stated && era > known) {
             logger.atWarning().log("event=store-era-risen before=%d era=%d", known, era);
--- a/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
@@ -155,6 +155,10 @@
         HttpResponse<byte[]> response = send(request(objectPath(name) + watchQuery(version, wait), wait.plus(TIMEOUT))
                 .GET()
                 .build());
+        if (response.statusCode() == NOT_FOUND && version != 0) {
+            // It was there, and the store answers without waiting: the caller is to pause before it looks again.
+            throw new StoreException(Code.REFUSED, "the object is gone", null);
+        }
         return response.statusCode() == GONE ? read(name) : found(response);
     }
 
--- a/daemon/src/test/java/org/quetzalseam/daemon/platform/RestoredObjectStoreTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/platform/RestoredObjectStoreTest.java
@@ -106,4 +106,15 @@
         assertThat(now.version()).isGreaterThan(before);
         assertThat(now.vms()).hasSize(1);
     }
+
+    /** Such a watch is answered at once, each time; a follower that took it for a wait that is over would ask without pause. */
+    @Test
+    void aWatchOfAnObjectThatTheCopyDoesNotHaveFails() {
+        PlatformStandIn.Copy copy = platform.copy();
+        long before = store.create("a", value(1)).version();
+        platform.restore(copy);
+        assertThatThrownBy(() -> store.watch("a", before, LONG))
+                .isInstanceOfSatisfying(
+                        StoreException.class, e -> assertThat(e.code()).isEqualTo(StoreException.Code.REFUSED));
+    }
 }
