Sight for the incident: the retry budget's inputs at each try, the age of the word that a 404 rests on

The logs couldn't tell how much of the retry budget an entry had left, from how many requests, retries and entries, and how long its process had been up; nor from how old a word of the store, of which era and revision, a route was said not to exist. Both stand in the lines of the decisions now. No logic is changed.

--- a/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
+++ b/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
@@ -68,6 +68,23 @@
         return true;
     }
 
+    /**
+     * What a decision on a retry rests on. Immutable.
+     *
+     * @param left retries that are left, rounded down
+     * @param requests requests in the window
+     * @param retries retries in the window
+     * @param slack this entry's part of the slack
+     */
+    public record Inputs(int left, int requests, int retries, double slack) {}
+
+    /** Returns what a decision would rest on now, for the log. */
+    public Inputs inputs(long now) {
+        trim(now);
+        double allowed = ratio * requests.size() + slack;
+        return new Inputs((int) Math.floor(allowed - retries.size()), requests.size(), retries.size(), slack);
+    }
+
     private void trim(long now) {
         trim(requests, now);
         trim(retries, now);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -238,7 +238,7 @@
         int status = head.status().code();
         if (facts.notRun()) {
             body.release();
-            log.rejected(engine, status);
+            log.rejected(engine, status, context.budget(service));
             turnAgain("the engine turned it away");
             return;
         }
@@ -281,7 +281,10 @@
         relay.events().restart();
         AnotherTry next = turns.goOn();
         if (next == AnotherTry.ALLOWED) {
-            log.step("resume", engine, "after=" + relay.events().lastId() + " why=\"" + why + "\"");
+            log.step(
+                    "resume",
+                    engine,
+                    "after=" + relay.events().lastId() + " why=\"" + why + "\" " + context.budget(service));
             lessons.inVain();
             takeTurn();
         } else {
@@ -290,7 +293,7 @@
     }
 
     private void unknown(String why, AnotherTry denied) {
-        log.triesEnd(why, denied);
+        log.triesEnd(why, denied, context.budget(service));
         over("broken-off", HttpResponseStatus.BAD_GATEWAY.code());
         if (exchange.begun()) {
             exchange.cut(why);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PromptReading.java
@@ -178,7 +178,7 @@
         end();
         if (handle.isEmpty()) {
             engine.work().turnedAway(context.now());
-            log.step("prefill-refused", engine, "status=" + answer.status().code());
+            log.step("prefill-refused", engine, "status=" + answer.status().code() + " " + context.budget(service));
             askAnother(decoder);
             return;
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
@@ -19,6 +20,7 @@
 import org.quetzalseam.gateway.operator.GatewayMetrics;
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.KindKnowledge;
 
 /** Finds the route of each request and starts its run. Used on the event loop only. */
 public final class RequestRouter {
@@ -33,6 +35,7 @@
     private final RunContext context;
     private final List<Exchange> early = new ArrayList<>();
     private @Nullable RouteTable routes;
+    private @Nullable KindKnowledge knowledge;
 
     /** Creates a router that knows no routes yet. */
     public RequestRouter(
@@ -53,6 +56,11 @@
         routeEarly();
     }
 
+    /** Takes what tells how well the desired state is known. */
+    public void knowledge(KindKnowledge desiredState) {
+        knowledge = desiredState;
+    }
+
     /** Takes settings that were read again. */
     public void update(EntrySettings settings) {
         context.settings(settings);
@@ -99,14 +107,26 @@
         Optional<RouteRule> found = table.find(host, exchange.request().uri());
         if (found.isEmpty()) {
             logger.atInfo().log(
-                    "event=no-route request=%s host=%s version=%d",
-                    exchange.facts().id(), host, table.version());
+                    "event=no-route request=%s host=%s version=%d %s",
+                    exchange.facts().id(), host, table.version(), knowledgeInputs());
             context.fail(exchange, HttpResponseStatus.NOT_FOUND, "no route");
             return;
         }
         start(exchange, found.get(), table.version());
     }
 
+    private String knowledgeInputs() {
+        KindKnowledge told = knowledge;
+        return told == null
+                ? "word_age_ms=0"
+                : String.format(
+                        Locale.ROOT,
+                        "word_age_ms=%d era=%d revision=%d",
+                        told.ageMillis(),
+                        told.position().era(),
+                        told.position().revision());
+    }
+
     /** A process that has just started is asked before it has heard from the store; its callers needn't come back for that. */
     private void waitForRoutes(Exchange exchange) {
         if (early.size() >= MAX_EARLY || context.leaving()) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -7,6 +7,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ThreadLocalRandom;
@@ -39,6 +40,7 @@
     private final Protocol protocol;
     private final Directory directory;
     private final GatewayMetrics metrics;
+    private final long createdAt;
     private EntrySettings settings;
     /** The entries that share the site; null until they have been counted. */
     private @Nullable EntryCount entries;
@@ -56,6 +58,7 @@
         this.directory = directory;
         this.settings = settings;
         this.metrics = metrics;
+        this.createdAt = timers.now();
     }
 
     Timers timers() {
@@ -114,6 +117,21 @@
         return allowed;
     }
 
+    /** Returns the inputs of a decision on a retry at a service, for the log. */
+    String budget(String service) {
+        RetryAllowance.Inputs inputs = retries(service).inputs(now());
+        EntryCount counted = entries;
+        return String.format(
+                Locale.ROOT,
+                "budget_left=%d budget_requests=%d budget_retries=%d budget_slack=%.1f entries=%d up_ms=%d",
+                inputs.left(),
+                inputs.requests(),
+                inputs.retries(),
+                inputs.slack(),
+                counted == null ? 0 : counted.entries(),
+                TimeUnit.NANOSECONDS.toMillis(now() - createdAt));
+    }
+
     /** Decides whether a request that has run so often may be sent again, and takes the retry if so. */
     AnotherTry anotherTry(RouteRule route, String service, int runs) {
         return anotherTry(route, service, runs, 1);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -63,10 +63,10 @@
     }
 
     /** Tells why a request that may have run isn't sent again. */
-    void triesEnd(String why, AnotherTry denied) {
+    void triesEnd(String why, AnotherTry denied, String budget) {
         logger.atInfo().log(
-                "event=tries-end request=%s why=\"%s\" denied=%s age_ms=%d",
-                exchange.facts().id(), why, denied, exchange.ageMillis());
+                "event=tries-end request=%s why=\"%s\" denied=%s age_ms=%d %s",
+                exchange.facts().id(), why, denied, exchange.ageMillis(), budget);
     }
 
     void readInVain(int tokens) {
@@ -94,9 +94,9 @@
     }
 
     /** Notes that an endpoint has turned the request away, which says that it has not run. */
-    void rejected(Endpoint endpoint, int status) {
+    void rejected(Endpoint endpoint, int status, String budget) {
         metrics.tried(service, "REJECTED");
-        step("rejected", endpoint, "status=" + status);
+        step("rejected", endpoint, "status=" + status + " " + budget);
     }
 
     void step(String step, Endpoint endpoint, String detail) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -159,7 +159,7 @@
         }
         if (serverFault && context.anotherTry(route, service, runs) == AnotherTry.ALLOWED) {
             body.release();
-            log.step("retry", endpoint, "status=" + answer.status().code());
+            log.step("retry", endpoint, "status=" + answer.status().code() + " " + context.budget(service));
             sendToNext();
             return;
         }
@@ -173,7 +173,7 @@
 
     private void rejected(Endpoint endpoint, int status) {
         rejections++;
-        log.rejected(endpoint, status);
+        log.rejected(endpoint, status, context.budget(service));
         if (rejections < MAX_REJECTIONS && takeRetry()) {
             sendToNext();
         } else {
@@ -210,11 +210,11 @@
     private void unproved(Endpoint endpoint, String why) {
         AnotherTry next = context.anotherTry(route, service, runs);
         if (next == AnotherTry.ALLOWED) {
-            log.step("retry", endpoint, "why=\"" + why + "\"");
+            log.step("retry", endpoint, "why=\"" + why + "\" " + context.budget(service));
             sendToNext();
             return;
         }
-        log.triesEnd(why, next);
+        log.triesEnd(why, next, context.budget(service));
         over("unknown", HttpResponseStatus.BAD_GATEWAY.code());
         context.fail(exchange, HttpResponseStatus.BAD_GATEWAY, "the endpoint gave no whole answer");
     }
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindKnowledge.java
@@ -0,0 +1,12 @@
+package org.quetzalseam.gateway.store;
+
+import org.quetzalseam.core.store.StorePosition;
+
+/** How well the newest state of one kind of objects is known. Used on the event loop only. */
+public interface KindKnowledge {
+    /** Returns how old the newest word from the store is, in milliseconds. */
+    long ageMillis();
+
+    /** Returns the store's position that this word showed. */
+    StorePosition position();
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -15,7 +15,7 @@
  *
  * <p>A watch waits briefly, so that one that has gone silent is noticed before a change is overdue.
  */
-public final class KindWatch {
+public final class KindWatch implements KindKnowledge {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** How long one watch waits, in milliseconds: changes must be in force within some seconds, a silent watch included. */
     static final long WAIT_MILLIS = 2_000;
@@ -42,6 +42,7 @@
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long listEra;
     private StorePosition listed = StorePosition.NONE;
+    private StorePosition newest = StorePosition.NONE;
     private boolean away;
     private boolean everAway;
     private long returnedAt;
@@ -60,11 +61,16 @@
         timers.soon(this::listAll);
     }
 
-    /** Returns how old the newest word from the store is, in milliseconds. */
+    @Override
     public long ageMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAt);
     }
 
+    @Override
+    public StorePosition position() {
+        return newest;
+    }
+
     private void listAll() {
         pages.clear();
         listFrom(null);
@@ -124,6 +130,7 @@
     }
 
     private void watch(StorePosition from) {
+        newest = from;
         store.watch(
                 kind,
                 from,
