--- a/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
+++ b/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
@@ -20,6 +20,7 @@
     private final double commonSlack;
     private double slack;
     private final long windowNanos;
+    private final long startedAt;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> retries = new ArrayDeque<>();
 
@@ -29,8 +30,9 @@
      * @param ratio common retries for each request, from 0 to 1
      * @param slack common retries in a window besides
      * @param windowNanos the window's length
+     * @param startedAt when this entry's process began
      */
-    public RetryAllowance(double ratio, double slack, long windowNanos) {
+    public RetryAllowance(double ratio, double slack, long windowNanos, long startedAt) {
         if (!(ratio >= 0 && ratio <= 1)) {
             throw new IllegalArgumentException("ratio: expected 0 to 1, got " + ratio);
         }
@@ -38,6 +40,7 @@
         this.commonSlack = slack * RATIO_USED;
         entries(ENTRIES_ASSUMED);
         this.windowNanos = windowNanos;
+        this.startedAt = startedAt;
     }
 
     /** Takes the number of entries that share the budget. */
@@ -75,14 +78,16 @@
      * @param requests requests in the window
      * @param retries retries in the window
      * @param slack this entry's part of the slack
+     * @param upNanos how long this entry's process has been up
      */
-    public record Inputs(int left, int requests, int retries, double slack) {}
+    public record Inputs(int left, int requests, int retries, double slack, long upNanos) {}
 
     /** Returns what a decision would rest on now, for the log. */
     public Inputs inputs(long now) {
         trim(now);
         double allowed = ratio * requests.size() + slack;
-        return new Inputs((int) Math.floor(allowed - retries.size()), requests.size(), retries.size(), slack);
+        return new Inputs(
+                (int) Math.floor(allowed - retries.size()), requests.size(), retries.size(), slack, now - startedAt);
     }
 
     private void trim(long now) {
--- a/core/src/test/java/org/quetzalseam/core/limits/RetryAllowanceTest.java
+++ b/core/src/test/java/org/quetzalseam/core/limits/RetryAllowanceTest.java
@@ -10,6 +10,7 @@
     private static final long WINDOW = 10_000_000_000L;
     private static final double RATIO = 0.2;
     private static final double SLACK = 56;
+    private static final long LONG_AGO = -10 * WINDOW;
 
     private static int taken(RetryAllowance allowance, long now) {
         int taken = 0;
@@ -26,7 +27,7 @@
         int all = 0;
         int retries = 0;
         for (int share : requests) {
-            RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW);
+            RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW, LONG_AGO);
             allowance.entries(requests.length);
             entries.add(allowance);
             for (int i = 0; i < share; i++) {
@@ -43,12 +44,12 @@
 
     @Test
     void anEntryThatDoesNotKnowTheOthersTakesASmallPartOfTheSlack() {
-        assertThat(taken(new RetryAllowance(RATIO, SLACK, WINDOW), 1)).isLessThanOrEqualTo(2);
+        assertThat(taken(new RetryAllowance(RATIO, SLACK, WINDOW, LONG_AGO), 1)).isLessThanOrEqualTo(2);
     }
 
     @Test
     void aCrashAtTheStartOfTrafficLeavesRetriesForThoseWhoCanGoOn() {
-        RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW);
+        RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW, LONG_AGO);
         allowance.entries(5);
         for (int i = 0; i < 5; i++) {
             allowance.request(1);
@@ -58,7 +59,7 @@
 
     @Test
     void whatIsTakenComesBackAfterTheWindow() {
-        RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW);
+        RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW, LONG_AGO);
         allowance.entries(5);
         int first = taken(allowance, 1);
         assertThat(taken(allowance, WINDOW)).isZero();
@@ -67,7 +68,7 @@
 
     @Test
     void severalRetriesAreTakenTogetherOrNotAtAll() {
-        RetryAllowance few = new RetryAllowance(0, 5, 1_000);
+        RetryAllowance few = new RetryAllowance(0, 5, 1_000, -10_000);
         few.entries(1);
         assertThat(few.retries(0, 3)).isTrue();
         assertThat(few.retries(0, 2)).isFalse();
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -129,7 +129,7 @@
                 inputs.retries(),
                 inputs.slack(),
                 counted == null ? 0 : counted.entries(),
-                TimeUnit.NANOSECONDS.toMillis(now() - createdAt));
+                TimeUnit.NANOSECONDS.toMillis(inputs.upNanos()));
     }
 
     /** Decides whether a request that has run so often may be sent again, and takes the retry if so. */
@@ -180,7 +180,8 @@
         RetryAllowance allowance = new RetryAllowance(
                 settings.retryRatio(),
                 settings.retrySlack(),
-                TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMillis()));
+                TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMillis()),
+                createdAt);
         EntryCount counted = entries;
         if (counted != null) {
             allowance.entries(counted.entries());
