An entry that is started again and again spends no more retries than one that runs on

Cause: the window of RetryAllowance lives in the process. Each life of an entry had the entry's whole part of the slack at once; five entries killed three times within ten seconds had it eighteen times. Fix: a process can't know what an earlier one has spent, so it is never trusted with what that one may have spent: an established process (up for a window) has 0.8 of the entry's part, as before; all younger ones of a window have 0.2 together, as it grows with a process's age from 0. No window can hold an established process's spending and more than that: a process is established only once all earlier lives' spending has left the window. The part by ratio needs nothing: each life counts its own requests. Weighed: no slack at all before a window is over (leaves 0.2 unused); a token bucket (halves what an entry that runs on may spend at once); spending recorded in the store (exact, but a write before each part of it, and none while the store is away, which is when retries matter). Tests: the entry of the gateway's tests has an ample slack, as it is always young; RetryBudgetTest waits until its entry has the whole of its five, and checks the same bounds.

--- a/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
+++ b/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
@@ -9,18 +9,26 @@
  * <p>The common budget for a window is {@code ratio} times the requests plus a slack. An entry takes {@code ratio} times its
  * own requests, which adds up to the common ratio whatever the entries' shares of traffic, and an even part of the slack; until
  * it knows how many entries there are, so small a part that it holds for {@link #ENTRIES_ASSUMED} of them.
+ *
+ * <p>A process doesn't know what an earlier one of the same entry has spent in the window. So an entry's part of the slack has two
+ * parts: one for a process that has been up for a whole window, and a smaller one for all younger ones together, which grows
+ * evenly with a process's age. However often an entry is started in a window, it spends both at most.
  */
 public final class RetryAllowance {
     /** Most entries for which the parts of the slack add up to no more than the whole: a large site of one region. */
     static final int ENTRIES_ASSUMED = 24;
-    /** Part of the budget that is used, as requests and retries fall into sliding windows that don't quite agree. */
+    /** Part of the ratio that is used, as requests and retries fall into sliding windows that don't quite agree. */
     private static final double RATIO_USED = 0.8;
+    /** Part of the slack for a process that has been up for a window. */
+    private static final double ESTABLISHED_SHARE = 0.8;
+    /** Part of the slack for all younger processes of an entry in a window. */
+    private static final double YOUNG_SHARE = 0.2;
 
     private final double ratio;
     private final double commonSlack;
-    private double slack;
     private final long windowNanos;
     private final long startedAt;
+    private int entries = ENTRIES_ASSUMED;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> retries = new ArrayDeque<>();
 
@@ -37,15 +45,20 @@
             throw new IllegalArgumentException("ratio: expected 0 to 1, got " + ratio);
         }
         this.ratio = ratio * RATIO_USED;
-        this.commonSlack = slack * RATIO_USED;
-        entries(ENTRIES_ASSUMED);
+        this.commonSlack = slack;
         this.windowNanos = windowNanos;
         this.startedAt = startedAt;
     }
 
     /** Takes the number of entries that share the budget. */
     public void entries(int entries) {
-        slack = commonSlack / Math.max(1, entries);
+        this.entries = Math.max(1, entries);
+    }
+
+    private double slack(long now) {
+        long upNanos = now - startedAt;
+        double share = upNanos < windowNanos ? YOUNG_SHARE * upNanos / windowNanos : ESTABLISHED_SHARE;
+        return share * commonSlack / entries;
     }
 
     /** Notes a caller's request. */
@@ -62,7 +75,7 @@
     /** Takes several retries, as many as calls beyond a request's first will follow. Returns false, and takes none, when fewer are left. */
     public boolean retries(long now, int count) {
         trim(now);
-        if (retries.size() + count > ratio * requests.size() + slack) {
+        if (retries.size() + count > ratio * requests.size() + slack(now)) {
             return false;
         }
         for (int i = 0; i < count; i++) {
@@ -85,6 +98,7 @@
     /** Returns what a decision would rest on now, for the log. */
     public Inputs inputs(long now) {
         trim(now);
+        double slack = slack(now);
         double allowed = ratio * requests.size() + slack;
         return new Inputs(
                 (int) Math.floor(allowed - retries.size()), requests.size(), retries.size(), slack, now - startedAt);
--- a/gateway/src/test/java/org/quetzalseam/gateway/RetryBudgetTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/RetryBudgetTest.java
@@ -47,6 +47,7 @@
     void eachFurtherArrivalAtAnEngineTakesARetryAlsoTheReadingOfThePrompt() {
         entry.routes(5_000);
         entry.entries(1);
+        entry.awaitWholeSlack();
         entry.endpoints(prefill.member("s", Stage.PREFILL), decode.member("s", Stage.DECODE));
         for (int i = 0; i < REQUESTS; i++) {
             assertThat(entry.ask("/stream/x", "r" + i, SIZE)).startsWith("HTTP/1.1 503");
