Settings that are read again leave what has been spent of the retry budget spent

What callers saw: as with restarts, more repeats at a failing service than the operator allows, after a reload. Cause: the same class, state of a window that is dropped with what it belonged to. A reload whose settings differ in anything (the flag of the first start is enough) cleared all allowances; the next request had a new one with an empty window. Evidence: the new test of RetryBudgetTest failed: twice the retries of a window. Fix: an allowance takes the new budget and keeps its window and its age.

--- a/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
+++ b/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
@@ -24,10 +24,10 @@
     /** Part of the slack for all younger processes of an entry in a window. */
     private static final double YOUNG_SHARE = 0.2;
 
-    private final double ratio;
-    private final double commonSlack;
-    private final long windowNanos;
     private final long startedAt;
+    private double ratio;
+    private double commonSlack;
+    private long windowNanos;
     private int entries = ENTRIES_ASSUMED;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> retries = new ArrayDeque<>();
@@ -41,13 +41,18 @@
      * @param startedAt when this entry's process began
      */
     public RetryAllowance(double ratio, double slack, long windowNanos, long startedAt) {
+        this.startedAt = startedAt;
+        change(ratio, slack, windowNanos);
+    }
+
+    /** Takes another common budget. What has been spent stays spent. */
+    public void change(double ratio, double slack, long windowNanos) {
         if (!(ratio >= 0 && ratio <= 1)) {
             throw new IllegalArgumentException("ratio: expected 0 to 1, got " + ratio);
         }
         this.ratio = ratio * RATIO_USED;
         this.commonSlack = slack;
         this.windowNanos = windowNanos;
-        this.startedAt = startedAt;
     }
 
     /** Takes the number of entries that share the budget. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -79,7 +79,9 @@
 
     void settings(EntrySettings renewed) {
         settings = renewed;
-        retries.clear();
+        retries.values()
+                .forEach(allowance ->
+                        allowance.change(renewed.retryRatio(), renewed.retrySlack(), windowNanos(renewed)));
     }
 
     GatewayMetrics metrics() {
@@ -177,11 +179,8 @@
     }
 
     private RetryAllowance newAllowance() {
-        RetryAllowance allowance = new RetryAllowance(
-                settings.retryRatio(),
-                settings.retrySlack(),
-                TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMillis()),
-                createdAt);
+        RetryAllowance allowance =
+                new RetryAllowance(settings.retryRatio(), settings.retrySlack(), windowNanos(settings), createdAt);
         EntryCount counted = entries;
         if (counted != null) {
             allowance.entries(counted.entries());
@@ -189,6 +188,10 @@
         return allowance;
     }
 
+    private static long windowNanos(EntrySettings settings) {
+        return TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMillis());
+    }
+
     CallerPatience patience(String route) {
         return patience.computeIfAbsent(route, name -> new CallerPatience());
     }
--- a/gateway/src/test/java/org/quetzalseam/gateway/RetryBudgetTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/RetryBudgetTest.java
@@ -45,14 +45,33 @@
 
     @Test
     void eachFurtherArrivalAtAnEngineTakesARetryAlsoTheReadingOfThePrompt() {
+        begin();
+        askAll();
+        int further = prefill.runs().size() + decode.runs().size() - 2 * REQUESTS;
+        assertThat(further).isPositive().isLessThanOrEqualTo(4);
+    }
+
+    // Guards against a reload of the settings that forgets the retries of the window, so that as many are made again.
+    @Test
+    void settingsThatAreReadAgainDoNotGiveBackWhatHasBeenSpent() {
+        begin();
+        askAll();
+        entry.readSettingsAgain();
+        askAll();
+        int further = prefill.runs().size() + decode.runs().size() - 2 * 2 * REQUESTS;
+        assertThat(further).isPositive().isLessThanOrEqualTo(4);
+    }
+
+    private void begin() {
         entry.routes(5_000);
         entry.entries(1);
         entry.awaitWholeSlack();
         entry.endpoints(prefill.member("s", Stage.PREFILL), decode.member("s", Stage.DECODE));
+    }
+
+    private void askAll() {
         for (int i = 0; i < REQUESTS; i++) {
             assertThat(entry.ask("/stream/x", "r" + i, SIZE)).startsWith("HTTP/1.1 503");
         }
-        int further = prefill.runs().size() + decode.runs().size() - 2 * REQUESTS;
-        assertThat(further).isPositive().isLessThanOrEqualTo(4);
     }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
@@ -32,6 +32,8 @@
     /** Retries in a window that are enough for any test, also for an entry that has just started. */
     private static final double AMPLE_SLACK = 1e8;
 
+    private final double retryRatio;
+    private final double retrySlack;
     private final EntryProcess process;
     private final ListeningAddresses listening;
 
@@ -41,13 +43,22 @@
 
     /** Creates an entry with a retry budget: retries for each request, and in a window besides, of all entries together. */
     TestEntry(double retryRatio, double retrySlack) {
-        EntrySettings settings =
-                new EntrySettings("entry-1", "a", retryRatio, retrySlack, RETRY_WINDOW_MILLIS, 1, 2, 0.25, true);
-        process = new EntryProcess(new TestProtocol(), settings);
+        this.retryRatio = retryRatio;
+        this.retrySlack = retrySlack;
+        process = new EntryProcess(new TestProtocol(), settings(true));
         InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         listening = process.start(anyPort, anyPort, anyPort);
     }
 
+    private EntrySettings settings(boolean firstStart) {
+        return new EntrySettings("entry-1", "a", retryRatio, retrySlack, RETRY_WINDOW_MILLIS, 1, 2, 0.25, firstStart);
+    }
+
+    /** Has the settings read again, with a change that the retry budget has no part in. */
+    void readSettingsAgain() {
+        onLoop(() -> process.router().update(settings(false)));
+    }
+
     /** Waits until the entry has its whole part of the retry budget's slack. */
     void awaitWholeSlack() {
         try {
