An entry that has just been created doesn't count itself alone

What callers saw: nothing yet; for its first five seconds an entry whose name is new took the whole of the shared retry budget's slack, and of the connections to endpoints, for its own. Cause: its first count was made at once, from an answer that may be seconds old: the names of those who start with it aren't there yet, and an old answer lacks them all. Fix: a new name is counted a second later, from the newest state. Until then the share is that of an entry that has counted nobody, a small one. An entry that starts again finds its name and counts at once, as before.

--- a/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryCensus.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryCensus.java
@@ -17,7 +17,8 @@
  * Counts the entries that share a site's budgets: each leaves its name in the platform's store. Used on the event loop only.
  *
  * <p>Names of entries that were killed stay, so the count may be too high but not too low for long; a share of a budget that is
- * worked out from it is then too small, never too large. A name that has gone from the store is left again, and where the store
+ * worked out from it is then too small, never too large. An entry whose name is new makes its first count when those who start with
+ * it have left theirs too, and not from an old answer. A name that has gone from the store is left again, and where the store
  * has come back from an older copy the others are given time to do so too before they are taken for gone.
  */
 public final class EntryCensus {
@@ -26,6 +27,8 @@
     private static final String KIND = "quetzalseam-entries";
     /** How often names are counted at a small site, in milliseconds: entries come and go within minutes, and a call has its price. */
     private static final long COUNT_MILLIS = 5_000;
+    /** How long after its new name was left an entry counts first, in milliseconds: processes that start together differ by less. */
+    private static final long TOGETHER_MILLIS = 1_000;
     /**
      * Entries for each of which so much time passes between two counts: a name takes some 150 bytes of an answer, so that
      * counting takes 0.6 KB a second at most, however many there are.
@@ -83,29 +86,41 @@
     }
 
     private void register() {
-        store.create(KIND, self, JsonNodeFactory.instance.objectNode(), object -> registeredAs(), this::registerFailed);
+        store.create(
+                KIND,
+                self,
+                JsonNodeFactory.instance.objectNode(),
+                object -> {
+                    noteRegistered();
+                    timers.after(TOGETHER_MILLIS, this::countNewest);
+                },
+                this::registerFailed);
     }
 
     private void registerFailed(StoreFailure failure) {
         if (failure.kind() == StoreFailure.Kind.CONFLICT) {
-            registeredAs();
+            noteRegistered();
+            count();
         } else {
-            logger.atInfo().log("event=census-failed kind=%s detail=\"%s\"", failure.kind(), failure.detail());
+            countFailed(failure);
         }
     }
 
-    private void registeredAs() {
+    private void noteRegistered() {
         registered = true;
         era = store.position().era();
-        count();
+    }
+
+    private void countNewest() {
+        store.list(KIND, null, this::page, EntryCensus::countFailed);
     }
 
     private void count() {
-        store.listRecent(
-                KIND,
-                this::page,
-                failure -> logger.atInfo().log(
-                        "event=census-failed kind=%s detail=\"%s\"", failure.kind(), failure.detail()));
+        store.listRecent(KIND, this::page, EntryCensus::countFailed);
+    }
+
+    private static void countFailed(StoreFailure failure) {
+        logger.atInfo().log("event=census-failed kind=%s detail=\"%s\"", failure.kind(), failure.detail());
     }
 
     private void noteEra(long seen) {
--- a/gateway/src/test/java/org/quetzalseam/gateway/entry/EntryCensusTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/entry/EntryCensusTest.java
@@ -50,6 +50,28 @@
         assertThat(counted).containsExactly(5, 6);
     }
 
+    // Guards against an entry that takes the whole of a shared budget, as its first count was made before the others'
+    // names were there.
+    @Test
+    void entriesThatStartTogetherDoNotCountThemselvesAlone() {
+        start();
+        others(4);
+        passSeconds(20);
+        assertThat(counted).containsExactly(5);
+    }
+
+    // Guards against the same where an old answer lacks the others.
+    @Test
+    void anEntryThatIsAddedDoesNotCountFromAnOldAnswer() {
+        others(4);
+        store.listsRecently(List.of());
+        start();
+        passSeconds(4);
+        store.listsRecently(null);
+        passSeconds(20);
+        assertThat(counted).containsExactly(5);
+    }
+
     @Test
     void theRankIsTheNamesPlaceAmongTheOthers() {
         others(3);
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
@@ -19,6 +19,7 @@
     private boolean declining;
     private boolean losingAnswers;
     private @Nullable StoredObject recent;
+    private @Nullable List<StoredObject> recentList;
 
     /** Has calls declined, or no longer. */
     public void declining(boolean now) {
@@ -35,6 +36,11 @@
         recent = object;
     }
 
+    /** Has a list answered, as it was, to all who take an old answer; null for the newest again. */
+    public void listsRecently(@Nullable List<StoredObject> objects) {
+        recentList = objects;
+    }
+
     /** Returns how often a kind was listed. */
     public int lists() {
         return lists;
@@ -131,7 +137,12 @@
 
     @Override
     public void listRecent(String kind, Consumer<ObjectPage> done, Consumer<StoreFailure> failed) {
-        list(kind, null, done, failed);
+        List<StoredObject> old = recentList;
+        if (old == null) {
+            list(kind, null, done, failed);
+        } else {
+            done.accept(new ObjectPage(old, false, now()));
+        }
     }
 
     @Override
