A store connection that has gone silent doesn't make changes wait at the next silent one

What callers saw: 404 on a route that had been added seconds before (CONFIG), at an entry whose open connections to the store had gone silent. Cause: a watch was given up 2.9 s after its begin, a tenth of a second before the entry is held to the change again; the next one took a connection that had rested since, as silent as the first, for 0.9 s more, and so on for each that rested. A slow store's late answer costs one more call.

--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -7,20 +7,24 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.store.StorePosition;
+import org.quetzalseam.gateway.runtime.Subscription;
 import org.quetzalseam.gateway.runtime.Timers;
 
 /**
  * Keeps up with one kind of objects: lists it, then watches it, and lists again when the store has dropped the history or has
  * come back from an older copy. Used on the event loop only.
  *
- * <p>A watch waits briefly, so that one that has gone silent is noticed before a change is overdue.
+ * <p>A watch waits briefly, and one whose answer is late is begun anew over another connection, so that one that has gone silent
+ * is noticed before a change is overdue.
  */
 public final class KindWatch implements KindKnowledge {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** How long one watch waits, in milliseconds: changes must be in force within some seconds, a silent watch included. */
     static final long WAIT_MILLIS = 2_000;
-    /** The same while the store is away: an answer at once, so that its return is noticed within about a second. */
-    static final long AWAY_WAIT_MILLIS = 1;
+    /** The same where an answer is wanted at once: while the store is away, so that its return is noticed within about a second. */
+    static final long NO_WAIT_MILLIS = 1;
+    /** How long after its wait a watch's answer is late, in milliseconds: more than a slow store takes, and little of a change's time. */
+    static final long LATE_MILLIS = 250;
     /**
      * How long after changes the next ones are gathered before they are asked for, in milliseconds: endpoints that start or
      * leave together, and desired states in quick succession, then cost one call instead of one each. Small beside the time
@@ -43,6 +47,7 @@
     private long listEra;
     private StorePosition listed = StorePosition.NONE;
     private StorePosition newest = StorePosition.NONE;
+    private long watches;
     private boolean away;
     private boolean everAway;
     private long returnedAt;
@@ -131,12 +136,37 @@
 
     private void watch(StorePosition from) {
         newest = from;
+        ask(away ? NO_WAIT_MILLIS : WAIT_MILLIS);
+    }
+
+    /** Begins a watch in place of the one under way, if there is one. */
+    private void ask(long waitMillis) {
+        long asked = ++watches;
+        StorePosition from = newest;
+        Subscription late = timers.after(waitMillis + LATE_MILLIS, () -> askElsewhere(asked));
         store.watch(
                 kind,
                 from,
-                away ? AWAY_WAIT_MILLIS : WAIT_MILLIS,
-                changes -> changes(from, changes),
-                failure -> watchFailed(from, failure));
+                waitMillis,
+                changes -> answered(asked, late, () -> changes(from, changes)),
+                failure -> answered(asked, late, () -> watchFailed(from, failure)));
+    }
+
+    private void answered(long asked, Subscription late, Runnable call) {
+        late.cancel();
+        if (asked == watches) {
+            call.run();
+        }
+    }
+
+    /** Open connections may go silent for good while new ones work. */
+    private void askElsewhere(long asked) {
+        if (asked != watches || away) {
+            return;
+        }
+        logger.atInfo().log("event=watch-late kind=%s era=%d revision=%d", kind, newest.era(), newest.revision());
+        store.doubtConnections();
+        ask(NO_WAIT_MILLIS);
     }
 
     private void changes(StorePosition from, ObjectChanges changes) {
--- a/gateway/src/test/java/org/quetzalseam/gateway/stage/LeaseOverRestoresTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/LeaseOverRestoresTest.java
@@ -210,6 +210,9 @@
                     late(failed)));
         }
 
+        @Override
+        public void doubtConnections() {}
+
         @Override
         public StorePosition position() {
             return shown;
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -56,13 +56,33 @@
         pass(100);
         assertThat(store.waitMillis)
                 .as("a long wait at a silent store would hide its return for as long")
-                .isEqualTo(KindWatch.AWAY_WAIT_MILLIS);
+                .isEqualTo(KindWatch.NO_WAIT_MILLIS);
         assertThat(store.watchedFrom).isEqualTo(6);
         store.changed.accept(new ObjectChanges(List.of(), at(7)));
         pass(0);
         assertThat(store.waitMillis).isEqualTo(KindWatch.WAIT_MILLIS);
     }
 
+    // Guards against a change that is late as its watch waits on a connection that has gone silent.
+    @Test
+    void aWatchWhoseAnswerIsLateIsBegunAnewOverAnotherConnection() {
+        store.listed.accept(new ObjectPage(List.of(), false, at(6)));
+        Consumer<ObjectChanges> silent = store.changed;
+        Consumer<StoreFailure> silentFails = store.failed;
+        int calls = store.calls;
+        pass(KindWatch.WAIT_MILLIS + KindWatch.LATE_MILLIS);
+        assertThat(store.calls).isEqualTo(calls + 1);
+        assertThat(store.doubts).as("connections that rest may be as silent").isEqualTo(1);
+        assertThat(store.waitMillis).isEqualTo(KindWatch.NO_WAIT_MILLIS);
+        ObjectChanges.Change change = new ObjectChanges.Change(object("a", 7), false);
+        store.changed.accept(new ObjectChanges(List.of(change), at(7)));
+        silentFails.accept(new StoreFailure(StoreFailure.Kind.UNKNOWN, "no answer in time"));
+        silent.accept(new ObjectChanges(List.of(change), at(7)));
+        pass(KindWatch.GATHER_MILLIS);
+        assertThat(seen.lines).containsExactly("listed away=false", "changed a");
+        assertThat(store.calls).as("one watch goes on").isEqualTo(calls + 2);
+    }
+
     @Test
     void anOutageIsRetriedAtLeastThreeTimesASecond() {
         store.listed.accept(new ObjectPage(List.of(), false, at(6)));
@@ -221,6 +241,7 @@
         private long watchedFrom;
         private long waitMillis;
         private int calls;
+        private int doubts;
 
         @Override
         public void list(
@@ -245,6 +266,11 @@
             failed = failure;
         }
 
+        @Override
+        public void doubtConnections() {
+            doubts++;
+        }
+
         @Override
         public StorePosition position() {
             throw new UnsupportedOperationException();
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
@@ -102,6 +102,9 @@
         return shown;
     }
 
+    @Override
+    public void doubtConnections() {}
+
     private boolean declined(Consumer<StoreFailure> failed) {
         shown = new StorePosition(era, shown.revision());
         if (declining) {
