An entry doesn't deny a route that may have been added since it last heard of the store

What callers saw: 404, which is final, for a route that the operator had added seconds before (CONFIG), at an entry that the store turned away, was silent to, or was cut off from, while the others served it. Cause: a 404 was decided from the desired state in force, however old the store's last word was. Class: a definite answer from knowledge whose age nobody looks at. Fix: a word is dated by when it was asked for (or by the end of a wait that brought no change). What it knows it serves as before.

--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -3,8 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -27,13 +25,12 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** When to come back to an entry that doesn't know its routes yet: about its time to start, in milliseconds. */
     private static final long STARTING_MILLIS = 500;
-    /** How long a request may wait for the routes of an entry that has just started: several answers of the store. */
-    private static final long START_WAIT_MILLIS = 800;
-    /** Requests that may wait for the routes. */
-    private static final int MAX_EARLY = 200;
+    /** When to come back to an entry that can't know whether a route exists: it asks the store some times a second. */
+    private static final long IN_DOUBT_MILLIS = 500;
 
     private final RunContext context;
-    private final List<Exchange> early = new ArrayList<>();
+    private final WaitingRequests early;
+    private final WaitingRequests inDoubt;
     private @Nullable RouteTable routes;
     private @Nullable KindKnowledge knowledge;
 
@@ -41,6 +38,8 @@
     public RequestRouter(
             Timers timers, Protocol protocol, Directory directory, EntrySettings settings, GatewayMetrics metrics) {
         this.context = new RunContext(timers, protocol, directory, settings, metrics);
+        this.early = new WaitingRequests(context, this::refuseEarly);
+        this.inDoubt = new WaitingRequests(context, this::refuseInDoubt);
     }
 
     /** Takes a version of the desired state, unless it is older than the one in force. */
@@ -91,30 +90,57 @@
     /** From now on takes only what can end in the rest of the grace period. */
     public void leave(GracePeriod period) {
         context.leave(period);
-        List<Exchange> waiting = List.copyOf(early);
-        early.clear();
-        waiting.forEach(this::refuseEarly);
+        early.refuseAll();
+        inDoubt.refuseAll();
     }
 
     /** Answers a request. */
     public void route(Exchange exchange) {
         RouteTable table = routes;
         if (table == null || !context.directory().known()) {
-            waitForRoutes(exchange);
+            // A process that has just started is asked before it has heard from the store; its callers needn't come
+            // back for that.
+            early.add(exchange);
             return;
         }
         String host = exchange.request().headers().get(HttpHeaderNames.HOST, "");
         Optional<RouteRule> found = table.find(host, exchange.request().uri());
         if (found.isEmpty()) {
-            logger.atInfo().log(
-                    "event=no-route request=%s host=%s version=%d %s",
-                    exchange.facts().id(), host, table.version(), knowledgeInputs());
-            context.fail(exchange, HttpResponseStatus.NOT_FOUND, "no route");
+            noRoute(exchange, host, table.version());
             return;
         }
         start(exchange, found.get(), table.version());
     }
 
+    /** A route may have been added since the store was last heard of, so only who knows the newest state denies one. */
+    private void noRoute(Exchange exchange, String host, long version) {
+        KindKnowledge told = knowledge;
+        if (told != null && !told.current()) {
+            inDoubt.add(exchange);
+            told.confirm(() -> decideDoubts(told.current()));
+            return;
+        }
+        logger.atInfo().log(
+                "event=no-route request=%s host=%s version=%d %s",
+                exchange.facts().id(), host, version, knowledgeInputs());
+        context.fail(exchange, HttpResponseStatus.NOT_FOUND, "no route");
+    }
+
+    private void decideDoubts(boolean known) {
+        if (known) {
+            inDoubt.takeAll().forEach(this::route);
+        } else {
+            inDoubt.refuseAll();
+        }
+    }
+
+    private void refuseInDoubt(Exchange exchange) {
+        logger.atInfo().log(
+                "event=route-in-doubt request=%s version=%d %s",
+                exchange.facts().id(), version(), knowledgeInputs());
+        context.refuse(exchange, "it can't be known now whether there is such a route", IN_DOUBT_MILLIS);
+    }
+
     private String knowledgeInputs() {
         KindKnowledge told = knowledge;
         return told == null
@@ -127,21 +153,6 @@
                         told.position().revision());
     }
 
-    /** A process that has just started is asked before it has heard from the store; its callers needn't come back for that. */
-    private void waitForRoutes(Exchange exchange) {
-        if (early.size() >= MAX_EARLY || context.leaving()) {
-            refuseEarly(exchange);
-            return;
-        }
-        early.add(exchange);
-        exchange.whenGone(() -> early.remove(exchange));
-        context.after(START_WAIT_MILLIS, () -> {
-            if (early.remove(exchange)) {
-                refuseEarly(exchange);
-            }
-        });
-    }
-
     private void refuseEarly(Exchange exchange) {
         logger.atInfo().log("event=refused-early request=%s", exchange.facts().id());
         context.refuse(exchange, "not ready yet", STARTING_MILLIS);
@@ -149,12 +160,9 @@
 
     /** Routes the requests that came before the routes and the endpoints were known. Call it when either has been learnt. */
     public void routeEarly() {
-        if (!ready() || early.isEmpty()) {
-            return;
+        if (ready()) {
+            early.takeAll().forEach(this::route);
         }
-        List<Exchange> waiting = List.copyOf(early);
-        early.clear();
-        waiting.forEach(this::route);
     }
 
     private void start(Exchange exchange, RouteRule route, long version) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindKnowledge.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindKnowledge.java
@@ -9,4 +9,10 @@
 
     /** Returns the store's position that this word showed. */
     StorePosition position();
+
+    /** Returns whether the state is known to be the newest but for changes that needn't be in force yet. */
+    boolean current();
+
+    /** Asks the store what the newest state is, and calls back when it has answered, or at once where it can't be known now. */
+    void confirm(Runnable answered);
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -45,13 +45,17 @@
     private final List<StoredObject> pages = new ArrayList<>();
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long listEra;
+    private long listAskedAt;
     private StorePosition listed = StorePosition.NONE;
     private StorePosition newest = StorePosition.NONE;
     private long watches;
     private boolean away;
     private boolean everAway;
     private long returnedAt;
-    private long heardAt = System.nanoTime();
+    private final LastWord word;
+    private final List<Runnable> unconfirmed = new ArrayList<>();
+    private boolean answerDue;
+    private Subscription pause = () -> {};
 
     /** Creates a watch; {@link #start} begins it. */
     public KindWatch(Timers timers, ObjectStore store, String kind, KindListener listener) {
@@ -59,6 +63,7 @@
         this.store = store;
         this.kind = kind;
         this.listener = listener;
+        this.word = new LastWord(timers.now(), RETURN_NANOS);
     }
 
     /** Begins to list and watch. */
@@ -68,7 +73,31 @@
 
     @Override
     public long ageMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAt);
+        return word.ageMillis(timers.now());
+    }
+
+    @Override
+    public boolean current() {
+        return word.current(timers.now());
+    }
+
+    @Override
+    public void confirm(Runnable answered) {
+        if (away || newest.equals(StorePosition.NONE) || word.mayBeOldCopy(timers.now())) {
+            answered.run();
+            return;
+        }
+        unconfirmed.add(answered);
+        if (!answerDue) {
+            ask(NO_WAIT_MILLIS);
+        }
+    }
+
+    private void settle() {
+        answerDue = false;
+        List<Runnable> waiting = List.copyOf(unconfirmed);
+        unconfirmed.clear();
+        waiting.forEach(Runnable::run);
     }
 
     @Override
@@ -78,6 +107,8 @@
 
     private void listAll() {
         pages.clear();
+        answerDue = true;
+        listAskedAt = timers.now();
         listFrom(null);
     }
 
@@ -98,13 +129,15 @@
             nextPage(page, after);
             return;
         }
-        heard();
+        heard(listAskedAt);
         noteEra(page.position());
         guarded("all", () -> listener.listed(List.copyOf(pages), justReturned()));
         logger.atInfo().log(
                 "event=listed kind=%s objects=%d era=%d revision=%d",
                 kind, pages.size(), listed.era(), listed.revision());
-        watch(listed);
+        newest = listed;
+        settle();
+        watch(newest);
     }
 
     /** A store that has come back from an older copy lacks entries that live, as after an outage. */
@@ -114,7 +147,7 @@
                     "event=store-restored kind=%s era_before=%d revision_before=%d era=%d revision=%d",
                     kind, listed.era(), listed.revision(), position.era(), position.revision());
             everAway = true;
-            returnedAt = System.nanoTime();
+            returnedAt = timers.now();
         }
         listed = position;
     }
@@ -126,7 +159,7 @@
             listFailed(new StoreFailure(StoreFailure.Kind.UNREADABLE, "a page without a name to go on from"));
             return;
         }
-        heard();
+        heard(listAskedAt);
         listFrom(last.get());
     }
 
@@ -142,13 +175,16 @@
     /** Begins a watch in place of the one under way, if there is one. */
     private void ask(long waitMillis) {
         long asked = ++watches;
+        long askedAt = timers.now();
+        answerDue = waitMillis == NO_WAIT_MILLIS;
+        pause.cancel();
         StorePosition from = newest;
         Subscription late = timers.after(waitMillis + LATE_MILLIS, () -> askElsewhere(asked));
         store.watch(
                 kind,
                 from,
                 waitMillis,
-                changes -> answered(asked, late, () -> changes(from, changes)),
+                changes -> answered(asked, late, () -> changes(from, changes, askedAt, waitMillis)),
                 failure -> answered(asked, late, () -> watchFailed(from, failure)));
     }
 
@@ -169,13 +205,15 @@
         ask(NO_WAIT_MILLIS);
     }
 
-    private void changes(StorePosition from, ObjectChanges changes) {
+    private void changes(StorePosition from, ObjectChanges changes, long askedAt, long waitMillis) {
         if (from.era() != changes.position().era()) {
             // The revision asked about has been given out again: what came before it in this era would be missed.
             listAll();
             return;
         }
-        heard();
+        // An answer without a change has waited.
+        long waited = changes.changes().isEmpty() ? waitMillis : 0;
+        heard(askedAt + TimeUnit.MILLISECONDS.toNanos(waited));
         for (ObjectChanges.Change change : changes.changes()) {
             if (change.deleted()) {
                 guarded(change.object().name(), () -> listener.deleted(change.object(), justReturned()));
@@ -183,8 +221,9 @@
                 guarded(change.object().name(), () -> listener.changed(change.object()));
             }
         }
-        StorePosition next = StorePosition.later(from, changes.position());
-        timers.after(changes.changes().isEmpty() ? 0 : GATHER_MILLIS, () -> watch(next));
+        newest = StorePosition.later(from, changes.position());
+        settle();
+        pause = timers.after(changes.changes().isEmpty() ? 0 : GATHER_MILLIS, () -> watch(newest));
     }
 
     /** An object that can't be read is left aside: those behind it must still be heard of. */
@@ -214,21 +253,22 @@
             logger.atWarning().log(
                     "event=store-lost kind=%s failure=%s detail=\"%s\"", kind, failure.kind(), failure.detail());
         }
-        timers.after(pauseMillis, next);
+        settle();
+        pause = timers.after(pauseMillis, next);
         pauseMillis = Math.min(2 * pauseMillis, LONGEST_PAUSE_MILLIS);
     }
 
-    private void heard() {
+    private void heard(long asOf) {
         pauseMillis = FIRST_PAUSE_MILLIS;
-        heardAt = System.nanoTime();
+        word.said(asOf);
         if (away) {
             away = false;
-            returnedAt = heardAt;
+            returnedAt = timers.now();
             logger.atInfo().log("event=store-back kind=%s", kind);
         }
     }
 
     private boolean justReturned() {
-        return everAway && System.nanoTime() - returnedAt < RETURN_NANOS;
+        return everAway && timers.now() - returnedAt < RETURN_NANOS;
     }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -18,14 +18,19 @@
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final FakeStore store = new FakeStore();
     private final Seen seen = new Seen();
+    private final KindWatch watch;
+    private long nanos;
 
     KindWatchTest() {
         channel.freezeTime();
-        new KindWatch(new Timers(channel.eventLoop()), store, "things", seen).start();
+        Timers timers = new Timers(channel.eventLoop(), () -> nanos, () -> 0);
+        watch = new KindWatch(timers, store, "things", seen);
+        watch.start();
         pass(0);
     }
 
     private void pass(long millis) {
+        nanos += TimeUnit.MILLISECONDS.toNanos(millis);
         channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
         channel.runPendingTasks();
         channel.runScheduledPendingTasks();
@@ -83,6 +88,37 @@
         assertThat(store.calls).as("one watch goes on").isEqualTo(calls + 2);
     }
 
+    // Guards against a denial that rests on an old word: asked for, the newest state is known after one call.
+    @Test
+    void anOldWordIsConfirmedByOneCallForAllWhoAsk() {
+        List<Boolean> known = new ArrayList<>();
+        store.listed.accept(new ObjectPage(List.of(), false, at(6)));
+        assertThat(watch.current()).isTrue();
+        pass(LastWord.CURRENT_MILLIS + 1);
+        assertThat(watch.current()).isFalse();
+        int calls = store.calls;
+        watch.confirm(() -> known.add(watch.current()));
+        watch.confirm(() -> known.add(watch.current()));
+        assertThat(store.calls).isEqualTo(calls + 1);
+        assertThat(store.waitMillis).isEqualTo(KindWatch.NO_WAIT_MILLIS);
+        store.changed.accept(new ObjectChanges(List.of(), at(6)));
+        assertThat(known).containsExactly(true, true);
+        pass(0);
+        assertThat(store.waitMillis).as("the watch goes on").isEqualTo(KindWatch.WAIT_MILLIS);
+    }
+
+    // Guards against requests that wait for a store that is known to be away.
+    @Test
+    void whileTheStoreIsAwayNobodyWaitsForIt() {
+        List<Boolean> known = new ArrayList<>();
+        store.listed.accept(new ObjectPage(List.of(), false, at(6)));
+        pass(LastWord.CURRENT_MILLIS + 1);
+        watch.confirm(() -> known.add(watch.current()));
+        store.failed.accept(new StoreFailure(StoreFailure.Kind.DECLINED, "status 503"));
+        watch.confirm(() -> known.add(watch.current()));
+        assertThat(known).containsExactly(false, false);
+    }
+
     @Test
     void anOutageIsRetriedAtLeastThreeTimesASecond() {
         store.listed.accept(new ObjectPage(List.of(), false, at(6)));
