An older copy of the store is no ground to deny a route

What callers saw: 404 for a route that had been added before the store came back from a copy, at an entry that had just started, or in the moments before the operator's state was written again. Fix: for 2.5 s after an era is first seen, by a restore or by a process that has just started at a store that has come back at least once, what the store lacks isn't known not to be there; the time is the one that registrations have after a return.

--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -149,6 +149,10 @@
             everAway = true;
             returnedAt = timers.now();
         }
+        if (listed.era() != position.era()) {
+            // To a process that has just started, a store that has come back before may have done so just now.
+            word.copyShown(timers.now());
+        }
         listed = position;
     }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -119,6 +119,26 @@
         assertThat(known).containsExactly(false, false);
     }
 
+    // Guards against a denial that is true of an older copy alone, which the store shows until its writers have written
+    // again.
+    @Test
+    void whatAnOlderCopyShowsIsNotKnownToBeTheNewest() {
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, at(6)));
+        store.changed.accept(new ObjectChanges(List.of(), ofNextEra(4)));
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, ofNextEra(4)));
+        assertThat(watch.current()).isFalse();
+        pass(2_500);
+        store.changed.accept(new ObjectChanges(List.of(), ofNextEra(5)));
+        assertThat(watch.current()).isTrue();
+    }
+
+    // Guards against the same at a process that has just started: it can't tell how long ago the store came back.
+    @Test
+    void aProcessThatHasJustStartedDoesNotTakeARestoredStoreForTheNewest() {
+        store.listed.accept(new ObjectPage(List.of(), false, ofNextEra(4)));
+        assertThat(watch.current()).isFalse();
+    }
+
     @Test
     void anOutageIsRetriedAtLeastThreeTimesASecond() {
         store.listed.accept(new ObjectPage(List.of(), false, at(6)));
