Daemon: what the catalogue lacks isn't denied while the store is out of reach

What callers would see: 404, 403 or 401, which are final, for a model, service, entry or token that has been added, at a process that can't reach the store, for as long as that lasts. Evidence: CatalogueInDoubtTest failed (404 14 s after the store went down) and passes. Fix: the watch dates what it hears by when it asked. Older than 12 s (a change is to be in force within 14 s), what the catalogue lacks is refused with catalogue-in-doubt, not run, come back in 2 s, with the age in its line; what it has is served.

--- a/core/src/main/java/org/quetzalseam/core/catalogue/CatalogueInForce.java
+++ b/core/src/main/java/org/quetzalseam/core/catalogue/CatalogueInForce.java
@@ -23,7 +23,15 @@
         }
     }
 
+    /**
+     * How old the store's word on the newest version may be for this to be known to be it, in nanoseconds: a change must be in force
+     * everywhere within 14 seconds, also for a request that is on its way for some time.
+     */
+    private static final long KNOWN_NANOS = TimeUnit.SECONDS.toNanos(12);
+
     private volatile Accepted current = new Accepted(Manifest.none(), Map.of(), Catalogue.empty());
+    private boolean everConfirmed;
+    private long confirmedAt;
 
     /** Returns what is in force. */
     public Accepted current() {
@@ -35,6 +43,22 @@
         return current().manifest().version();
     }
 
+    /** Notes that what is in force was the newest at a time, in monotonic nanoseconds. */
+    public synchronized void confirmed(long at) {
+        everConfirmed = true;
+        confirmedAt = at;
+    }
+
+    /** Returns whether what is in force is known to be the newest but for changes that needn't be in force yet. */
+    public synchronized boolean known(long now) {
+        return everConfirmed && now - confirmedAt <= KNOWN_NANOS;
+    }
+
+    /** Returns how long ago it was known to be the newest, in milliseconds; -1 if it never was. */
+    public synchronized long ageMillis(long now) {
+        return everConfirmed ? TimeUnit.NANOSECONDS.toMillis(now - confirmedAt) : -1;
+    }
+
     /** Puts a catalogue in force if it is newer than the current one. Returns whether it was. */
     public synchronized boolean offer(Accepted candidate) {
         if (candidate.manifest().version() <= version()) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/Admittance.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/Admittance.java
@@ -1,5 +1,6 @@
 package org.quetzalseam.daemon.caller;
 
+import com.google.common.flogger.FluentLogger;
 import com.sun.net.httpserver.HttpExchange;
 import java.time.Duration;
 import java.util.Optional;
@@ -15,6 +16,11 @@
 
 /** Decides who a caller is and whether its request is within the limits of its catalogue entry. Thread-safe. */
 final class Admittance {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final String IN_DOUBT = "catalogue-in-doubt";
+    /** When to come back to an entry that is out of reach of the store: it asks about once a second. */
+    private static final long IN_DOUBT_RETRY_MILLIS = 2_000;
+
     private static final String BEARER = "Bearer ";
     private static final long MAX_DEADLINE_MILLIS = 86_400_000;
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -51,8 +57,24 @@
         String digest = Digests.of(header.substring(BEARER.length()).strip());
         return catalogue()
                 .ownerOf(digest)
-                .orElseThrow(() ->
-                        CallerException.bad(Statuses.UNAUTHORIZED, "unknown-token", "the token belongs to no owner"));
+                .orElseThrow(() -> lacking(Statuses.UNAUTHORIZED, "unknown-token", "the token belongs to no owner"));
+    }
+
+    /**
+     * Returns the error for a request that the catalogue doesn't provide for. What this process lacks may have been added since it last
+     * heard of the store: then it can't know, and doesn't deny it.
+     */
+    CallerException lacking(int status, String code, String message) {
+        long now = System.nanoTime();
+        if (inForce.known(now)) {
+            return CallerException.bad(status, code, message);
+        }
+        metrics.refusal(IN_DOUBT);
+        logger.atInfo().log(
+                "event=%s code=%s catalogue_version=%d word_age_ms=%d",
+                IN_DOUBT, code, inForce.version(), inForce.ageMillis(now));
+        return CallerException.later(
+                Statuses.UNAVAILABLE, IN_DOUBT, "this entry can't know whether " + message, IN_DOUBT_RETRY_MILLIS);
     }
 
     /** Returns the time that the caller allows, in milliseconds, or the default. */
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/CompletionHandler.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/CompletionHandler.java
@@ -78,11 +78,11 @@
         Catalogue catalogue = admittance.catalogue();
         ModelSpec model = catalogue.models().get(prompt.model());
         if (model == null) {
-            throw CallerException.bad(Statuses.NOT_FOUND, "unknown-model", "there is no model of this name");
+            throw admittance.lacking(Statuses.NOT_FOUND, "unknown-model", "there is no model of this name");
         }
         EntrySpec entry = catalogue
                 .modelEntry(owner.name(), model.name(), prompt.tokens())
-                .orElseThrow(() -> CallerException.bad(
+                .orElseThrow(() -> admittance.lacking(
                         Statuses.FORBIDDEN, "no-entry", "the owner has no catalogue entry for this model"));
         int longest = entry.limits().promptTokens();
         if (prompt.tokens() > longest) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/ServiceHandler.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/ServiceHandler.java
@@ -69,12 +69,12 @@
         Catalogue catalogue = admittance.catalogue();
         ServiceSpec service = catalogue.services().get(name);
         if (service == null) {
-            throw CallerException.bad(Statuses.NOT_FOUND, "unknown-service", "there is no service of this name");
+            throw admittance.lacking(Statuses.NOT_FOUND, "unknown-service", "there is no service of this name");
         }
         String method = exchange.getRequestMethod().toUpperCase(Locale.ROOT);
         EntrySpec entry = catalogue
                 .serviceEntry(owner.name(), name, method)
-                .orElseThrow(() -> CallerException.bad(
+                .orElseThrow(() -> admittance.lacking(
                         Statuses.FORBIDDEN,
                         "no-entry",
                         "the owner has no catalogue entry for this service and method"));
--- a/daemon/src/main/java/org/quetzalseam/daemon/catalogue/CatalogueWatch.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/catalogue/CatalogueWatch.java
@@ -34,7 +34,9 @@
     }
 
     private void follow(Duration wait) {
+        long askedAt = System.nanoTime();
         store.watch(CatalogueStore.ACCEPTED, storeVersion, wait).ifPresent(this::take);
+        inForce.confirmed(askedAt);
     }
 
     private void take(Versioned<Manifest> read) {
