A store that is silent over a new connection too is taken for away

What callers would see: endpoints dropped at once after an outage of the store, as if they had left; the store asked four times a second. Fix: a late watch is begun elsewhere once; that call has its whole time.

--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -38,6 +38,8 @@
     /** How long after the store's return entries may still be missing that live, in nanoseconds. */
     private static final long RETURN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
+    private static final Subscription NOTHING_DUE = () -> {};
+
     private final Timers timers;
     private final ObjectStore store;
     private final String kind;
@@ -55,7 +57,7 @@
     private final LastWord word;
     private final List<Runnable> unconfirmed = new ArrayList<>();
     private boolean answerDue;
-    private Subscription pause = () -> {};
+    private Subscription pause = NOTHING_DUE;
 
     /** Creates a watch; {@link #start} begins it. */
     public KindWatch(Timers timers, ObjectStore store, String kind, KindListener listener) {
@@ -176,14 +178,18 @@
         ask(away ? NO_WAIT_MILLIS : WAIT_MILLIS);
     }
 
-    /** Begins a watch in place of the one under way, if there is one. */
     private void ask(long waitMillis) {
+        ask(waitMillis, !away);
+    }
+
+    /** Begins a watch in place of the one under way, if there is one; once, where it is late, it is begun elsewhere. */
+    private void ask(long waitMillis, boolean mayBeLate) {
         long asked = ++watches;
         long askedAt = timers.now();
         answerDue = waitMillis == NO_WAIT_MILLIS;
         pause.cancel();
         StorePosition from = newest;
-        Subscription late = timers.after(waitMillis + LATE_MILLIS, () -> askElsewhere(asked));
+        Subscription late = mayBeLate ? timers.after(waitMillis + LATE_MILLIS, () -> askElsewhere(asked)) : NOTHING_DUE;
         store.watch(
                 kind,
                 from,
@@ -201,12 +207,12 @@
 
     /** Open connections may go silent for good while new ones work. */
     private void askElsewhere(long asked) {
-        if (asked != watches || away) {
+        if (asked != watches) {
             return;
         }
         logger.atInfo().log("event=watch-late kind=%s era=%d revision=%d", kind, newest.era(), newest.revision());
         store.doubtConnections();
-        ask(NO_WAIT_MILLIS);
+        ask(NO_WAIT_MILLIS, false);
     }
 
     private void changes(StorePosition from, ObjectChanges changes, long askedAt, long waitMillis) {
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -88,6 +88,22 @@
         assertThat(store.calls).as("one watch goes on").isEqualTo(calls + 2);
     }
 
+    // Guards against a silent store that is asked four times a second, and is never taken for away, as each call
+    // replaces the one before.
+    @Test
+    void aStoreThatIsSilentOverANewConnectionTooIsAway() {
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, at(6)));
+        pass(KindWatch.WAIT_MILLIS + KindWatch.LATE_MILLIS);
+        int calls = store.calls;
+        pass(KindWatch.LATE_MILLIS + 1);
+        pass(KindWatch.LATE_MILLIS + 1);
+        assertThat(store.calls).as("the second call has its whole time").isEqualTo(calls);
+        store.failed.accept(new StoreFailure(StoreFailure.Kind.UNKNOWN, "no answer in time"));
+        pass(100);
+        store.changed.accept(new ObjectChanges(List.of(new ObjectChanges.Change(object("a", 7), true)), at(7)));
+        assertThat(seen.lines).last().isEqualTo("deleted a away=true");
+    }
+
     // Guards against a denial that rests on an old word: asked for, the newest state is known after one call.
     @Test
     void anOldWordIsConfirmedByOneCallForAllWhoAsk() {
