--- a/standins/src/main/java/org/quetzalseam/standins/LinkProxy.java
+++ b/standins/src/main/java/org/quetzalseam/standins/LinkProxy.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +23,7 @@
     private final String name;
     private final ServerSocket server;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
     private final Object gate = new Object();
     private boolean frozen;
     private volatile int target;
@@ -110,6 +112,11 @@
         silentBack = back;
     }
 
+    /** Loses from now on all bytes of the connections that are open, either way and for good; new ones work. */
+    public void silenceOpen() {
+        silent.addAll(sockets);
+    }
+
     /** Ends every fault. Connections that may have lost bytes are reset, as what comes next would not fit. */
     public void heal() {
         boolean lossy = silentThere || silentBack;
@@ -162,7 +169,7 @@
                 awaitThaw();
                 sleep(delayMillis);
                 // What comes after a loss would not fit: a real connection delivers nothing beyond it.
-                holed |= there ? silentThere : silentBack;
+                holed |= (there ? silentThere : silentBack) || silent.contains(from);
                 if (!holed) {
                     out.write(buffer, 0, length);
                 }
@@ -175,8 +182,8 @@
             reset(to);
             reset(from);
         }
-        sockets.remove(from);
-        sockets.remove(to);
+        sockets.removeAll(List.of(from, to));
+        silent.removeAll(List.of(from, to));
     }
 
     private static void sleep(long millis) {
