--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -44,19 +44,23 @@
     private final ObjectStore store;
     private final String kind;
     private final KindListener listener;
+    private final LastWord word;
+    private final List<Runnable> unconfirmed = new ArrayList<>();
     private final List<StoredObject> pages = new ArrayList<>();
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long listEra;
     private long listAskedAt;
     private StorePosition listed = StorePosition.NONE;
     private StorePosition newest = StorePosition.NONE;
+    /** Number of the newest watch; what comes of an earlier one is left aside. */
     private long watches;
+
     private boolean away;
     private boolean everAway;
     private long returnedAt;
-    private final LastWord word;
-    private final List<Runnable> unconfirmed = new ArrayList<>();
+    /** Whether the call under way is to be answered at once. */
     private boolean answerDue;
+
     private Subscription pause = NOTHING_DUE;
 
     /** Creates a watch; {@link #start} begins it. */
@@ -78,6 +82,11 @@
         return word.ageMillis(timers.now());
     }
 
+    @Override
+    public StorePosition position() {
+        return newest;
+    }
+
     @Override
     public boolean current() {
         return word.current(timers.now());
@@ -95,6 +104,7 @@
         }
     }
 
+    /** Tells those who asked that the store has answered, or hasn't. */
     private void settle() {
         answerDue = false;
         List<Runnable> waiting = List.copyOf(unconfirmed);
@@ -102,11 +112,6 @@
         waiting.forEach(Runnable::run);
     }
 
-    @Override
-    public StorePosition position() {
-        return newest;
-    }
-
     private void listAll() {
         pages.clear();
         answerDue = true;
