A lost run tells which request it was and how long it had run

Symptom and cause are in docs/incidents/requests-that-crash-engines.md: lines of lost calls have the request's id, which is new at each repetition, so that the logs can't tell whether one request or chance ended the engines.

The line run-lost has a digest of host, method, path, credentials and body, how long the call had been sent and answered, and how many others the engine still has. The digest is computed where a connection is lost and nowhere else. No decision changes.

--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.protocol.RequestFacts;
@@ -42,6 +43,7 @@
     private final Runnable onEnd;
     private final boolean keepAlive;
     private boolean closing;
+    private @Nullable String fingerprint;
     private boolean begun;
     private boolean chunked;
     private boolean ended;
@@ -75,6 +77,24 @@
         return facts;
     }
 
+    /**
+     * Returns a digest that is the same for each repetition of this request, whatever its id. It is computed by the first call,
+     * which must come before the request has ended.
+     */
+    public String fingerprint() {
+        String known = fingerprint;
+        if (known == null) {
+            known = RequestFingerprint.of(request, body);
+            fingerprint = known;
+        }
+        return known;
+    }
+
+    /** Returns the address that the request came from, without its port; other callers may share it. */
+    public String callerHost() {
+        return channel.remoteAddress() instanceof InetSocketAddress address ? address.getHostString() : "";
+    }
+
     /** Returns when the request was complete, in monotonic nanoseconds. */
     public long arrivedAt() {
         return arrivedAt;
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -174,6 +174,8 @@
     private final class DecodeListener implements DecodeReply.Listener {
         private final Endpoint engine;
         private final @Nullable Endpoint prefillEngine;
+        private final long sentAt = context.now();
+        private long begunAt;
 
         DecodeListener(Endpoint engine, @Nullable Endpoint prefillEngine) {
             this.engine = engine;
@@ -182,6 +184,7 @@
 
         @Override
         public void begun(HttpResponse head) {
+            begunAt = context.now();
             mayHaveRun = true;
             engine.workRejections().recordAcceptance();
             if (prefillEngine != null) {
@@ -222,6 +225,9 @@
         @Override
         public void failed(CallFailure failure) {
             held.release();
+            if (failure.kind() == CallFailure.Kind.CONNECTION_LOST) {
+                log.runLost("decode", engine, sentAt, begunAt);
+            }
             decodeFailed(engine, failure);
         }
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
@@ -127,9 +127,12 @@
         prefill = newPrefill;
         long sentAt = context.now();
         ReplyCollector reply = new ReplyCollector(
-                MAX_REPLY_BYTES,
-                (answer, body) -> answered(engine, decodeEngine, answer, body, sentAt),
-                failure -> failed(engine, decodeEngine, failure));
+                MAX_REPLY_BYTES, (answer, body) -> answered(engine, decodeEngine, answer, body, sentAt), failure -> {
+                    if (failure.kind() == CallFailure.Kind.CONNECTION_LOST) {
+                        log.runLost("prefill", engine, sentAt, 0);
+                    }
+                    failed(engine, decodeEngine, failure);
+                });
         EndpointCall newCall = engine.send(
                 forwarded.head(Forwarding.prefill(engine.member().id(), forwarded.remainingMillis())),
                 exchange.body(),
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -1,6 +1,8 @@
 package org.quetzalseam.gateway.route;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import org.quetzalseam.core.generation.PrefillPlanner;
 import org.quetzalseam.core.routing.RouteRule;
 import org.quetzalseam.gateway.caller.Exchange;
@@ -105,6 +107,29 @@
                 step, exchange.facts().id(), endpoint.member().id(), exchange.ageMillis(), detail);
     }
 
+    /**
+     * Logs that a connection was lost while an endpoint may have run the request on it: which request it was, how long its call
+     * had been sent and had begun to be answered, and how many other calls of this entry the endpoint still has.
+     *
+     * @param sentAt when the call was sent, in monotonic nanoseconds
+     * @param begunAt when its answer began, or 0 if it had not begun
+     */
+    void runLost(String call, Endpoint endpoint, long sentAt, long begunAt) {
+        long now = System.nanoTime();
+        step(
+                "run-lost",
+                endpoint,
+                String.format(
+                        Locale.ROOT,
+                        "call=%s fingerprint=%s caller=%08x sent_ms=%d begun_ms=%d others=%d",
+                        call,
+                        exchange.fingerprint(),
+                        exchange.callerHost().hashCode(),
+                        TimeUnit.NANOSECONDS.toMillis(now - sentAt),
+                        begunAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(now - begunAt),
+                        endpoint.outstanding()));
+    }
+
     void callFailed(String call, Endpoint endpoint, CallFailure failure) {
         metrics.failedAttempt(service, failure.kind().name());
         logger.atInfo().log(
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -105,9 +105,12 @@
         HttpRequest head = forwarded.head(Forwarding.whole(endpoint.member().id(), forwarded.remainingMillis()));
         long sentAt = context.now();
         ReplyCollector reply = new ReplyCollector(
-                MAX_ANSWER_BYTES,
-                (answer, body) -> answered(endpoint, answer, body, sentAt),
-                failure -> failed(endpoint, failure));
+                MAX_ANSWER_BYTES, (answer, body) -> answered(endpoint, answer, body, sentAt), failure -> {
+                    if (failure.kind() == CallFailure.Kind.CONNECTION_LOST) {
+                        log.runLost("run", endpoint, sentAt, 0);
+                    }
+                    failed(endpoint, failure);
+                });
         if (mayRepeat()) {
             attemptTimer = context.after(
                     (long) (forwarded.remainingMillis() * ATTEMPT_TIME_SHARE), () -> attemptTimedOut(endpoint));
