A request that crashes its endpoints is held back at all entries

Cause: nothing about a request outlived its attempt, and each entry saw only its own losses. A caller that came back was new at every entry.

Fix: when a connection is lost on which an endpoint may have run a request, and the endpoint turns out to have ended unplanned, the entry reports the request's fingerprint and the incarnation in an object of its own in the store. All entries read these objects 0.3, 1 and 2.5 s after they see an endpoint end, and at a later start before their first request. A request with three crashes that ended nowhere since is refused at arrival and again before each sending, but for two trials that all entries share: each claim is written before all claims are counted, so that no order of calls allows a third. A run that ends dismisses the crashes known of its request. Without a crash nothing is computed and no call is made.

--- /dev/null
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
@@ -0,0 +1,173 @@
+package org.quetzalseam.core.crash;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.quetzalseam.core.crash.CrashReport.Fact;
+
+/**
+ * Counts for each request the endpoints that crashed while they ran it, from the reports of all entries. Not thread-safe.
+ * Times are monotonic nanoseconds of this process.
+ *
+ * <p>A crash also loses requests that did not cause it. Those end at another endpoint sooner or later, which dismisses all
+ * crashes known until then; the request that causes the crashes never ends. A request with {@link #SUSPECT_CRASHES} crashes
+ * that nothing dismisses is a suspect.
+ */
+public final class CrashLedger {
+    /** Number of crashes from which on a request is taken for their cause. */
+    public static final int SUSPECT_CRASHES = 3;
+
+    /** Maximum number of facts of each sort that are kept of one entry; the oldest go first. */
+    static final int MAX_FACTS = 256;
+
+    private final String self;
+    private final long keepNanos;
+    private final Map<String, Reporter> reporters = new HashMap<>();
+
+    /**
+     * Creates an empty ledger.
+     *
+     * @param self name of the entry that this ledger belongs to
+     * @param keepNanos how long a fact counts after this process has learnt of it
+     */
+    public CrashLedger(String self, long keepNanos) {
+        this.self = self;
+        this.keepNanos = keepNanos;
+        reporters.put(self, new Reporter());
+    }
+
+    /** Records that a request was lost when an incarnation of an endpoint crashed. */
+    public void recordLost(String request, String incarnation, long now) {
+        own().lost.add(new Fact(request, incarnation), now);
+    }
+
+    /**
+     * Records that a request ended, so that it has not caused the crashes known so far. Returns the number of crashes that had
+     * not been dismissed before.
+     */
+    public int recordEnded(String request, long now) {
+        Set<String> dismissed = crashes(request, now);
+        dismissed.forEach(incarnation -> own().ended.add(new Fact(request, incarnation), now));
+        return dismissed.size();
+    }
+
+    /** Records that this entry claims a trial of a request. */
+    public void recordTrial(String request, String trial, long now) {
+        own().trials.add(new Fact(request, trial), now);
+    }
+
+    /** Replaces what is known of another entry by its newest report. */
+    public void learn(String reporter, CrashReport report, long now) {
+        Reporter known = reporters.computeIfAbsent(reporter, name -> new Reporter());
+        known.lost.replace(report.lost(), now);
+        known.ended.replace(report.ended(), now);
+        known.trials.replace(report.trials(), now);
+    }
+
+    /** Adds what an earlier process of this entry reported. */
+    public void inherit(CrashReport report, long now) {
+        report.lost().forEach(fact -> own().lost.add(fact, now));
+        report.ended().forEach(fact -> own().ended.add(fact, now));
+        report.trials().forEach(fact -> own().trials.add(fact, now));
+    }
+
+    /** Returns the report of this entry, without what has expired. */
+    public CrashReport ownReport(long now) {
+        Reporter own = own();
+        return new CrashReport(own.lost.dropExpired(now), own.ended.dropExpired(now), own.trials.dropExpired(now));
+    }
+
+    /** Returns the incarnations that crashed while they ran a request, without those dismissed. */
+    public Set<String> crashes(String request, long now) {
+        Set<String> found = subjects(request, reporter -> reporter.lost, now);
+        found.removeAll(subjects(request, reporter -> reporter.ended, now));
+        return found;
+    }
+
+    /** Returns whether a request is taken for the cause of crashes. */
+    public boolean isSuspect(String request, long now) {
+        return crashes(request, now).size() >= SUSPECT_CRASHES;
+    }
+
+    /** Returns the number of trials of a request that all entries have claimed. */
+    public int trials(String request, long now) {
+        return subjects(request, reporter -> reporter.trials, now).size();
+    }
+
+    /** Returns the names of the entries that reported crashes of a request. */
+    public Set<String> reporters(String request, long now) {
+        Set<String> names = new TreeSet<>();
+        reporters.forEach((name, reporter) -> {
+            Set<String> incarnations = new TreeSet<>();
+            reporter.lost.addSubjects(request, now, incarnations);
+            if (!incarnations.isEmpty()) {
+                names.add(name);
+            }
+        });
+        return names;
+    }
+
+    /** Returns whether no crash is known, so that no request needs to be looked up. */
+    public boolean isEmpty(long now) {
+        return reporters.values().stream().allMatch(reporter -> reporter.lost.isEmpty(now));
+    }
+
+    private Reporter own() {
+        return reporters.computeIfAbsent(self, name -> new Reporter());
+    }
+
+    private Set<String> subjects(String request, Function<Reporter, Facts> sort, long now) {
+        Set<String> found = new TreeSet<>();
+        reporters.values().forEach(reporter -> sort.apply(reporter).addSubjects(request, now, found));
+        return found;
+    }
+
+    private final class Reporter {
+        private final Facts lost = new Facts();
+        private final Facts ended = new Facts();
+        private final Facts trials = new Facts();
+    }
+
+    /** Facts of one sort with the time at which this process learnt of each, oldest first. */
+    private final class Facts {
+        private final Map<Fact, Long> learntAt = new LinkedHashMap<>();
+
+        void add(Fact fact, long now) {
+            learntAt.putIfAbsent(fact, now);
+            if (learntAt.size() > MAX_FACTS) {
+                learntAt.remove(learntAt.keySet().iterator().next());
+            }
+        }
+
+        /** Replaces these facts. One that stays keeps its time, so that a report does not renew what has expired. */
+        void replace(List<Fact> reported, long now) {
+            learntAt.keySet().retainAll(Set.copyOf(reported));
+            reported.forEach(fact -> add(fact, now));
+        }
+
+        List<Fact> dropExpired(long now) {
+            learntAt.values().removeIf(at -> expired(at, now));
+            return List.copyOf(learntAt.keySet());
+        }
+
+        void addSubjects(String request, long now, Set<String> found) {
+            learntAt.forEach((fact, at) -> {
+                if (fact.request().equals(request) && !expired(at, now)) {
+                    found.add(fact.subject());
+                }
+            });
+        }
+
+        boolean isEmpty(long now) {
+            return learntAt.values().stream().allMatch(at -> expired(at, now));
+        }
+
+        private boolean expired(long at, long now) {
+            return now - at > keepNanos;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashReport.java
@@ -0,0 +1,31 @@
+package org.quetzalseam.core.crash;
+
+import java.util.List;
+
+/**
+ * What one entry reports of requests that were lost when endpoints crashed. Immutable. Reports only add up: the same facts in
+ * any order give the same result, and none of them has a time of day.
+ *
+ * @param lost requests that were lost in the crash of an endpoint's incarnation
+ * @param ended requests that ended elsewhere, with a crash that they therefore did not cause
+ * @param trials trials of requests that are held back, each with an id of its own
+ */
+public record CrashReport(List<Fact> lost, List<Fact> ended, List<Fact> trials) {
+    /** The report of an entry that has nothing to report. */
+    public static final CrashReport EMPTY = new CrashReport(List.of(), List.of(), List.of());
+
+    /** Creates a report of copies of the given lists. */
+    public CrashReport {
+        lost = List.copyOf(lost);
+        ended = List.copyOf(ended);
+        trials = List.copyOf(trials);
+    }
+
+    /**
+     * One fact about a request. Immutable.
+     *
+     * @param request the fingerprint of the request
+     * @param subject the incarnation that crashed, or the id of the trial
+     */
+    public record Fact(String request, String subject) {}
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/RequestFingerprint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/RequestFingerprint.java
@@ -23,7 +23,7 @@
     static String of(HttpRequest request, ByteBuf body) {
         MessageDigest digest = sha256();
         HttpHeaders headers = request.headers();
-        update(digest, headers.get(HttpHeaderNames.HOST, ""));
+        update(digest, withoutPort(headers.get(HttpHeaderNames.HOST, "")));
         update(digest, request.method().name());
         update(digest, request.uri());
         update(digest, headers.get(HttpHeaderNames.AUTHORIZATION, ""));
@@ -33,6 +33,12 @@
         return HexFormat.of().formatHex(digest.digest(), 0, BYTES);
     }
 
+    /** Entries may listen on different ports, which callers who reach them directly state as well. */
+    private static String withoutPort(String host) {
+        int colon = host.lastIndexOf(':');
+        return colon > host.lastIndexOf(']') ? host.substring(0, colon) : host;
+    }
+
     private static void update(MessageDigest digest, String text) {
         digest.update(text.getBytes(StandardCharsets.UTF_8));
         // Separates the fields, so that their borders count. No field contains this character.
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -0,0 +1,376 @@
+package org.quetzalseam.gateway.crash;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.UUID;
+import java.util.WeakHashMap;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.crash.CrashLedger;
+import org.quetzalseam.gateway.caller.Exchange;
+import org.quetzalseam.gateway.endpoint.Endpoint;
+import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.ObjectStore;
+
+/**
+ * Holds back requests that have crashed the endpoints that ran them, whichever entry sent them there. Used on the event loop
+ * only.
+ *
+ * <p>While no crash is known, nothing is computed or asked for. After a crash, each entry reports the requests that it lost,
+ * and all entries read the reports a few times. A request that three crashes have in common, and that has ended nowhere since,
+ * is a suspect: it is refused, except for a few trials that all entries share. A trial that ends clears the request.
+ */
+public final class CrashGuard {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** How long a crash counts, in nanoseconds: a caller that still repeats the request has long had other answers to it. */
+    private static final long KEEP_NANOS = TimeUnit.MINUTES.toNanos(10);
+    /** Interval of the checks for crashes that no longer count, in milliseconds. */
+    private static final long EXPIRY_CHECK_MILLIS = 60_000;
+    /**
+     * Maximum number of trials of a suspect by all entries together: one fewer than its callers may cost the site, because a
+     * request that was sent before the third crash was known may still arrive.
+     */
+    private static final int MAX_TRIALS = 2;
+    /** Time from the suspicion to the first trial, in nanoseconds: a request that is suspect by chance loses little. */
+    private static final long FIRST_TRIAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** Time between two trials, in nanoseconds: longer than endpoints take to start, so that not many are down at once. */
+    private static final long TRIAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /** Time after which the store is asked again when it did not answer, in milliseconds. */
+    private static final long STORE_RETRY_MILLIS = 1_000;
+    /** Delay of a report, in milliseconds, so that all requests lost in one crash are reported together. */
+    private static final long REPORT_DELAY_MILLIS = 50;
+    /**
+     * When the reports are read after a crash, in milliseconds: first when they have usually been written, last before the three
+     * seconds are over in which all entries are to know.
+     */
+    private static final long[] READ_DELAYS_MILLIS = {300, 1_000, 2_500};
+    /** Reads that are planned within this time of each other are made once, in nanoseconds. */
+    private static final long SAME_READ_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    private final Timers timers;
+    private final String self;
+    private final CrashLedger ledger;
+    private final Map<String, Suspect> suspects = new HashMap<>();
+    /** The requests that are on trial and have not been sent yet. */
+    private final Set<Exchange> onTrial = Collections.newSetFromMap(new WeakHashMap<>());
+
+    private final Set<Long> plannedReads = new HashSet<>();
+    private @Nullable CrashReports reports;
+    private boolean reportPlanned;
+    private boolean loaded = true;
+
+    /** Creates a guard that knows of no crash, and shares what it learns with no other entry before {@link #start}. */
+    public CrashGuard(Timers timers, String self) {
+        this.timers = timers;
+        this.self = self;
+        this.ledger = new CrashLedger(self, KEEP_NANOS);
+    }
+
+    /** What is known of a suspect beside its crashes. */
+    private static final class Suspect {
+        private long nextTrialAt;
+        private int knownTrials;
+        private boolean asking;
+
+        Suspect(long nextTrialAt) {
+            this.nextTrialAt = nextTrialAt;
+        }
+    }
+
+    /**
+     * Starts to share reports with the other entries.
+     *
+     * @param store the platform's store
+     * @param firstStart whether the entire site starts for the first time, so that there are no reports yet
+     * @param onLoaded called when the reports have been read, if they have to be
+     */
+    public void start(ObjectStore store, boolean firstStart, Runnable onLoaded) {
+        CrashReports shared = new CrashReports(timers, store, self, ledger);
+        reports = shared;
+        timers.every(EXPIRY_CHECK_MILLIS, this::dropExpired);
+        if (firstStart) {
+            return;
+        }
+        loaded = false;
+        shared.read(read -> {
+            loaded = true;
+            if (!read) {
+                planReads();
+            }
+            onLoaded.run();
+        });
+    }
+
+    /** Returns whether the reports of earlier crashes have been read, or can't be read now. */
+    public boolean loaded() {
+        return loaded;
+    }
+
+    /** Returns the number of requests that are held back. */
+    public int suspects() {
+        return suspects.size();
+    }
+
+    /**
+     * Decides whether a request may run.
+     *
+     * @param run called, at once or after the store was asked, if the request may run
+     * @param refuse called otherwise
+     */
+    public void admit(Exchange exchange, Runnable run, Runnable refuse) {
+        if (!isSuspect(exchange)) {
+            run.run();
+            return;
+        }
+        Suspect suspect = suspect(exchange.fingerprint());
+        if (suspect.asking || timers.now() - suspect.nextTrialAt < 0) {
+            refuse.run();
+            return;
+        }
+        exchange.onShutdown(refuse);
+        suspect.asking = true;
+        new TrialRequest(exchange, suspect, run, refuse).start();
+    }
+
+    /** Returns whether a request must not be sent to an endpoint now. */
+    public boolean holdsBack(Exchange exchange) {
+        return isSuspect(exchange) && !onTrial.contains(exchange);
+    }
+
+    /** Records that a request was sent to an endpoint that will run it; a trial allows that once. */
+    public void recordSent(Exchange exchange) {
+        onTrial.remove(exchange);
+    }
+
+    private boolean isSuspect(Exchange exchange) {
+        long now = timers.now();
+        return !ledger.isEmpty(now) && ledger.isSuspect(exchange.fingerprint(), now);
+    }
+
+    private Suspect suspect(String request) {
+        return suspects.computeIfAbsent(request, added -> {
+            logger.atInfo().log("event=request-suspected fingerprint=%s %s", request, describe(request));
+            return new Suspect(timers.now() + FIRST_TRIAL_NANOS);
+        });
+    }
+
+    /** Returns after what time a request that is held back may be sent again, in milliseconds. */
+    public long retryAfterMillis(Exchange exchange) {
+        long nanos = suspect(exchange.fingerprint()).nextTrialAt - timers.now();
+        return Math.max(TimeUnit.NANOSECONDS.toMillis(nanos), STORE_RETRY_MILLIS);
+    }
+
+    /** Returns the inputs of a decision on a request as {@code key=value} pairs for the log. */
+    public String describe(Exchange exchange) {
+        return "fingerprint=" + exchange.fingerprint() + " " + describe(exchange.fingerprint());
+    }
+
+    private String describe(String request) {
+        long now = timers.now();
+        CrashReports shared = reports;
+        long ageNanos = shared == null ? Long.MAX_VALUE : shared.ageNanos();
+        return String.format(
+                "crashed=%s reported_by=%s trials=%d reports_age_ms=%d",
+                ledger.crashes(request, now),
+                ledger.reporters(request, now),
+                ledger.trials(request, now),
+                ageNanos == Long.MAX_VALUE ? -1 : TimeUnit.NANOSECONDS.toMillis(ageNanos));
+    }
+
+    /** Records that the connection was lost on which an endpoint may have run a request; it counts if the endpoint crashed. */
+    public void recordLost(Exchange exchange, Endpoint endpoint) {
+        String request = exchange.fingerprint();
+        endpoint.ifCrashed(() -> crashed(request, endpoint));
+    }
+
+    private void crashed(String request, Endpoint endpoint) {
+        long now = timers.now();
+        ledger.recordLost(request, endpoint.member().incarnation().toString(), now);
+        logger.atInfo().log(
+                "event=crash-counted fingerprint=%s endpoint=%s %s",
+                request, endpoint.member().id(), describe(request));
+        if (ledger.isSuspect(request, now)) {
+            suspect(request);
+        }
+        planReport();
+    }
+
+    /** Records that an endpoint has run a request to its end, so that the request has not caused the crashes known of it. */
+    public void recordEnded(Exchange exchange) {
+        long now = timers.now();
+        if (ledger.isEmpty(now)) {
+            return;
+        }
+        String request = exchange.fingerprint();
+        int dismissed = ledger.recordEnded(request, now);
+        if (dismissed > 0 && suspects.remove(request) != null) {
+            logger.atInfo().log("event=request-cleared fingerprint=%s dismissed=%d", request, dismissed);
+        }
+        // With the next crash the request would be a suspect at entries that don't know that it ended.
+        if (dismissed >= CrashLedger.SUSPECT_CRASHES - 1) {
+            planReport();
+        }
+    }
+
+    /** Records that an endpoint has ended unplanned: other entries may report what it ran. */
+    public void recordEndpointEnded() {
+        planReads();
+    }
+
+    private void planReads() {
+        if (reports == null) {
+            return;
+        }
+        long now = timers.now();
+        for (long delay : READ_DELAYS_MILLIS) {
+            long at = now + TimeUnit.MILLISECONDS.toNanos(delay);
+            if (plannedReads.stream().noneMatch(planned -> Math.abs(planned - at) < SAME_READ_NANOS)) {
+                plannedReads.add(at);
+                timers.after(delay, () -> plannedRead(at));
+            }
+        }
+    }
+
+    private void plannedRead(long at) {
+        plannedReads.remove(at);
+        CrashReports shared = reports;
+        if (shared != null) {
+            shared.read(read -> reportIfOutdated(shared));
+        }
+    }
+
+    private void reportIfOutdated(CrashReports shared) {
+        if (shared.outdated()) {
+            planReport();
+        }
+    }
+
+    private void planReport() {
+        CrashReports shared = reports;
+        if (shared == null || reportPlanned) {
+            return;
+        }
+        reportPlanned = true;
+        timers.after(REPORT_DELAY_MILLIS, () -> report(shared));
+    }
+
+    private void report(CrashReports shared) {
+        shared.write(written -> {
+            reportPlanned = false;
+            if (!written) {
+                timers.after(STORE_RETRY_MILLIS, () -> reportIfOutdated(shared));
+            } else {
+                reportIfOutdated(shared);
+            }
+        });
+    }
+
+    private void dropExpired() {
+        long now = timers.now();
+        suspects.keySet().removeIf(request -> {
+            boolean expired = !ledger.isSuspect(request, now);
+            if (expired) {
+                logger.atInfo().log("event=suspicion-ended fingerprint=%s", request);
+            }
+            return expired;
+        });
+        CrashReports shared = reports;
+        if (shared != null) {
+            reportIfOutdated(shared);
+        }
+    }
+
+    /**
+     * Asks the other entries, through the store, whether a suspect may have a trial. Each entry writes its claim and then counts
+     * the claims of all: the first {@link #MAX_TRIALS} claims to be written count no more than that, whatever their order.
+     */
+    private final class TrialRequest {
+        private final Exchange exchange;
+        private final String request;
+        private final Suspect suspect;
+        private final Runnable run;
+        private final Runnable refuse;
+
+        TrialRequest(Exchange exchange, Suspect suspect, Runnable run, Runnable refuse) {
+            this.exchange = exchange;
+            this.request = exchange.fingerprint();
+            this.suspect = suspect;
+            this.run = run;
+            this.refuse = refuse;
+        }
+
+        void start() {
+            CrashReports shared = reports;
+            if (shared == null) {
+                decide(true, () -> {
+                    claim();
+                    runOnTrial();
+                });
+                return;
+            }
+            shared.read(read -> decide(read, () -> {
+                claim();
+                shared.write(written -> decideClaim(shared, written));
+            }));
+        }
+
+        private void decide(boolean reportsKnown, Runnable claim) {
+            long now = timers.now();
+            int trials = ledger.trials(request, now);
+            if (exchange.ended()) {
+                suspect.asking = false;
+            } else if (!reportsKnown) {
+                refuseFor(TimeUnit.MILLISECONDS.toNanos(STORE_RETRY_MILLIS));
+            } else if (!ledger.isSuspect(request, now)) {
+                suspects.remove(request);
+                logger.atInfo().log("event=request-cleared fingerprint=%s by=others", request);
+                run.run();
+            } else if (trials >= MAX_TRIALS) {
+                refuseFor(KEEP_NANOS);
+            } else if (trials > suspect.knownTrials) {
+                suspect.knownTrials = trials;
+                refuseFor(TRIAL_INTERVAL_NANOS);
+            } else {
+                claim.run();
+            }
+        }
+
+        private void claim() {
+            ledger.recordTrial(request, UUID.randomUUID().toString(), timers.now());
+        }
+
+        private void decideClaim(CrashReports shared, boolean written) {
+            if (!written) {
+                refuseFor(TRIAL_INTERVAL_NANOS);
+                return;
+            }
+            shared.read(read -> {
+                if (read && ledger.trials(request, timers.now()) <= MAX_TRIALS && !exchange.ended()) {
+                    runOnTrial();
+                } else {
+                    refuseFor(TRIAL_INTERVAL_NANOS);
+                }
+            });
+        }
+
+        private void runOnTrial() {
+            suspect.asking = false;
+            suspect.knownTrials = ledger.trials(request, timers.now());
+            suspect.nextTrialAt = timers.now() + TRIAL_INTERVAL_NANOS;
+            onTrial.add(exchange);
+            logger.atInfo().log(
+                    "event=request-on-trial request=%s %s", exchange.facts().id(), describe(exchange));
+            run.run();
+        }
+
+        private void refuseFor(long nanos) {
+            suspect.asking = false;
+            suspect.nextTrialAt = timers.now() + nanos;
+            refuse.run();
+        }
+    }
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -26,6 +26,7 @@
     private final Connector connector;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     private final Map<String, Integer> maxConnections = new HashMap<>();
+    private Runnable onUnplannedEnd = () -> {};
     private boolean loaded;
 
     /** Creates an empty directory. */
@@ -33,6 +34,11 @@
         this.connector = connector;
     }
 
+    /** Sets the callback that runs when an endpoint has shown that its process ended or can't be reached, while it was not draining. */
+    public void onUnplannedEnd(Runnable call) {
+        onUnplannedEnd = call;
+    }
+
     /** Returns whether the endpoints have been listed since the start of the process. */
     public boolean loaded() {
         return loaded;
@@ -103,7 +109,7 @@
         logger.atInfo().log(
                 "event=endpoint-added endpoint=%s service=%s address=%s zone=%s stage=%s leaving=%s",
                 member.id(), member.service(), member.address(), member.zone(), member.stage(), member.draining());
-        Endpoint endpoint = new Endpoint(connector, member);
+        Endpoint endpoint = new Endpoint(connector, member, () -> onUnplannedEnd.run());
         endpoint.maxConnections(maxConnections.getOrDefault(member.service(), Integer.MAX_VALUE));
         return endpoint;
     }
@@ -121,6 +127,9 @@
                     "event=endpoint-gone endpoint=%s service=%s",
                     id, removed.member().service());
             removed.close();
+            if (!removed.member().draining()) {
+                onUnplannedEnd.run();
+            }
         }
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -16,6 +15,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.fleet.EndpointHealth;
 import org.quetzalseam.core.fleet.Member;
@@ -56,12 +56,6 @@
      */
     private static final long FINAL_REPLIES_MILLIS = 300;
 
-    /**
-     * How long an endpoint is excluded after another endpoint answered at its address, or it answered in another stage, in
-     * milliseconds: about the time that the store takes to list a start or a change of stage.
-     */
-    private static final long MISDIRECTED_EXCLUSION_MILLIS = 2_000;
-
     private final Connector connector;
     private final Timers timers;
     private final InetSocketAddress address;
@@ -73,20 +67,22 @@
     private final IdleLimit idleLimit = new IdleLimit();
     private final PeerDisconnects peerDisconnects = new PeerDisconnects();
     private final Set<EndpointCall> callsInFlight = new HashSet<>();
+    private final Misdirection misdirection = new Misdirection();
+    private final CrashCheck crashCheck;
     private Member member;
     private int maxConnections = Integer.MAX_VALUE;
     private int openConnections;
     private int openControlConnections;
     private int outstanding;
     private boolean ended;
-    private boolean misdirected;
-    private long misdirectedAt;
 
-    Endpoint(Connector connector, Member member) {
+    Endpoint(Connector connector, Member member, Runnable onUnplannedEnd) {
         this.connector = connector;
         this.timers = new Timers(connector.loop());
         this.member = member;
         this.address = new InetSocketAddress(member.host(), member.port());
+        this.crashCheck =
+                new CrashCheck(timers, () -> this.member.draining(), () -> openConnection(null), onUnplannedEnd);
     }
 
     /** Returns the endpoint's registration as the platform lists it. */
@@ -98,7 +94,9 @@
         if (updated.stage() != member.stage()) {
             workRejections.recordAcceptance();
         }
-        misdirected = misdirected && updated.equals(member);
+        if (!updated.equals(member)) {
+            misdirection.clear();
+        }
         member = updated;
     }
 
@@ -107,20 +105,13 @@
         return ended;
     }
 
-    /**
-     * Returns whether the registration has recently proved wrong: another endpoint answered at this address, or the endpoint is
-     * in another stage. Every request sent to it would be rejected.
-     */
+    /** Returns whether the registration has recently proved wrong, so that every request sent to it would be rejected. */
     boolean misdirected() {
-        return misdirected
-                && timers.now() - misdirectedAt < TimeUnit.MILLISECONDS.toNanos(MISDIRECTED_EXCLUSION_MILLIS);
+        return misdirection.recent(timers.now());
     }
 
     private void noteMisdirected(HttpResponse head) {
-        if (head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
-            misdirected = true;
-            misdirectedAt = timers.now();
-        }
+        misdirection.record(head, timers.now());
     }
 
     /** Returns the health record of this incarnation. */
@@ -181,23 +172,57 @@
             call.begin(reused);
             return call;
         }
+        openConnection(call);
+        return call;
+    }
+
+    /**
+     * Runs a call if it shows that this incarnation has crashed: a connection to it was lost, and no other one can be opened, or it
+     * is known to have restarted. If the endpoint goes on or drains, the call is dropped.
+     */
+    public void ifCrashed(Runnable call) {
+        crashCheck.ifCrashed(call);
+    }
+
+    /** Opens a connection and begins the call on it; without a call, keeps it for later ones. */
+    private void openConnection(@Nullable EndpointCall call) {
         openConnections++;
-        connector.connect(address, this::connectionIdle, this::connectionClosed, new Connector.ConnectListener() {
-            @Override
-            public void connected(HttpConnection connection) {
-                if (ended || !call.begin(connection)) {
-                    connectionIdle(connection);
-                }
+        connector.connect(
+                address,
+                this::connectionIdle,
+                this::connectionClosed,
+                new ConnectOutcome(call, this::connectionIdle, () -> openConnections--));
+    }
+
+    /** Receives the outcome of opening a connection. */
+    private final class ConnectOutcome implements Connector.ConnectListener {
+        private final @Nullable EndpointCall call;
+        private final Consumer<HttpConnection> onUnused;
+        private final Runnable onNotOpened;
+
+        ConnectOutcome(@Nullable EndpointCall call, Consumer<HttpConnection> onUnused, Runnable onNotOpened) {
+            this.call = call;
+            this.onUnused = onUnused;
+            this.onNotOpened = onNotOpened;
+        }
+
+        @Override
+        public void connected(HttpConnection connection) {
+            crashCheck.connected();
+            if (ended || call == null || !call.begin(connection)) {
+                onUnused.accept(connection);
             }
+        }
 
-            @Override
-            public void failed(CallFailure failure) {
-                openConnections--;
-                peerDisconnects.record(System.nanoTime());
+        @Override
+        public void failed(CallFailure failure) {
+            onNotOpened.run();
+            peerDisconnects.record(System.nanoTime());
+            crashCheck.connectFailed();
+            if (call != null) {
                 call.failUnsent(failure);
             }
-        });
-        return call;
+        }
     }
 
     /**
@@ -271,21 +296,10 @@
         }
         openControlConnections++;
         connector.connect(
-                address, this::controlConnectionIdle, this::controlConnectionClosed, new Connector.ConnectListener() {
-                    @Override
-                    public void connected(HttpConnection connection) {
-                        if (ended || !call.begin(connection)) {
-                            controlConnectionIdle(connection);
-                        }
-                    }
-
-                    @Override
-                    public void failed(CallFailure failure) {
-                        openControlConnections--;
-                        peerDisconnects.record(System.nanoTime());
-                        call.failUnsent(failure);
-                    }
-                });
+                address,
+                this::controlConnectionIdle,
+                this::controlConnectionClosed,
+                new ConnectOutcome(call, this::controlConnectionIdle, () -> openControlConnections--));
         return call;
     }
 
@@ -369,6 +383,7 @@
     void endIncarnation() {
         ended = true;
         close();
+        crashCheck.restarted();
         timers.soon(() ->
                 List.copyOf(callsInFlight).stream().filter(call -> !call.sent()).forEach(Endpoint::failRestarted));
         timers.after(FINAL_REPLIES_MILLIS, this::failUnanswered);
--- a/gateway/src/main/java/org/quetzalseam/gateway/protocol/RequestFacts.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/protocol/RequestFacts.java
@@ -19,6 +19,12 @@
     /** Estimate for requests that state no size: the same for all of them. */
     private static final double NO_ESTIMATE = 1;
 
+    /** Returns the number of tokens of the prompt, 0 if the request is not a generation. */
+    public int promptTokens() {
+        TokenDemand size = demand;
+        return size == null ? 0 : size.prompt();
+    }
+
     /** Returns the caller's estimate of the answer's size, for comparing requests of one route. */
     public double estimate() {
         TokenDemand size = demand;
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -68,6 +68,9 @@
     }
 
     private void startAttempt() {
+        if (endIfHeldBack()) {
+            return;
+        }
         attempts.recordStarted();
         TokenDemand demand = exchange.facts().demand();
         if (demand == null) {
@@ -120,8 +123,7 @@
     }
 
     private void prefillPrompt(BookedMemory booked) {
-        TokenDemand demand = exchange.facts().demand();
-        int promptTokens = demand == null ? 0 : demand.prompt();
+        int promptTokens = exchange.facts().promptTokens();
         PrefillRun newPrefill = new PrefillRun(
                 context, exchange, forwarded, deadline, service, promptTokens, log, new PrefillRun.Listener() {
                     @Override
@@ -164,6 +166,10 @@
 
     private void decode(
             Endpoint engine, @Nullable Endpoint prefillEngine, @Nullable String kvSource, @Nullable String booking) {
+        if (endIfHeldBack()) {
+            return;
+        }
+        context.crashGuard().recordSent(exchange);
         Forwarding forwarding = new Forwarding(
                 engine.member().id(), forwarded.remainingMillis(), false, kvSource, booking, relay.resumePoint());
         DecodeReply reply = new DecodeReply(context.protocol(), new DecodeListener(engine, prefillEngine));
@@ -173,23 +179,20 @@
 
     private final class DecodeListener implements DecodeReply.Listener {
         private final Endpoint engine;
-        private final @Nullable Endpoint prefillEngine;
+        private final EngineOutcome outcome;
         private final long sentAt = context.now();
         private long begunAt;
 
         DecodeListener(Endpoint engine, @Nullable Endpoint prefillEngine) {
             this.engine = engine;
-            this.prefillEngine = prefillEngine;
+            this.outcome = new EngineOutcome(engine, prefillEngine);
         }
 
         @Override
         public void begun(HttpResponse head) {
             begunAt = context.now();
             mayHaveRun = true;
-            engine.workRejections().recordAcceptance();
-            if (prefillEngine != null) {
-                prefillEngine.cacheRejections().recordAcceptance();
-            }
+            outcome.recordAcceptance();
             if (!exchange.begun()) {
                 exchange.begin(head);
             }
@@ -207,6 +210,7 @@
                 return;
             }
             attempts.recordRun();
+            context.crashGuard().recordEnded(exchange);
             engine.health().recordSuccess(context.now(), engine.health().responseMillis());
             statistics.recordAnswered(relay.events().eventCount());
             finish("answered", HttpResponseStatus.OK.code());
@@ -216,44 +220,30 @@
         @Override
         public void answered(HttpResponse head, ByteBuf body) {
             held.release();
-            if (context.protocol().facts(head).notRun()) {
-                recordRefusal(engine, prefillEngine);
-            }
-            handleCompleteReply(engine, head, body);
+            handleCompleteReply(outcome, head, body);
         }
 
         @Override
         public void failed(CallFailure failure) {
             held.release();
-            if (failure.kind() == CallFailure.Kind.CONNECTION_LOST) {
-                log.runLost("decode", engine, sentAt, begunAt);
-            }
+            context.recordFailed("decode", exchange, engine, failure, log, sentAt, begunAt);
             decodeFailed(engine, failure);
         }
     }
 
-    /**
-     * Records a refusal at both engines: either the decode engine accepts nothing now, or it could not fetch the KV cache
-     * from the prefill engine.
-     */
-    private void recordRefusal(Endpoint engine, @Nullable Endpoint prefillEngine) {
-        long now = context.now();
-        engine.workRejections().recordRejection(now);
-        if (prefillEngine != null) {
-            prefillEngine.cacheRejections().recordRejection(now);
-        }
-    }
-
-    private void handleCompleteReply(Endpoint engine, HttpResponse head, ByteBuf body) {
+    private void handleCompleteReply(EngineOutcome outcome, HttpResponse head, ByteBuf body) {
+        Endpoint engine = outcome.decodeEngine();
         ReplyFacts facts = context.protocol().facts(head);
         int status = head.status().code();
         if (facts.notRun()) {
             body.release();
+            outcome.recordRefusal(context.now());
             log.rejected(engine, status, context.describeBudget(service));
             retryNotRun("the engine turned it away");
             return;
         }
         attempts.recordRun();
+        context.crashGuard().recordEnded(exchange);
         mayHaveRun = true;
         engine.health().recordFailure(context.now());
         if (exchange.begun() || !facts.signed()) {
@@ -306,11 +296,7 @@
     private void endWithUnknownOutcome(String why, RetryDecision denied) {
         log.attemptsEnded(why, denied, context.describeBudget(service));
         finish("broken-off", HttpResponseStatus.BAD_GATEWAY.code());
-        if (exchange.begun()) {
-            exchange.abort(why);
-        } else {
-            context.fail(exchange, HttpResponseStatus.BAD_GATEWAY, "the engine gave no whole answer");
-        }
+        abortOrFail(why, HttpResponseStatus.BAD_GATEWAY, "the engine gave no whole answer");
     }
 
     /**
@@ -329,6 +315,20 @@
         context.refuse(exchange, why, bookings.retryAfterMillis((double) route.targetLatencyMillis()));
     }
 
+    /** Ends a request that is held back: with a refusal if it has run nowhere, else with an unknown outcome. */
+    private boolean endIfHeldBack() {
+        if (!context.crashGuard().holdsBack(exchange)) {
+            return false;
+        }
+        if (mayHaveRun) {
+            endWithUnknownOutcome(RunContext.HELD_BACK, RetryDecision.HELD_BACK);
+        } else {
+            finish("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+            context.refuseHeldBack(exchange);
+        }
+        return true;
+    }
+
     private void callerWritable() {
         EndpointCall running = decodeCall;
         if (running != null) {
@@ -367,10 +367,14 @@
             return;
         }
         finish(outcome, status.code());
+        abortOrFail(why, status, why);
+    }
+
+    private void abortOrFail(String why, HttpResponseStatus status, String text) {
         if (exchange.begun()) {
             exchange.abort(why);
         } else {
-            context.fail(exchange, status, why);
+            context.fail(exchange, status, text);
         }
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
@@ -128,9 +128,7 @@
         long sentAt = context.now();
         ReplyCollector reply = new ReplyCollector(
                 MAX_REPLY_BYTES, (answer, body) -> answered(engine, decodeEngine, answer, body, sentAt), failure -> {
-                    if (failure.kind() == CallFailure.Kind.CONNECTION_LOST) {
-                        log.runLost("prefill", engine, sentAt, 0);
-                    }
+                    context.recordFailed("prefill", exchange, engine, failure, log, sentAt, 0);
                     failed(engine, decodeEngine, failure);
                 });
         EndpointCall newCall = engine.send(
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -19,6 +19,7 @@
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.KindFreshness;
+import org.quetzalseam.gateway.store.ObjectStore;
 
 /** Finds the route of each request and starts its run. Used on the event loop only. */
 public final class RequestRouter {
@@ -82,9 +83,18 @@
         return table == null ? 0 : table.version();
     }
 
-    /** Returns whether the entry can serve requests: it knows its routes and its endpoints. */
+    /** Starts to share with other entries which requests have crashed endpoints. */
+    public void shareCrashes(ObjectStore store) {
+        context.directory().onUnplannedEnd(context.crashGuard()::recordEndpointEnded);
+        context.metrics().gauge("quetzalseam.requests.suspected", context.crashGuard()::suspects);
+        context.crashGuard().start(store, context.settings().firstStart(), this::routeEarlyRequests);
+    }
+
+    /** Returns whether the entry can serve requests: it knows its routes, its endpoints and what crashed them. */
     public boolean ready() {
-        return routes != null && context.directory().loaded();
+        return routes != null
+                && context.directory().loaded()
+                && context.crashGuard().loaded();
     }
 
     /** Returns the limits on what callers may send. */
@@ -103,7 +113,7 @@
     /** Routes a request and has it answered. */
     public void route(Exchange exchange) {
         RouteTable table = routes;
-        if (table == null || !context.directory().loaded()) {
+        if (table == null || !ready()) {
             // A process that has just started gets requests before the first response from the store. It holds
             // them briefly, so that the callers need not retry.
             earlyRequests.add(exchange);
@@ -182,6 +192,13 @@
         String service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
         context.retries(service).recordRequest(context.now());
         RunLog log = new RunLog(context.metrics(), exchange, route, service, version);
+        context.crashGuard().admit(exchange, () -> run(exchange, route, service, log), () -> {
+            log.ended("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code(), 0);
+            context.refuseHeldBack(exchange);
+        });
+    }
+
+    private void run(Exchange exchange, RouteRule route, String service, RunLog log) {
         if (route.kind() == CallKind.STREAM) {
             new GenerationRun(context, exchange, route, service, log).start();
         } else {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RetryDecision.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RetryDecision.java
@@ -8,5 +8,7 @@
     /** It has run at as many endpoints as its route allows, or has waited for memory in as many attempts as are of use. */
     TRIES_USED_UP,
     /** This entry's share of the service's retry budget is used up. */
-    BUDGET_SPENT
+    BUDGET_SPENT,
+    /** Endpoints have crashed while they ran it. */
+    HELD_BACK
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -22,8 +22,11 @@
 import org.quetzalseam.core.routing.RouteRule;
 import org.quetzalseam.core.routing.ServiceRule;
 import org.quetzalseam.gateway.caller.Exchange;
+import org.quetzalseam.gateway.crash.CrashGuard;
 import org.quetzalseam.gateway.endpoint.Directory;
+import org.quetzalseam.gateway.endpoint.Endpoint;
 import org.quetzalseam.gateway.entry.EntryCount;
+import org.quetzalseam.gateway.http.CallFailure;
 import org.quetzalseam.gateway.operator.GatewayMetrics;
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.runtime.ScheduledCall;
@@ -34,12 +37,16 @@
     /** Reason given when a draining entry refuses a request. */
     private static final String STOPS_SOONER = "this entry stops before the answer would end";
 
+    /** Reason given when a request is refused because endpoints crashed while they ran it. */
+    static final String HELD_BACK = "endpoints have crashed while they ran this request";
+
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final Timers timers;
     private final Protocol protocol;
     private final Directory directory;
     private final GatewayMetrics metrics;
+    private final CrashGuard crashGuard;
     private final long createdAt;
     private EntrySettings settings;
     /** The number of entries that share the site; null before the first count. */
@@ -58,6 +65,7 @@
         this.directory = directory;
         this.settings = settings;
         this.metrics = metrics;
+        this.crashGuard = new CrashGuard(timers, settings.name());
         this.createdAt = timers.now();
     }
 
@@ -88,6 +96,10 @@
         return metrics;
     }
 
+    CrashGuard crashGuard() {
+        return crashGuard;
+    }
+
     long now() {
         return timers.now();
     }
@@ -265,6 +277,37 @@
                 period == null ? retryAfterMillis : period.retryAfterMillis(now(), random(), retryAfterMillis));
     }
 
+    /**
+     * Records that a call failed after it was sent. If its connection was lost, the endpoint may have crashed while it ran the
+     * request.
+     *
+     * @param call the kind of call, for the log
+     * @param sentAt when the call was sent, in monotonic nanoseconds
+     * @param begunAt when its answer began, or 0 if it had not begun
+     */
+    void recordFailed(
+            String call,
+            Exchange exchange,
+            Endpoint endpoint,
+            CallFailure failure,
+            RunLog log,
+            long sentAt,
+            long begunAt) {
+        if (failure.kind() == CallFailure.Kind.CONNECTION_LOST && !exchange.ended()) {
+            log.runLost(call, endpoint, sentAt, begunAt);
+            crashGuard.recordLost(exchange, endpoint);
+        }
+    }
+
+    /** Refuses a request that is held back because endpoints crashed while they ran it. It has not run this time. */
+    void refuseHeldBack(Exchange exchange) {
+        long retryAfterMillis = crashGuard.retryAfterMillis(exchange);
+        logger.atInfo().log(
+                "event=held-back request=%s retry_after_ms=%d age_ms=%d %s",
+                exchange.facts().id(), retryAfterMillis, exchange.ageMillis(), crashGuard.describe(exchange));
+        refuse(exchange, HELD_BACK, retryAfterMillis);
+    }
+
     private static double random() {
         return ThreadLocalRandom.current().nextDouble();
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -91,6 +91,9 @@
     }
 
     private void sendToNext() {
+        if (endIfHeldBack()) {
+            return;
+        }
         Optional<Endpoint> chosen = choose();
         if (chosen.isEmpty()) {
             giveUp("no endpoint that takes another connection");
@@ -102,13 +105,12 @@
     private void send(Endpoint endpoint) {
         triedEndpoints.add(endpoint);
         currentEndpoint = endpoint;
+        context.crashGuard().recordSent(exchange);
         HttpRequest head = forwarded.head(Forwarding.whole(endpoint.member().id(), forwarded.remainingMillis()));
         long sentAt = context.now();
         ReplyCollector reply = new ReplyCollector(
                 MAX_ANSWER_BYTES, (answer, body) -> answered(endpoint, answer, body, sentAt), failure -> {
-                    if (failure.kind() == CallFailure.Kind.CONNECTION_LOST) {
-                        log.runLost("run", endpoint, sentAt, 0);
-                    }
+                    context.recordFailed("run", exchange, endpoint, failure, log, sentAt, 0);
                     failed(endpoint, failure);
                 });
         if (mayRepeat()) {
@@ -149,6 +151,7 @@
         }
         runs++;
         mayHaveRun = true;
+        context.crashGuard().recordEnded(exchange);
         if (!facts.signed()) {
             body.release();
             endpoint.health().recordFailure(context.now());
@@ -237,6 +240,22 @@
         context.refuse(exchange, why, FULL_RETRY_AFTER_MILLIS);
     }
 
+    /** Ends a request that is held back: with a refusal if it has run nowhere, else with an unknown outcome. */
+    private boolean endIfHeldBack() {
+        if (!context.crashGuard().holdsBack(exchange)) {
+            return false;
+        }
+        if (mayHaveRun) {
+            log.attemptsEnded(RunContext.HELD_BACK, RetryDecision.HELD_BACK, context.describeBudget(service));
+            finish("unknown", HttpResponseStatus.BAD_GATEWAY.code());
+            context.fail(exchange, HttpResponseStatus.BAD_GATEWAY, RunContext.HELD_BACK);
+        } else {
+            finish("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+            context.refuseHeldBack(exchange);
+        }
+        return true;
+    }
+
     private void deadlinePassed() {
         EndpointCall running = call;
         boolean sent = mayHaveRun || (running != null && running.sent());
