--- a/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
@@ -1,12 +1,14 @@
 package org.quetzalseam.core.crash;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.quetzalseam.core.crash.CrashReport.Fact;
 
 /**
@@ -27,6 +29,8 @@
     private final String self;
     private final long keepNanos;
     private final Map<String, Reporter> reporters = new HashMap<>();
+    /** The requests that were suspects when the ledger last changed; some of their crashes may no longer count. */
+    private Set<String> suspects = Set.of();
 
     /**
      * Creates an empty ledger.
@@ -43,6 +47,7 @@
     /** Records that a request was lost when an incarnation of an endpoint crashed. */
     public void recordLost(String request, String incarnation, long now) {
         own().lost.add(new Fact(request, incarnation), now);
+        findSuspects(now);
     }
 
     /**
@@ -52,6 +57,7 @@
     public int recordEnded(String request, long now) {
         Set<String> dismissed = crashes(request, now);
         dismissed.forEach(incarnation -> own().ended.add(new Fact(request, incarnation), now));
+        findSuspects(now);
         return dismissed.size();
     }
 
@@ -66,6 +72,7 @@
         known.lost.replace(report.lost(), now);
         known.ended.replace(report.ended(), now);
         known.trials.replace(report.trials(), now);
+        findSuspects(now);
     }
 
     /** Adds what an earlier process of this entry reported. */
@@ -73,6 +80,7 @@
         report.lost().forEach(fact -> own().lost.add(fact, now));
         report.ended().forEach(fact -> own().ended.add(fact, now));
         report.trials().forEach(fact -> own().trials.add(fact, now));
+        findSuspects(now);
     }
 
     /** Returns the report of this entry, without what has expired. */
@@ -90,7 +98,20 @@
 
     /** Returns whether a request is taken for the cause of crashes. */
     public boolean isSuspect(String request, long now) {
-        return crashes(request, now).size() >= SUSPECT_CRASHES;
+        return suspects.contains(request) && crashes(request, now).size() >= SUSPECT_CRASHES;
+    }
+
+    /** Returns whether there may be a suspect; if not, no request needs to be looked up. */
+    public boolean mayHaveSuspects() {
+        return !suspects.isEmpty();
+    }
+
+    private void findSuspects(long now) {
+        Set<String> lost = new HashSet<>();
+        reporters.values().forEach(reporter -> reporter.lost.addRequests(now, lost));
+        suspects = lost.stream()
+                .filter(request -> crashes(request, now).size() >= SUSPECT_CRASHES)
+                .collect(Collectors.toSet());
     }
 
     /** Returns the number of trials of a request that all entries have claimed. */
@@ -111,7 +132,7 @@
         return names;
     }
 
-    /** Returns whether no crash is known, so that no request needs to be looked up. */
+    /** Returns whether no crash is known, so that the end of a request dismisses nothing. */
     public boolean isEmpty(long now) {
         return reporters.values().stream().allMatch(reporter -> reporter.lost.isEmpty(now));
     }
@@ -162,6 +183,14 @@
             });
         }
 
+        void addRequests(long now, Set<String> found) {
+            learntAt.forEach((fact, at) -> {
+                if (!expired(at, now)) {
+                    found.add(fact.request());
+                }
+            });
+        }
+
         boolean isEmpty(long now) {
             return learntAt.values().stream().allMatch(at -> expired(at, now));
         }
--- /dev/null
+++ b/core/src/test/java/org/quetzalseam/core/crash/CrashLedgerTest.java
@@ -0,0 +1,100 @@
+package org.quetzalseam.core.crash;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.crash.CrashReport.Fact;
+
+class CrashLedgerTest {
+    private static final long KEEP = TimeUnit.MINUTES.toNanos(10);
+
+    private final CrashLedger ledger = new CrashLedger("a", KEEP);
+
+    private static CrashReport lost(Fact... facts) {
+        return new CrashReport(List.of(facts), List.of(), List.of());
+    }
+
+    @Test
+    void aRequestIsSuspectAfterThreeCrashesWhicheverEntriesSawThem() {
+        ledger.recordLost("r", "i-1", 0);
+        ledger.learn("b", lost(new Fact("r", "i-2")), 0);
+        assertThat(ledger.isSuspect("r", 0)).isFalse();
+        ledger.learn("c", lost(new Fact("r", "i-3"), new Fact("q", "i-3")), 0);
+        assertThat(ledger.isSuspect("r", 0)).isTrue();
+        assertThat(ledger.isSuspect("q", 0)).isFalse();
+        assertThat(ledger.reporters("r", 0)).containsExactly("a", "b", "c");
+    }
+
+    @Test
+    void aCrashThatSeveralEntriesSawCountsOnce() {
+        ledger.recordLost("r", "i-1", 0);
+        ledger.recordLost("r", "i-1", 0);
+        ledger.learn("b", lost(new Fact("r", "i-1"), new Fact("r", "i-2")), 0);
+        ledger.learn("c", lost(new Fact("r", "i-2")), 0);
+        assertThat(ledger.crashes("r", 0)).containsExactly("i-1", "i-2");
+    }
+
+    @Test
+    void aRequestThatEndsDismissesTheCrashesKnownUntilThen() {
+        ledger.recordLost("r", "i-1", 0);
+        ledger.recordLost("r", "i-2", 0);
+        assertThat(ledger.recordEnded("r", 0)).isEqualTo(2);
+        ledger.recordLost("r", "i-3", 0);
+        assertThat(ledger.crashes("r", 0)).containsExactly("i-3");
+        assertThat(ledger.recordEnded("r", 0)).isEqualTo(1);
+        assertThat(ledger.recordEnded("r", 0)).isZero();
+    }
+
+    @Test
+    void anEndThatAnotherEntrySawDismissesCrashesInAnyOrderOfTheReports() {
+        CrashReport ended = new CrashReport(List.of(), List.of(new Fact("r", "i-1"), new Fact("r", "i-2")), List.of());
+        ledger.learn("b", ended, 0);
+        ledger.recordLost("r", "i-1", 0);
+        ledger.learn("c", lost(new Fact("r", "i-2"), new Fact("r", "i-3")), 0);
+        assertThat(ledger.crashes("r", 0)).containsExactly("i-3");
+    }
+
+    @Test
+    void theClaimsOfAllEntriesCountAsTrials() {
+        ledger.recordTrial("r", "t-1", 0);
+        ledger.learn("b", new CrashReport(List.of(), List.of(), List.of(new Fact("r", "t-2"))), 0);
+        assertThat(ledger.trials("r", 0)).isEqualTo(2);
+        assertThat(ledger.trials("q", 0)).isZero();
+    }
+
+    @Test
+    void aCrashNoLongerCountsAfterItsTimeThoughItsReportStaysInTheStore() {
+        ledger.recordLost("r", "i-1", 0);
+        ledger.learn("b", lost(new Fact("r", "i-2"), new Fact("r", "i-3")), 0);
+        assertThat(ledger.isSuspect("r", KEEP)).isTrue();
+        assertThat(ledger.isSuspect("r", KEEP + 1)).isFalse();
+        ledger.learn("b", lost(new Fact("r", "i-2"), new Fact("r", "i-3")), KEEP + 1);
+        assertThat(ledger.crashes("r", KEEP + 1)).isEmpty();
+        assertThat(ledger.isEmpty(KEEP + 1)).isTrue();
+        assertThat(ledger.ownReport(KEEP + 1)).isEqualTo(CrashReport.EMPTY);
+    }
+
+    @Test
+    void aRestartedEntryInheritsWhatItsEarlierProcessReported() {
+        CrashReport earlier = new CrashReport(
+                List.of(new Fact("r", "i-1"), new Fact("r", "i-2"), new Fact("r", "i-3")),
+                List.of(),
+                List.of(new Fact("r", "t-1")));
+        ledger.inherit(earlier, 0);
+        assertThat(ledger.isSuspect("r", 0)).isTrue();
+        assertThat(ledger.trials("r", 0)).isEqualTo(1);
+        assertThat(ledger.ownReport(0)).isEqualTo(earlier);
+    }
+
+    @Test
+    void aFloodOfLostRequestsKeepsTheNewestOnly() {
+        for (int i = 0; i < 10 * CrashLedger.MAX_FACTS; i++) {
+            ledger.recordLost("r" + i, "i-1", 0);
+        }
+        List<Fact> kept = ledger.ownReport(0).lost();
+        assertThat(kept).hasSize(CrashLedger.MAX_FACTS);
+        assertThat(kept.get(kept.size() - 1).request()).isEqualTo("r" + (10 * CrashLedger.MAX_FACTS - 1));
+    }
+}
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -147,8 +147,7 @@
     }
 
     private boolean isSuspect(Exchange exchange) {
-        long now = timers.now();
-        return !ledger.isEmpty(now) && ledger.isSuspect(exchange.fingerprint(), now);
+        return ledger.mayHaveSuspects() && ledger.isSuspect(exchange.fingerprint(), timers.now());
     }
 
     private Suspect suspect(String request) {
@@ -334,6 +333,8 @@
             } else if (trials > suspect.knownTrials) {
                 suspect.knownTrials = trials;
                 refuseFor(TRIAL_INTERVAL_NANOS);
+                // The trial of another entry may end well.
+                planReads();
             } else {
                 claim.run();
             }
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/CrashCheck.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/CrashCheck.java
@@ -44,7 +44,7 @@
         if (draining.getAsBoolean()) {
             return;
         }
-        if (ended || unreachable) {
+        if (ended) {
             call.run();
             return;
         }
@@ -65,8 +65,9 @@
     /** Records that no connection could be opened. */
     void connectFailed() {
         connecting = false;
-        if (!unreachable) {
-            unreachable = true;
+        boolean news = !unreachable || !callsIfCrashed.isEmpty();
+        unreachable = true;
+        if (news) {
             unplannedEnd();
         }
     }
