--- a/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
@@ -7,8 +7,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 import org.quetzalseam.core.crash.CrashReport.Fact;
 
 /**
@@ -16,8 +17,8 @@
  * Times are monotonic nanoseconds of this process.
  *
  * <p>A crash also loses requests that did not cause it. Those end at another endpoint sooner or later, which dismisses all
- * crashes known until then; the request that causes the crashes never ends. A request with {@link #SUSPECT_CRASHES} crashes
- * that nothing dismisses is a suspect.
+ * crashes known until then and shortly after; the request that causes the crashes never ends. A request with
+ * {@link #SUSPECT_CRASHES} crashes that nothing dismisses is a suspect.
  */
 public final class CrashLedger {
     /** Number of crashes from which on a request is taken for their cause. */
@@ -26,8 +27,17 @@
     /** Maximum number of facts of each sort that are kept of one entry; the oldest go first. */
     static final int MAX_FACTS = 256;
 
+    /** Maximum number of requests that are remembered because they ended recently. */
+    private static final int MAX_RECENT_ENDS = 1_024;
+    /**
+     * How long the end of a request also dismisses crashes that are learnt of later, in nanoseconds: several times as long as
+     * entries take to report a crash.
+     */
+    static final long RECENT_END_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     private final String self;
     private final long keepNanos;
+    private final Map<String, Long> recentEnds = new LinkedHashMap<>();
     private final Map<String, Reporter> reporters = new HashMap<>();
     /** The requests that were suspects when the ledger last changed; some of their crashes may no longer count. */
     private Set<String> suspects = Set.of();
@@ -55,10 +65,27 @@
      * not been dismissed before.
      */
     public int recordEnded(String request, long now) {
+        recentEnds.remove(request);
+        recentEnds.put(request, now);
+        if (recentEnds.size() > MAX_RECENT_ENDS) {
+            recentEnds.remove(recentEnds.keySet().iterator().next());
+        }
+        Set<String> dismissed = dismiss(request, now);
+        if (!dismissed.isEmpty()) {
+            findSuspects(now);
+        }
+        return dismissed.size();
+    }
+
+    private Set<String> dismiss(String request, long now) {
         Set<String> dismissed = crashes(request, now);
         dismissed.forEach(incarnation -> own().ended.add(new Fact(request, incarnation), now));
-        findSuspects(now);
-        return dismissed.size();
+        return dismissed;
+    }
+
+    private boolean endedRecently(String request, long now) {
+        Long endedAt = recentEnds.get(request);
+        return endedAt != null && now - endedAt <= RECENT_END_NANOS;
     }
 
     /** Records that this entry claims a trial of a request. */
@@ -66,12 +93,14 @@
         own().trials.add(new Fact(request, trial), now);
     }
 
-    /** Replaces what is known of another entry by its newest report. */
-    public void learn(String reporter, CrashReport report, long now) {
-        Reporter known = reporters.computeIfAbsent(reporter, name -> new Reporter());
-        known.lost.replace(report.lost(), now);
-        known.ended.replace(report.ended(), now);
-        known.trials.replace(report.trials(), now);
+    /** Replaces what is known of other entries by their newest reports, by the names of the entries. */
+    public void learn(Map<String, CrashReport> reports, long now) {
+        reports.forEach((reporter, report) -> {
+            Reporter known = reporters.computeIfAbsent(reporter, name -> new Reporter());
+            known.lost.replace(report.lost(), now);
+            known.ended.replace(report.ended(), now);
+            known.trials.replace(report.trials(), now);
+        });
         findSuspects(now);
     }
 
@@ -107,11 +136,28 @@
     }
 
     private void findSuspects(long now) {
-        Set<String> lost = new HashSet<>();
-        reporters.values().forEach(reporter -> reporter.lost.addRequests(now, lost));
-        suspects = lost.stream()
-                .filter(request -> crashes(request, now).size() >= SUSPECT_CRASHES)
-                .collect(Collectors.toSet());
+        Map<String, Set<String>> open = new HashMap<>();
+        reporters
+                .values()
+                .forEach(reporter -> reporter.lost.forEachCurrent(
+                        now,
+                        fact -> open.computeIfAbsent(fact.request(), request -> new HashSet<>())
+                                .add(fact.subject())));
+        reporters
+                .values()
+                .forEach(reporter -> reporter.ended.forEachCurrent(
+                        now,
+                        fact -> open.getOrDefault(fact.request(), new HashSet<>())
+                                .remove(fact.subject())));
+        Set<String> found = new HashSet<>();
+        open.forEach((request, crashes) -> {
+            if (endedRecently(request, now)) {
+                dismiss(request, now);
+            } else if (crashes.size() >= SUSPECT_CRASHES) {
+                found.add(request);
+            }
+        });
+        suspects = found;
     }
 
     /** Returns the number of trials of a request that all entries have claimed. */
@@ -176,17 +222,17 @@
         }
 
         void addSubjects(String request, long now, Set<String> found) {
-            learntAt.forEach((fact, at) -> {
-                if (fact.request().equals(request) && !expired(at, now)) {
+            forEachCurrent(now, fact -> {
+                if (fact.request().equals(request)) {
                     found.add(fact.subject());
                 }
             });
         }
 
-        void addRequests(long now, Set<String> found) {
+        void forEachCurrent(long now, Consumer<Fact> action) {
             learntAt.forEach((fact, at) -> {
                 if (!expired(at, now)) {
-                    found.add(fact.request());
+                    action.accept(fact);
                 }
             });
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -1,18 +1,17 @@
 package org.quetzalseam.gateway.crash;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
-import java.util.WeakHashMap;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.crash.CrashLedger;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Endpoint;
+import org.quetzalseam.gateway.runtime.ScheduledCall;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectStore;
 
@@ -35,14 +34,19 @@
      * request that was sent before the third crash was known may still arrive.
      */
     private static final int MAX_TRIALS = 2;
-    /** Time from the suspicion to the first trial, in nanoseconds: a request that is suspect by chance loses little. */
-    private static final long FIRST_TRIAL_NANOS = TimeUnit.SECONDS.toNanos(1);
-    /** Time between two trials, in nanoseconds: longer than endpoints take to start, so that not many are down at once. */
-    private static final long TRIAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /**
+     * Time from the suspicion to the first trial, in nanoseconds: runs of the request that are under way may end meanwhile, and a
+     * request that is suspect by chance loses little.
+     */
+    private static final long FIRST_TRIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    /** Time between two trials, in nanoseconds: about as long as endpoints take to start, so that not many are down at once. */
+    private static final long TRIAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
     /** Time after which the store is asked again when it did not answer, in milliseconds. */
     private static final long STORE_RETRY_MILLIS = 1_000;
-    /** Delay of a report, in milliseconds, so that all requests lost in one crash are reported together. */
-    private static final long REPORT_DELAY_MILLIS = 50;
+    /** Delay of a report of lost requests, in milliseconds, so that all that were lost in one crash are reported together. */
+    private static final long LOSS_REPORT_DELAY_MILLIS = 50;
+    /** Delay of a report of requests that ended, in milliseconds: those lost in one crash end at other times. */
+    private static final long END_REPORT_DELAY_MILLIS = 300;
     /**
      * When the reports are read after a crash, in milliseconds: first when they have usually been written, last before the three
      * seconds are over in which all entries are to know.
@@ -55,12 +59,13 @@
     private final String self;
     private final CrashLedger ledger;
     private final Map<String, Suspect> suspects = new HashMap<>();
-    /** The requests that are on trial and have not been sent yet. */
-    private final Set<Exchange> onTrial = Collections.newSetFromMap(new WeakHashMap<>());
-
     private final Set<Long> plannedReads = new HashSet<>();
     private @Nullable CrashReports reports;
-    private boolean reportPlanned;
+    private @Nullable ScheduledCall plannedReport;
+    private long plannedReportAt;
+    private boolean reporting;
+    private boolean storeFailed;
+    private long reportNotBefore;
     private boolean loaded = true;
 
     /** Creates a guard that knows of no crash, and shares what it learns with no other entry before {@link #start}. */
@@ -75,10 +80,19 @@
         private long nextTrialAt;
         private int knownTrials;
         private boolean asking;
+        /** Whether this entry has claimed a trial with which nothing has been sent yet. */
+        private boolean unusedClaim;
+        /** The request that may be sent as a trial. */
+        private @Nullable Exchange onTrial;
 
         Suspect(long nextTrialAt) {
             this.nextTrialAt = nextTrialAt;
         }
+
+        boolean busy() {
+            Exchange trial = onTrial;
+            return asking || (trial != null && !trial.ended());
+        }
     }
 
     /**
@@ -127,7 +141,7 @@
             return;
         }
         Suspect suspect = suspect(exchange.fingerprint());
-        if (suspect.asking || timers.now() - suspect.nextTrialAt < 0) {
+        if (suspect.busy() || timers.now() - suspect.nextTrialAt < 0) {
             refuse.run();
             return;
         }
@@ -138,12 +152,18 @@
 
     /** Returns whether a request must not be sent to an endpoint now. */
     public boolean holdsBack(Exchange exchange) {
-        return isSuspect(exchange) && !onTrial.contains(exchange);
+        return isSuspect(exchange) && suspect(exchange.fingerprint()).onTrial != exchange;
     }
 
     /** Records that a request was sent to an endpoint that will run it; a trial allows that once. */
     public void recordSent(Exchange exchange) {
-        onTrial.remove(exchange);
+        Suspect suspect = suspects.isEmpty() ? null : suspects.get(exchange.fingerprint());
+        if (suspect != null && suspect.onTrial == exchange) {
+            suspect.onTrial = null;
+            suspect.unusedClaim = false;
+            suspect.knownTrials++;
+            suspect.nextTrialAt = timers.now() + TRIAL_INTERVAL_NANOS;
+        }
     }
 
     private boolean isSuspect(Exchange exchange) {
@@ -195,7 +215,7 @@
         if (ledger.isSuspect(request, now)) {
             suspect(request);
         }
-        planReport();
+        planReport(LOSS_REPORT_DELAY_MILLIS);
     }
 
     /** Records that an endpoint has run a request to its end, so that the request has not caused the crashes known of it. */
@@ -209,9 +229,9 @@
         if (dismissed > 0 && suspects.remove(request) != null) {
             logger.atInfo().log("event=request-cleared fingerprint=%s dismissed=%d", request, dismissed);
         }
-        // With the next crash the request would be a suspect at entries that don't know that it ended.
-        if (dismissed >= CrashLedger.SUSPECT_CRASHES - 1) {
-            planReport();
+        if (dismissed > 0) {
+            // Entries that don't know of the end would count the dismissed crashes with the next ones.
+            planReport(dismissed >= CrashLedger.SUSPECT_CRASHES ? LOSS_REPORT_DELAY_MILLIS : END_REPORT_DELAY_MILLIS);
         }
     }
 
@@ -244,27 +264,40 @@
 
     private void reportIfOutdated(CrashReports shared) {
         if (shared.outdated()) {
-            planReport();
+            planReport(LOSS_REPORT_DELAY_MILLIS);
         }
     }
 
-    private void planReport() {
+    private void planReport(long delayMillis) {
         CrashReports shared = reports;
-        if (shared == null || reportPlanned) {
+        long at = timers.now() + TimeUnit.MILLISECONDS.toNanos(delayMillis);
+        if (storeFailed && at - reportNotBefore < 0) {
+            at = reportNotBefore;
+        }
+        if (shared == null || reporting || (plannedReport != null && plannedReportAt - at <= 0)) {
             return;
         }
-        reportPlanned = true;
-        timers.after(REPORT_DELAY_MILLIS, () -> report(shared));
+        cancelPlannedReport();
+        plannedReportAt = at;
+        plannedReport = timers.after(TimeUnit.NANOSECONDS.toMillis(at - timers.now()), () -> report(shared));
+    }
+
+    private void cancelPlannedReport() {
+        ScheduledCall planned = plannedReport;
+        if (planned != null) {
+            planned.cancel();
+            plannedReport = null;
+        }
     }
 
     private void report(CrashReports shared) {
+        plannedReport = null;
+        reporting = true;
         shared.write(written -> {
-            reportPlanned = false;
-            if (!written) {
-                timers.after(STORE_RETRY_MILLIS, () -> reportIfOutdated(shared));
-            } else {
-                reportIfOutdated(shared);
-            }
+            reporting = false;
+            storeFailed = !written;
+            reportNotBefore = timers.now() + TimeUnit.MILLISECONDS.toNanos(STORE_RETRY_MILLIS);
+            reportIfOutdated(shared);
         });
     }
 
@@ -319,7 +352,7 @@
 
         private void decide(boolean reportsKnown, Runnable claim) {
             long now = timers.now();
-            int trials = ledger.trials(request, now);
+            int trials = ledger.trials(request, now) - (suspect.unusedClaim ? 1 : 0);
             if (exchange.ended()) {
                 suspect.asking = false;
             } else if (!reportsKnown) {
@@ -341,12 +374,15 @@
         }
 
         private void claim() {
-            ledger.recordTrial(request, UUID.randomUUID().toString(), timers.now());
+            if (!suspect.unusedClaim) {
+                suspect.unusedClaim = true;
+                ledger.recordTrial(request, UUID.randomUUID().toString(), timers.now());
+            }
         }
 
         private void decideClaim(CrashReports shared, boolean written) {
             if (!written) {
-                refuseFor(TRIAL_INTERVAL_NANOS);
+                refuseFor(TimeUnit.MILLISECONDS.toNanos(STORE_RETRY_MILLIS));
                 return;
             }
             shared.read(read -> {
@@ -360,9 +396,7 @@
 
         private void runOnTrial() {
             suspect.asking = false;
-            suspect.knownTrials = ledger.trials(request, timers.now());
-            suspect.nextTrialAt = timers.now() + TRIAL_INTERVAL_NANOS;
-            onTrial.add(exchange);
+            suspect.onTrial = exchange;
             logger.atInfo().log(
                     "event=request-on-trial request=%s %s", exchange.facts().id(), describe(exchange));
             run.run();
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReports.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReports.java
@@ -2,7 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -75,15 +77,17 @@
         long now = timers.now();
         ownPosition = null;
         Optional<CrashReport> own = Optional.empty();
+        Map<String, CrashReport> others = new HashMap<>();
         for (StoredObject object : before) {
             Optional<CrashReport> report = parse(object);
             if (object.name().equals(self)) {
                 ownPosition = object.position();
                 own = report;
             } else {
-                report.ifPresent(known -> ledger.learn(object.name(), known, now));
+                report.ifPresent(known -> others.put(object.name(), known));
             }
         }
+        ledger.learn(others, now);
         if (!ownKnown) {
             own.ifPresent(earlier -> ledger.inherit(earlier, now));
         }
