--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/CrashingGenerationTest.java
@@ -0,0 +1,172 @@
+package org.quetzalseam.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.fleet.Member;
+import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.standins.raw.RawRequest;
+
+/** Tests one entry, without a store, whose decode engines end while they run a generation. */
+class CrashingGenerationTest {
+    private static final String HELD_BACK = "endpoints have crashed while they ran this request";
+    private static final int SUSPECT_CRASHES = 3;
+    /** Time in which an entry has learnt that a lost connection was a crash, in milliseconds. */
+    private static final long CHECK_MILLIS = 100;
+
+    private final TestEntry entry = new TestEntry();
+    private final List<ScriptedEndpoint> engines = new ArrayList<>();
+
+    @BeforeEach
+    void start() {
+        entry.updateRoutes(5_000);
+    }
+
+    @AfterEach
+    void stop() {
+        entry.close();
+        engines.forEach(ScriptedEndpoint::close);
+    }
+
+    private ScriptedEndpoint engine(ScriptedEndpoint.Script script) {
+        ScriptedEndpoint engine = new ScriptedEndpoint("engine-" + engines.size(), script);
+        engines.add(engine);
+        return engine;
+    }
+
+    private void useOnly(ScriptedEndpoint engine) {
+        entry.updateEndpoints(engine.member("s", Stage.DECODE));
+    }
+
+    private static void stream(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
+        connection.beginStream(request);
+        connection.chunk("id: 1\ndata: a\n\n");
+        connection.endStream();
+    }
+
+    /** Sends the request to an engine that begins its stream and then ends in a way of its own. */
+    private void sendToEngineThatEnds(String id, Runnable how) {
+        ScriptedEndpoint engine = engine((request, connection) -> {
+            if (request.path().startsWith("/control/")) {
+                connection.reject(request);
+                return;
+            }
+            connection.beginStream(request);
+            how.run();
+            connection.reset();
+        });
+        useOnly(engine);
+        entry.ask("/stream/x", id);
+        pause();
+    }
+
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void crashLastEngine() {
+        engines.get(engines.size() - 1).close();
+    }
+
+    private void crashThreeEngines() {
+        for (int i = 0; i < SUSPECT_CRASHES; i++) {
+            sendToEngineThatEnds("r" + i, this::crashLastEngine);
+        }
+    }
+
+    // Guards against a generation being sent to a fourth engine after three have crashed while they ran it.
+    @Test
+    void aGenerationThatHasCrashedThreeEnginesIsRefusedAtOnce() {
+        crashThreeEngines();
+        ScriptedEndpoint fourth = engine(CrashingGenerationTest::stream);
+        useOnly(fourth);
+        assertThat(entry.ask("/stream/x", "again"))
+                .startsWith("HTTP/1.1 503")
+                .contains(HELD_BACK)
+                .contains("x-come-back:");
+        assertThat(fourth.runs()).isEmpty();
+        assertThat(entry.ask("/stream/y", "other")).startsWith("HTTP/1.1 200");
+    }
+
+    // Guards against a generation being held back because living engines closed its connections.
+    @Test
+    void connectionsThatLivingEnginesResetAreNoCrashes() {
+        for (int i = 0; i < 2 * SUSPECT_CRASHES; i++) {
+            sendToEngineThatEnds("r" + i, () -> {});
+        }
+        useOnly(engine(CrashingGenerationTest::stream));
+        assertThat(entry.ask("/stream/x", "again")).startsWith("HTTP/1.1 200");
+    }
+
+    // Guards against a generation being held back because engines ended as planned while they ran it.
+    @Test
+    void theEndOfADrainingEngineIsNoCrash() {
+        for (int i = 0; i < 2 * SUSPECT_CRASHES; i++) {
+            sendToEngineThatEnds("r" + i, () -> {
+                ScriptedEndpoint ending = engines.get(engines.size() - 1);
+                Member member = ending.member("s", Stage.DECODE);
+                entry.updateEndpoints(new Member(
+                        member.id(),
+                        member.startMillis(),
+                        member.service(),
+                        member.host(),
+                        member.port(),
+                        member.zone(),
+                        member.slots(),
+                        true,
+                        member.stage()));
+                crashLastEngine();
+            });
+        }
+        useOnly(engine(CrashingGenerationTest::stream));
+        assertThat(entry.ask("/stream/x", "again")).startsWith("HTTP/1.1 200");
+    }
+
+    // Guards against a generation being sent that was accepted before the third crash and waited for memory since then.
+    @Test
+    void aGenerationThatWaitsForMemoryIsNotSentAfterTheThirdCrash() {
+        AtomicBoolean full = new AtomicBoolean(true);
+        ScriptedEndpoint fullEngine = engine((request, connection) -> {
+            if (!request.path().startsWith("/control/")) {
+                stream(request, connection);
+            } else if (full.get()) {
+                connection.reject(request);
+            } else {
+                connection.answer(request, "booking");
+            }
+        });
+        useOnly(fullEngine);
+        CompletableFuture<String> waiting =
+                CompletableFuture.supplyAsync(() -> entry.ask("/stream/x", "waiting", "x-tokens: 1000"));
+        pause();
+        crashThreeEngines();
+        full.set(false);
+        useOnly(fullEngine);
+        assertThat(waiting.join()).startsWith("HTTP/1.1 503").contains(HELD_BACK);
+        assertThat(fullEngine.runs()).isEmpty();
+    }
+
+    // Guards against a generation being refused on and on after a trial has ended well.
+    @Test
+    void aTrialThatEndsClearsTheGeneration() {
+        crashThreeEngines();
+        useOnly(engine(CrashingGenerationTest::stream));
+        assertThat(entry.ask("/stream/x", "early")).startsWith("HTTP/1.1 503");
+        pause();
+        pause();
+        assertThat(entry.ask("/stream/x", "trial")).startsWith("HTTP/1.1 200");
+        assertThat(entry.ask("/stream/x", "next")).startsWith("HTTP/1.1 200");
+    }
+}
