--- a/standins/src/main/java/org/quetzalseam/standins/ServiceStandIn.java
+++ b/standins/src/main/java/org/quetzalseam/standins/ServiceStandIn.java
@@ -39,7 +39,11 @@
     private final Set<Thread> callThreads = ConcurrentHashMap.newKeySet();
     private volatile long extraCallMillis;
     private volatile boolean breaksOff;
-    private final StandInServer server;
+    private volatile String crashingId = "";
+    private volatile long downMillis;
+    private final int port;
+    private StandInServer server;
+    private boolean stopped;
 
     /**
      * Starts an instance of a service on a free port of the loopback interface.
@@ -51,11 +55,12 @@
         this.ledger = ledger;
         this.callMillis = millis;
         this.server = new StandInServer(0, this::handle);
+        this.port = server.port();
     }
 
     /** Returns the service's base address. */
     public String url() {
-        return server.url();
+        return "http://127.0.0.1:" + port;
     }
 
     /** Returns the number of calls received. */
@@ -73,11 +78,40 @@
         breaksOff = now;
     }
 
+    /**
+     * Lets each later call with a business id crash the service: all its connections close, and it starts again at the same
+     * address after a time in milliseconds.
+     */
+    public void crashOn(String id, long restartMillis) {
+        downMillis = restartMillis;
+        crashingId = id;
+    }
+
+    private void crash() {
+        synchronized (this) {
+            server.stop();
+        }
+        Pause.millis(downMillis);
+        synchronized (this) {
+            if (!stopped) {
+                server = new StandInServer(port, this::handle);
+            }
+        }
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
         calls.incrementAndGet();
         byte[] body = exchange.getRequestBody().readAllBytes();
         String id = exchange.getRequestHeaders().getFirst("X-Business-Id");
         int count = id == null ? 1 : ledger.execute(id);
+        if (crashingId.equals(id)) {
+            // Not on this thread, which the crash interrupts.
+            Thread crash = new Thread(this::crash, "stand-in-crash");
+            crash.setDaemon(true);
+            crash.start();
+            Pause.millis(downMillis);
+            throw new IOException("crashed on purpose");
+        }
         callThreads.add(Thread.currentThread());
         Pause.millis(callMillis + extraCallMillis);
         callThreads.remove(Thread.currentThread());
@@ -94,7 +128,8 @@
     }
 
     /** Stops the service immediately and interrupts calls in progress. */
-    public void stop() {
+    public synchronized void stop() {
+        stopped = true;
         callThreads.forEach(Thread::interrupt);
         server.stop();
     }
