--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -2,16 +2,13 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.crash.CrashLedger;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Endpoint;
-import org.quetzalseam.gateway.runtime.ScheduledCall;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectStore;
 
@@ -43,29 +40,13 @@
     private static final long TRIAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
     /** Time after which the store is asked again when it did not answer, in milliseconds. */
     private static final long STORE_RETRY_MILLIS = 1_000;
-    /** Delay of a report of lost requests, in milliseconds, so that all that were lost in one crash are reported together. */
-    private static final long LOSS_REPORT_DELAY_MILLIS = 50;
-    /** Delay of a report of requests that ended, in milliseconds: those lost in one crash end at other times. */
-    private static final long END_REPORT_DELAY_MILLIS = 300;
-    /**
-     * When the reports are read after a crash, in milliseconds: first when they have usually been written, last before the three
-     * seconds are over in which all entries are to know.
-     */
-    private static final long[] READ_DELAYS_MILLIS = {300, 1_000, 2_500};
-    /** Reads that are planned within this time of each other are made once, in nanoseconds. */
-    private static final long SAME_READ_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     private final Timers timers;
     private final String self;
     private final CrashLedger ledger;
     private final Map<String, Suspect> suspects = new HashMap<>();
-    private final Set<Long> plannedReads = new HashSet<>();
     private @Nullable CrashReports reports;
-    private @Nullable ScheduledCall plannedReport;
-    private long plannedReportAt;
-    private boolean reporting;
-    private boolean storeFailed;
-    private long reportNotBefore;
+    private @Nullable ReportSchedule schedule;
     private boolean loaded = true;
 
     /** Creates a guard that knows of no crash, and shares what it learns with no other entry before {@link #start}. */
@@ -104,7 +85,9 @@
      */
     public void start(ObjectStore store, boolean firstStart, Runnable onLoaded) {
         CrashReports shared = new CrashReports(timers, store, self, ledger);
+        ReportSchedule planned = new ReportSchedule(timers, shared);
         reports = shared;
+        schedule = planned;
         timers.every(EXPIRY_CHECK_MILLIS, this::dropExpired);
         if (firstStart) {
             return;
@@ -113,7 +96,7 @@
         shared.read(read -> {
             loaded = true;
             if (!read) {
-                planReads();
+                planned.readSoon();
             }
             onLoaded.run();
         });
@@ -215,7 +198,7 @@
         if (ledger.isSuspect(request, now)) {
             suspect(request);
         }
-        planReport(LOSS_REPORT_DELAY_MILLIS);
+        reportSoon(true);
     }
 
     /** Records that an endpoint has run a request to its end, so that the request has not caused the crashes known of it. */
@@ -231,76 +214,29 @@
         }
         if (dismissed > 0) {
             // Entries that don't know of the end would count the dismissed crashes with the next ones.
-            planReport(dismissed >= CrashLedger.SUSPECT_CRASHES ? LOSS_REPORT_DELAY_MILLIS : END_REPORT_DELAY_MILLIS);
+            reportSoon(dismissed >= CrashLedger.SUSPECT_CRASHES);
         }
     }
 
     /** Records that an endpoint has ended unplanned: other entries may report what it ran. */
     public void recordEndpointEnded() {
-        planReads();
-    }
-
-    private void planReads() {
-        if (reports == null) {
-            return;
-        }
-        long now = timers.now();
-        for (long delay : READ_DELAYS_MILLIS) {
-            long at = now + TimeUnit.MILLISECONDS.toNanos(delay);
-            if (plannedReads.stream().noneMatch(planned -> Math.abs(planned - at) < SAME_READ_NANOS)) {
-                plannedReads.add(at);
-                timers.after(delay, () -> plannedRead(at));
-            }
-        }
-    }
-
-    private void plannedRead(long at) {
-        plannedReads.remove(at);
-        CrashReports shared = reports;
-        if (shared != null) {
-            shared.read(read -> reportIfOutdated(shared));
-        }
+        readSoon();
     }
 
-    private void reportIfOutdated(CrashReports shared) {
-        if (shared.outdated()) {
-            planReport(LOSS_REPORT_DELAY_MILLIS);
-        }
-    }
-
-    private void planReport(long delayMillis) {
-        CrashReports shared = reports;
-        long at = timers.now() + TimeUnit.MILLISECONDS.toNanos(delayMillis);
-        if (storeFailed && at - reportNotBefore < 0) {
-            at = reportNotBefore;
-        }
-        if (shared == null || reporting || (plannedReport != null && plannedReportAt - at <= 0)) {
-            return;
+    private void readSoon() {
+        ReportSchedule planned = schedule;
+        if (planned != null) {
+            planned.readSoon();
         }
-        cancelPlannedReport();
-        plannedReportAt = at;
-        plannedReport = timers.after(TimeUnit.NANOSECONDS.toMillis(at - timers.now()), () -> report(shared));
     }
 
-    private void cancelPlannedReport() {
-        ScheduledCall planned = plannedReport;
+    private void reportSoon(boolean urgent) {
+        ReportSchedule planned = schedule;
         if (planned != null) {
-            planned.cancel();
-            plannedReport = null;
+            planned.reportSoon(urgent);
         }
     }
 
-    private void report(CrashReports shared) {
-        plannedReport = null;
-        reporting = true;
-        shared.write(written -> {
-            reporting = false;
-            storeFailed = !written;
-            reportNotBefore = timers.now() + TimeUnit.MILLISECONDS.toNanos(STORE_RETRY_MILLIS);
-            reportIfOutdated(shared);
-        });
-    }
-
     private void dropExpired() {
         long now = timers.now();
         suspects.keySet().removeIf(request -> {
@@ -310,9 +246,9 @@
             }
             return expired;
         });
-        CrashReports shared = reports;
-        if (shared != null) {
-            reportIfOutdated(shared);
+        ReportSchedule planned = schedule;
+        if (planned != null) {
+            planned.reportIfOutdated();
         }
     }
 
@@ -367,7 +303,7 @@
                 suspect.knownTrials = trials;
                 refuseFor(TRIAL_INTERVAL_NANOS);
                 // The trial of another entry may end well.
-                planReads();
+                readSoon();
             } else {
                 claim.run();
             }
