--- a/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
@@ -88,9 +88,9 @@
         return endedAt != null && now - endedAt <= RECENT_END_NANOS;
     }
 
-    /** Records that this entry claims a trial of a request. */
-    public void recordTrial(String request, String trial, long now) {
-        own().trials.add(new Fact(request, trial), now);
+    /** Records that this entry claims a probe of a request. */
+    public void recordProbe(String request, String probe, long now) {
+        own().probes.add(new Fact(request, probe), now);
     }
 
     /** Replaces what is known of other entries by their newest reports, by the names of the entries. */
@@ -99,7 +99,7 @@
             Reporter known = reporters.computeIfAbsent(reporter, name -> new Reporter());
             known.lost.replace(report.lost(), now);
             known.ended.replace(report.ended(), now);
-            known.trials.replace(report.trials(), now);
+            known.probes.replace(report.probes(), now);
         });
         findSuspects(now);
     }
@@ -108,14 +108,14 @@
     public void inherit(CrashReport report, long now) {
         report.lost().forEach(fact -> own().lost.add(fact, now));
         report.ended().forEach(fact -> own().ended.add(fact, now));
-        report.trials().forEach(fact -> own().trials.add(fact, now));
+        report.probes().forEach(fact -> own().probes.add(fact, now));
         findSuspects(now);
     }
 
     /** Returns the report of this entry, without what has expired. */
     public CrashReport ownReport(long now) {
         Reporter own = own();
-        return new CrashReport(own.lost.dropExpired(now), own.ended.dropExpired(now), own.trials.dropExpired(now));
+        return new CrashReport(own.lost.dropExpired(now), own.ended.dropExpired(now), own.probes.dropExpired(now));
     }
 
     /** Returns the incarnations that crashed while they ran a request, without those dismissed. */
@@ -160,9 +160,9 @@
         suspects = found;
     }
 
-    /** Returns the number of trials of a request that all entries have claimed. */
-    public int trials(String request, long now) {
-        return subjects(request, reporter -> reporter.trials, now).size();
+    /** Returns the number of probes of a request that all entries have claimed. */
+    public int probes(String request, long now) {
+        return subjects(request, reporter -> reporter.probes, now).size();
     }
 
     /** Returns the names of the entries that reported crashes of a request. */
@@ -196,7 +196,7 @@
     private final class Reporter {
         private final Facts lost = new Facts();
         private final Facts ended = new Facts();
-        private final Facts trials = new Facts();
+        private final Facts probes = new Facts();
     }
 
     /** Facts of one sort with the time at which this process learnt of each, oldest first. */
--- a/core/src/main/java/org/quetzalseam/core/crash/CrashReport.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashReport.java
@@ -8,9 +8,9 @@
  *
  * @param lost requests that were lost in the crash of an endpoint's incarnation
  * @param ended requests that ended elsewhere, with a crash that they therefore did not cause
- * @param trials trials of requests that are held back, each with an id of its own
+ * @param probes probes of requests that are quarantined, each with an id of its own
  */
-public record CrashReport(List<Fact> lost, List<Fact> ended, List<Fact> trials) {
+public record CrashReport(List<Fact> lost, List<Fact> ended, List<Fact> probes) {
     /** The report of an entry that has nothing to report. */
     public static final CrashReport EMPTY = new CrashReport(List.of(), List.of(), List.of());
 
@@ -18,14 +18,14 @@
     public CrashReport {
         lost = List.copyOf(lost);
         ended = List.copyOf(ended);
-        trials = List.copyOf(trials);
+        probes = List.copyOf(probes);
     }
 
     /**
      * One fact about a request. Immutable.
      *
      * @param request the fingerprint of the request
-     * @param subject the incarnation that crashed, or the id of the trial
+     * @param subject the incarnation that crashed, or the id of the probe
      */
     public record Fact(String request, String subject) {}
 }
--- a/core/src/test/java/org/quetzalseam/core/crash/CrashLedgerTest.java
+++ b/core/src/test/java/org/quetzalseam/core/crash/CrashLedgerTest.java
@@ -49,7 +49,8 @@
         assertThat(ledger.recordEnded("r", later)).isZero();
     }
 
-    // Guards against a request that many callers send being held back because several endpoints crash at about the same
+    // Guards against a request that many callers send being quarantined because several endpoints crash at about the
+    // same
     // time.
     @Test
     void aRequestThatEndedRecentlyDismissesCrashesThatAreLearntOfLater() {
@@ -71,11 +72,11 @@
     }
 
     @Test
-    void theClaimsOfAllEntriesCountAsTrials() {
-        ledger.recordTrial("r", "t-1", 0);
+    void theClaimsOfAllEntriesCountAsProbes() {
+        ledger.recordProbe("r", "t-1", 0);
         ledger.learn(Map.of("b", new CrashReport(List.of(), List.of(), List.of(new Fact("r", "t-2")))), 0);
-        assertThat(ledger.trials("r", 0)).isEqualTo(2);
-        assertThat(ledger.trials("q", 0)).isZero();
+        assertThat(ledger.probes("r", 0)).isEqualTo(2);
+        assertThat(ledger.probes("q", 0)).isZero();
     }
 
     @Test
@@ -98,7 +99,7 @@
                 List.of(new Fact("r", "t-1")));
         ledger.inherit(earlier, 0);
         assertThat(ledger.isSuspect("r", 0)).isTrue();
-        assertThat(ledger.trials("r", 0)).isEqualTo(1);
+        assertThat(ledger.probes("r", 0)).isEqualTo(1);
         assertThat(ledger.ownReport(0)).isEqualTo(earlier);
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -13,12 +13,12 @@
 import org.quetzalseam.gateway.store.ObjectStore;
 
 /**
- * Holds back requests that have crashed the endpoints that ran them, whichever entry sent them there. Used on the event loop
+ * Quarantines requests that have crashed the endpoints that ran them, whichever entry sent them there. Used on the event loop
  * only.
  *
  * <p>While no crash is known, nothing is computed or asked for. After a crash, each entry reports the requests that it lost,
  * and all entries read the reports a few times. A request that three crashes have in common, and that has ended nowhere since,
- * is a suspect: it is refused, except for a few trials that all entries share. A trial that ends clears the request.
+ * is a suspect: it is refused, except for a few probes that all entries share. A probe that ends clears the request.
  */
 public final class CrashGuard {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -27,17 +27,17 @@
     /** Interval of the checks for crashes that no longer count, in milliseconds. */
     private static final long EXPIRY_CHECK_MILLIS = 60_000;
     /**
-     * Maximum number of trials of a suspect by all entries together: one fewer than its callers may cost the site, because a
+     * Maximum number of probes of a suspect by all entries together: one fewer than its callers may cost the site, because a
      * request that was sent before the third crash was known may still arrive.
      */
-    private static final int MAX_TRIALS = 2;
+    private static final int MAX_PROBES = 2;
     /**
-     * Time from the suspicion to the first trial, in nanoseconds: runs of the request that are under way may end meanwhile, and a
+     * Time from the suspicion to the first probe, in nanoseconds: runs of the request that are under way may end meanwhile, and a
      * request that is suspect by chance loses little.
      */
-    private static final long FIRST_TRIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-    /** Time between two trials, in nanoseconds: about as long as endpoints take to start, so that not many are down at once. */
-    private static final long TRIAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final long FIRST_PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    /** Time between two probes, in nanoseconds: about as long as endpoints take to start, so that not many are down at once. */
+    private static final long PROBE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
     /** Time after which the store is asked again when it did not answer, in milliseconds. */
     private static final long STORE_RETRY_MILLIS = 1_000;
 
@@ -58,21 +58,21 @@
 
     /** What is known of a suspect beside its crashes. */
     private static final class Suspect {
-        private long nextTrialAt;
-        private int knownTrials;
+        private long nextProbeAt;
+        private int knownProbes;
         private boolean asking;
-        /** Whether this entry has claimed a trial with which nothing has been sent yet. */
+        /** Whether this entry has claimed a probe with which nothing has been sent yet. */
         private boolean unusedClaim;
-        /** The request that may be sent as a trial. */
-        private @Nullable Exchange onTrial;
+        /** The request that may be sent as a probe. */
+        private @Nullable Exchange probe;
 
-        Suspect(long nextTrialAt) {
-            this.nextTrialAt = nextTrialAt;
+        Suspect(long nextProbeAt) {
+            this.nextProbeAt = nextProbeAt;
         }
 
         boolean busy() {
-            Exchange trial = onTrial;
-            return asking || (trial != null && !trial.ended());
+            Exchange sending = probe;
+            return asking || (sending != null && !sending.ended());
         }
     }
 
@@ -107,7 +107,7 @@
         return loaded;
     }
 
-    /** Returns the number of requests that are held back. */
+    /** Returns the number of requests that are quarantined. */
     public int suspects() {
         return suspects.size();
     }
@@ -124,28 +124,28 @@
             return;
         }
         Suspect suspect = suspect(exchange.fingerprint());
-        if (suspect.busy() || timers.now() - suspect.nextTrialAt < 0) {
+        if (suspect.busy() || timers.now() - suspect.nextProbeAt < 0) {
             refuse.run();
             return;
         }
         exchange.onShutdown(refuse);
         suspect.asking = true;
-        new TrialRequest(exchange, suspect, run, refuse).start();
+        new ProbeRequest(exchange, suspect, run, refuse).start();
     }
 
     /** Returns whether a request must not be sent to an endpoint now. */
-    public boolean holdsBack(Exchange exchange) {
-        return isSuspect(exchange) && suspect(exchange.fingerprint()).onTrial != exchange;
+    public boolean quarantines(Exchange exchange) {
+        return isSuspect(exchange) && suspect(exchange.fingerprint()).probe != exchange;
     }
 
-    /** Records that a request was sent to an endpoint that will run it; a trial allows that once. */
+    /** Records that a request was sent to an endpoint that will run it; a probe allows that once. */
     public void recordSent(Exchange exchange) {
         Suspect suspect = suspects.isEmpty() ? null : suspects.get(exchange.fingerprint());
-        if (suspect != null && suspect.onTrial == exchange) {
-            suspect.onTrial = null;
+        if (suspect != null && suspect.probe == exchange) {
+            suspect.probe = null;
             suspect.unusedClaim = false;
-            suspect.knownTrials++;
-            suspect.nextTrialAt = timers.now() + TRIAL_INTERVAL_NANOS;
+            suspect.knownProbes++;
+            suspect.nextProbeAt = timers.now() + PROBE_INTERVAL_NANOS;
         }
     }
 
@@ -156,13 +156,13 @@
     private Suspect suspect(String request) {
         return suspects.computeIfAbsent(request, added -> {
             logger.atInfo().log("event=request-suspected fingerprint=%s %s", request, describe(request));
-            return new Suspect(timers.now() + FIRST_TRIAL_NANOS);
+            return new Suspect(timers.now() + FIRST_PROBE_NANOS);
         });
     }
 
-    /** Returns after what time a request that is held back may be sent again, in milliseconds. */
+    /** Returns after what time a request that is quarantined may be sent again, in milliseconds. */
     public long retryAfterMillis(Exchange exchange) {
-        long nanos = suspect(exchange.fingerprint()).nextTrialAt - timers.now();
+        long nanos = suspect(exchange.fingerprint()).nextProbeAt - timers.now();
         return Math.max(TimeUnit.NANOSECONDS.toMillis(nanos), STORE_RETRY_MILLIS);
     }
 
@@ -176,10 +176,10 @@
         CrashReports shared = reports;
         long ageNanos = shared == null ? Long.MAX_VALUE : shared.ageNanos();
         return String.format(
-                "crashed=%s reported_by=%s trials=%d reports_age_ms=%d",
+                "crashed=%s reported_by=%s probes=%d reports_age_ms=%d",
                 ledger.crashes(request, now),
                 ledger.reporters(request, now),
-                ledger.trials(request, now),
+                ledger.probes(request, now),
                 ageNanos == Long.MAX_VALUE ? -1 : TimeUnit.NANOSECONDS.toMillis(ageNanos));
     }
 
@@ -242,7 +242,7 @@
         suspects.keySet().removeIf(request -> {
             boolean expired = !ledger.isSuspect(request, now);
             if (expired) {
-                logger.atInfo().log("event=suspicion-ended fingerprint=%s", request);
+                logger.atInfo().log("event=suspicion-expired fingerprint=%s", request);
             }
             return expired;
         });
@@ -253,17 +253,17 @@
     }
 
     /**
-     * Asks the other entries, through the store, whether a suspect may have a trial. Each entry writes its claim and then counts
-     * the claims of all: the first {@link #MAX_TRIALS} claims to be written count no more than that, whatever their order.
+     * Asks the other entries, through the store, whether a suspect may have a probe. Each entry writes its claim and then counts
+     * the claims of all: the first {@link #MAX_PROBES} claims to be written count no more than that, whatever their order.
      */
-    private final class TrialRequest {
+    private final class ProbeRequest {
         private final Exchange exchange;
         private final String request;
         private final Suspect suspect;
         private final Runnable run;
         private final Runnable refuse;
 
-        TrialRequest(Exchange exchange, Suspect suspect, Runnable run, Runnable refuse) {
+        ProbeRequest(Exchange exchange, Suspect suspect, Runnable run, Runnable refuse) {
             this.exchange = exchange;
             this.request = exchange.fingerprint();
             this.suspect = suspect;
@@ -276,7 +276,7 @@
             if (shared == null) {
                 decide(true, () -> {
                     claim();
-                    runOnTrial();
+                    runAsProbe();
                 });
                 return;
             }
@@ -288,7 +288,7 @@
 
         private void decide(boolean reportsKnown, Runnable claim) {
             long now = timers.now();
-            int trials = ledger.trials(request, now) - (suspect.unusedClaim ? 1 : 0);
+            int probes = ledger.probes(request, now) - (suspect.unusedClaim ? 1 : 0);
             if (exchange.ended()) {
                 suspect.asking = false;
             } else if (!reportsKnown) {
@@ -297,12 +297,12 @@
                 suspects.remove(request);
                 logger.atInfo().log("event=request-cleared fingerprint=%s by=others", request);
                 run.run();
-            } else if (trials >= MAX_TRIALS) {
+            } else if (probes >= MAX_PROBES) {
                 refuseFor(KEEP_NANOS);
-            } else if (trials > suspect.knownTrials) {
-                suspect.knownTrials = trials;
-                refuseFor(TRIAL_INTERVAL_NANOS);
-                // The trial of another entry may end well.
+            } else if (probes > suspect.knownProbes) {
+                suspect.knownProbes = probes;
+                refuseFor(PROBE_INTERVAL_NANOS);
+                // The probe of another entry may end well.
                 readSoon();
             } else {
                 claim.run();
@@ -312,7 +312,7 @@
         private void claim() {
             if (!suspect.unusedClaim) {
                 suspect.unusedClaim = true;
-                ledger.recordTrial(request, UUID.randomUUID().toString(), timers.now());
+                ledger.recordProbe(request, UUID.randomUUID().toString(), timers.now());
             }
         }
 
@@ -322,25 +322,25 @@
                 return;
             }
             shared.read(read -> {
-                if (read && ledger.trials(request, timers.now()) <= MAX_TRIALS && !exchange.ended()) {
-                    runOnTrial();
+                if (read && ledger.probes(request, timers.now()) <= MAX_PROBES && !exchange.ended()) {
+                    runAsProbe();
                 } else {
-                    refuseFor(TRIAL_INTERVAL_NANOS);
+                    refuseFor(PROBE_INTERVAL_NANOS);
                 }
             });
         }
 
-        private void runOnTrial() {
+        private void runAsProbe() {
             suspect.asking = false;
-            suspect.onTrial = exchange;
+            suspect.probe = exchange;
             logger.atInfo().log(
-                    "event=request-on-trial request=%s %s", exchange.facts().id(), describe(exchange));
+                    "event=request-probed request=%s %s", exchange.facts().id(), describe(exchange));
             run.run();
         }
 
         private void refuseFor(long nanos) {
             suspect.asking = false;
-            suspect.nextTrialAt = timers.now() + nanos;
+            suspect.nextProbeAt = timers.now() + nanos;
             refuse.run();
         }
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReportObject.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReportObject.java
@@ -13,7 +13,7 @@
 final class CrashReportObject {
     private static final String LOST = "lost";
     private static final String ENDED = "ended";
-    private static final String TRIALS = "trials";
+    private static final String PROBES = "probes";
     private static final String REQUEST = "request";
     private static final String SUBJECT = "subject";
 
@@ -23,7 +23,7 @@
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         write(json.putArray(LOST), report.lost());
         write(json.putArray(ENDED), report.ended());
-        write(json.putArray(TRIALS), report.trials());
+        write(json.putArray(PROBES), report.probes());
         return json;
     }
 
@@ -38,7 +38,7 @@
      */
     static CrashReport of(JsonNode spec) {
         ObjectFields fields = new ObjectFields("crashes", spec);
-        return new CrashReport(read(fields, LOST), read(fields, ENDED), read(fields, TRIALS));
+        return new CrashReport(read(fields, LOST), read(fields, ENDED), read(fields, PROBES));
     }
 
     private static List<Fact> read(ObjectFields fields, String name) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/package-info.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/package-info.java
@@ -1,4 +1,4 @@
-/** Holds back requests that crash the endpoints that run them, at all entries of a site. */
+/** Quarantines requests that crash the endpoints that run them, at all entries of a site. */
 @NullMarked
 package org.quetzalseam.gateway.crash;
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -68,7 +68,7 @@
     }
 
     private void startAttempt() {
-        if (endIfHeldBack()) {
+        if (endIfQuarantined()) {
             return;
         }
         attempts.recordStarted();
@@ -166,7 +166,7 @@
 
     private void decode(
             Endpoint engine, @Nullable Endpoint prefillEngine, @Nullable String kvSource, @Nullable String booking) {
-        if (endIfHeldBack()) {
+        if (endIfQuarantined()) {
             return;
         }
         context.crashGuard().recordSent(exchange);
@@ -315,16 +315,16 @@
         context.refuse(exchange, why, bookings.retryAfterMillis((double) route.targetLatencyMillis()));
     }
 
-    /** Ends a request that is held back: with a refusal if it has run nowhere, else with an unknown outcome. */
-    private boolean endIfHeldBack() {
-        if (!context.crashGuard().holdsBack(exchange)) {
+    /** Ends a request that is quarantined: with a refusal if it has run nowhere, else with an unknown outcome. */
+    private boolean endIfQuarantined() {
+        if (!context.crashGuard().quarantines(exchange)) {
             return false;
         }
         if (mayHaveRun) {
-            endWithUnknownOutcome(RunContext.HELD_BACK, RetryDecision.HELD_BACK);
+            endWithUnknownOutcome(RunContext.QUARANTINED, RetryDecision.QUARANTINED);
         } else {
             finish("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code());
-            context.refuseHeldBack(exchange);
+            context.refuseQuarantined(exchange);
         }
         return true;
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -194,7 +194,7 @@
         RunLog log = new RunLog(context.metrics(), exchange, route, service, version);
         context.crashGuard().admit(exchange, () -> run(exchange, route, service, log), () -> {
             log.ended("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code(), 0);
-            context.refuseHeldBack(exchange);
+            context.refuseQuarantined(exchange);
         });
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RetryDecision.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RetryDecision.java
@@ -10,5 +10,5 @@
     /** This entry's share of the service's retry budget is used up. */
     BUDGET_SPENT,
     /** Endpoints have crashed while they ran it. */
-    HELD_BACK
+    QUARANTINED
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -38,7 +38,7 @@
     private static final String STOPS_SOONER = "this entry stops before the answer would end";
 
     /** Reason given when a request is refused because endpoints crashed while they ran it. */
-    static final String HELD_BACK = "endpoints have crashed while they ran this request";
+    static final String QUARANTINED = "endpoints have crashed while they ran this request";
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -299,13 +299,13 @@
         }
     }
 
-    /** Refuses a request that is held back because endpoints crashed while they ran it. It has not run this time. */
-    void refuseHeldBack(Exchange exchange) {
+    /** Refuses a request that is quarantined because endpoints crashed while they ran it. It has not run this time. */
+    void refuseQuarantined(Exchange exchange) {
         long retryAfterMillis = crashGuard.retryAfterMillis(exchange);
         logger.atInfo().log(
-                "event=held-back request=%s retry_after_ms=%d age_ms=%d %s",
+                "event=quarantine-refused request=%s retry_after_ms=%d age_ms=%d %s",
                 exchange.facts().id(), retryAfterMillis, exchange.ageMillis(), crashGuard.describe(exchange));
-        refuse(exchange, HELD_BACK, retryAfterMillis);
+        refuse(exchange, QUARANTINED, retryAfterMillis);
     }
 
     private static double random() {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -91,7 +91,7 @@
     }
 
     private void sendToNext() {
-        if (endIfHeldBack()) {
+        if (endIfQuarantined()) {
             return;
         }
         Optional<Endpoint> chosen = choose();
@@ -240,18 +240,18 @@
         context.refuse(exchange, why, FULL_RETRY_AFTER_MILLIS);
     }
 
-    /** Ends a request that is held back: with a refusal if it has run nowhere, else with an unknown outcome. */
-    private boolean endIfHeldBack() {
-        if (!context.crashGuard().holdsBack(exchange)) {
+    /** Ends a request that is quarantined: with a refusal if it has run nowhere, else with an unknown outcome. */
+    private boolean endIfQuarantined() {
+        if (!context.crashGuard().quarantines(exchange)) {
             return false;
         }
         if (mayHaveRun) {
-            log.attemptsEnded(RunContext.HELD_BACK, RetryDecision.HELD_BACK, context.describeBudget(service));
+            log.attemptsEnded(RunContext.QUARANTINED, RetryDecision.QUARANTINED, context.describeBudget(service));
             finish("unknown", HttpResponseStatus.BAD_GATEWAY.code());
-            context.fail(exchange, HttpResponseStatus.BAD_GATEWAY, RunContext.HELD_BACK);
+            context.fail(exchange, HttpResponseStatus.BAD_GATEWAY, RunContext.QUARANTINED);
         } else {
             finish("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code());
-            context.refuseHeldBack(exchange);
+            context.refuseQuarantined(exchange);
         }
         return true;
     }
--- a/gateway/src/test/java/org/quetzalseam/gateway/CrashingGenerationTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/CrashingGenerationTest.java
@@ -17,15 +17,15 @@
 
 /** Tests one entry, without a store, whose decode engines end while they run a generation. */
 class CrashingGenerationTest {
-    private static final String HELD_BACK = "endpoints have crashed while they ran this request";
+    private static final String QUARANTINED = "endpoints have crashed while they ran this request";
     private static final int SUSPECT_CRASHES = 3;
     /** Time in which an entry has learnt that a lost connection was a crash, in milliseconds. */
     private static final long CHECK_MILLIS = 100;
 
-    /** More than the time from the third crash to the first trial, and from one trial to the next, in milliseconds. */
-    private static final long FIRST_TRIAL_MILLIS = 400;
+    /** More than the time from the third crash to the first probe, and from one probe to the next, in milliseconds. */
+    private static final long FIRST_PROBE_MILLIS = 400;
 
-    private static final long TRIAL_INTERVAL_MILLIS = 5_500;
+    private static final long PROBE_INTERVAL_MILLIS = 5_500;
 
     private final TestEntry entry = new TestEntry();
     private final List<ScriptedEndpoint> engines = new ArrayList<>();
@@ -99,13 +99,13 @@
         useOnly(fourth);
         assertThat(entry.ask("/stream/x", "again"))
                 .startsWith("HTTP/1.1 503")
-                .contains(HELD_BACK)
+                .contains(QUARANTINED)
                 .contains("x-come-back:");
         assertThat(fourth.runs()).isEmpty();
         assertThat(entry.ask("/stream/y", "other")).startsWith("HTTP/1.1 200");
     }
 
-    // Guards against a generation being held back because living engines closed its connections.
+    // Guards against a generation being quarantined because living engines closed its connections.
     @Test
     void connectionsThatLivingEnginesResetAreNoCrashes() {
         for (int i = 0; i < 2 * SUSPECT_CRASHES; i++) {
@@ -115,7 +115,7 @@
         assertThat(entry.ask("/stream/x", "again")).startsWith("HTTP/1.1 200");
     }
 
-    // Guards against a generation being held back because engines ended as planned while they ran it.
+    // Guards against a generation being quarantined because engines ended as planned while they ran it.
     @Test
     void theEndOfADrainingEngineIsNoCrash() {
         for (int i = 0; i < 2 * SUSPECT_CRASHES; i++) {
@@ -159,35 +159,35 @@
         crashThreeEngines();
         full.set(false);
         useOnly(fullEngine);
-        assertThat(waiting.join()).startsWith("HTTP/1.1 503").contains(HELD_BACK);
+        assertThat(waiting.join()).startsWith("HTTP/1.1 503").contains(QUARANTINED);
         assertThat(fullEngine.runs()).isEmpty();
     }
 
-    // Guards against a generation being refused for minutes because its trials went to engines that can't be reached,
+    // Guards against a generation being refused for minutes because its probes went to engines that can't be reached,
     // so that
     // nothing was sent.
     @Test
-    void aTrialThatReachesNoEngineIsNotUsedUp() throws InterruptedException {
+    void aProbeThatReachesNoEngineIsNotUsedUp() throws InterruptedException {
         crashThreeEngines();
         entry.ask("/stream/x", "before");
-        TimeUnit.MILLISECONDS.sleep(FIRST_TRIAL_MILLIS);
+        TimeUnit.MILLISECONDS.sleep(FIRST_PROBE_MILLIS);
         assertThat(entry.ask("/stream/x", "first")).startsWith("HTTP/1.1 503");
-        TimeUnit.MILLISECONDS.sleep(TRIAL_INTERVAL_MILLIS);
+        TimeUnit.MILLISECONDS.sleep(PROBE_INTERVAL_MILLIS);
         assertThat(entry.ask("/stream/x", "second")).startsWith("HTTP/1.1 503");
         useOnly(engine(CrashingGenerationTest::stream));
-        TimeUnit.MILLISECONDS.sleep(TRIAL_INTERVAL_MILLIS);
+        TimeUnit.MILLISECONDS.sleep(PROBE_INTERVAL_MILLIS);
         assertThat(entry.ask("/stream/x", "third")).startsWith("HTTP/1.1 200");
     }
 
-    // Guards against a generation being refused on and on after a trial has ended well.
+    // Guards against a generation being refused on and on after a probe has ended well.
     @Test
-    void aTrialThatEndsClearsTheGeneration() {
+    void aProbeThatEndsClearsTheGeneration() {
         crashThreeEngines();
         useOnly(engine(CrashingGenerationTest::stream));
         assertThat(entry.ask("/stream/x", "early")).startsWith("HTTP/1.1 503");
         pause();
         pause();
-        assertThat(entry.ask("/stream/x", "trial")).startsWith("HTTP/1.1 200");
+        assertThat(entry.ask("/stream/x", "probe")).startsWith("HTTP/1.1 200");
         assertThat(entry.ask("/stream/x", "next")).startsWith("HTTP/1.1 200");
     }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/crash/CrashReportsTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/crash/CrashReportsTest.java
@@ -137,17 +137,17 @@
         assertThat(two.crashes("r")).isEqualTo(1);
     }
 
-    // Guards against more trials than allowed when entries claim one at the same time.
+    // Guards against more probes than allowed when entries claim one at the same time.
     @Test
     void ofClaimsWrittenAtTheSameTimeTheThirdCountsThree() {
         for (String name : new String[] {"one", "two", "three"}) {
             Entry entry = new Entry(name);
             entry.read();
-            entry.ledger.recordTrial("r", "trial of " + name, timers.now());
+            entry.ledger.recordProbe("r", "probe of " + name, timers.now());
             entry.write();
         }
         Entry last = new Entry("three");
         last.read();
-        assertThat(last.ledger.trials("r", timers.now())).isEqualTo(3);
+        assertThat(last.ledger.probes("r", timers.now())).isEqualTo(3);
     }
 }
