A probe that reaches no endpoint is not used up

Cause: CrashGuard counted a probe when a connection was asked for. The engine could not be reached (call-failed kind=NOT_CONNECTED), nothing was sent, and one of two probes was gone; the other was lost by a reset.

Why it works: a run that ends with nothing sent gives its probe back, and the same request may use it at another endpoint.

--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -65,6 +65,8 @@
         private boolean unusedClaim;
         /** The request that may be sent as a probe. */
         private @Nullable Exchange probe;
+        /** The request that was sent as the latest probe. */
+        private @Nullable Exchange sentProbe;
 
         Suspect(long nextProbeAt) {
             this.nextProbeAt = nextProbeAt;
@@ -143,12 +145,28 @@
         Suspect suspect = suspects.isEmpty() ? null : suspects.get(exchange.fingerprint());
         if (suspect != null && suspect.probe == exchange) {
             suspect.probe = null;
+            suspect.sentProbe = exchange;
             suspect.unusedClaim = false;
             suspect.knownProbes++;
             suspect.nextProbeAt = timers.now() + PROBE_INTERVAL_NANOS;
         }
     }
 
+    /** Records that a request has not reached an endpoint after all; a probe may go on to another one. */
+    public void recordNotSent(Exchange exchange) {
+        if (suspects.isEmpty() || exchange.ended()) {
+            return;
+        }
+        Suspect suspect = suspects.get(exchange.fingerprint());
+        if (suspect != null && suspect.sentProbe == exchange) {
+            suspect.sentProbe = null;
+            suspect.probe = exchange;
+            suspect.unusedClaim = true;
+            suspect.knownProbes--;
+            suspect.nextProbeAt = timers.now();
+        }
+    }
+
     private boolean isSuspect(Exchange exchange) {
         return ledger.mayHaveSuspects() && ledger.isSuspect(exchange.fingerprint(), timers.now());
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -259,6 +259,7 @@
         engine.health().recordFailure(context.now());
         log.callFailed("decode", engine, failure);
         if (failure.nothingSent()) {
+            context.crashGuard().recordNotSent(exchange);
             retryNotRun("the engine can't be reached");
             return;
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -200,6 +200,7 @@
         endpoint.health().recordFailure(context.now());
         log.callFailed("run", endpoint, failure);
         if (failure.nothingSent()) {
+            context.crashGuard().recordNotSent(exchange);
             connectFailures++;
             if (connectFailures < MAX_CONNECT_FAILURES) {
                 sendToNext();
