A request whose crashes are all explained by others is no suspect

Cause: a request that was lost in each crash by chance counted as much as the one that caused them, and only a probe of its own could tell them apart.

A request is no suspect while each of its crashes is also one of a request that has more: the cause is at every crash, another one soon is not.

--- a/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
@@ -16,7 +16,7 @@
  *
  * <p>A crash also loses requests that did not cause it. Those end at another endpoint sooner or later, which dismisses all
  * crashes known until then and shortly after; the request that causes the crashes never ends. A request with
- * {@link #SUSPECT_CRASHES} crashes that nothing dismisses is a suspect.
+ * {@link #SUSPECT_CRASHES} crashes that nothing dismisses is a suspect, unless others with more crashes explain all of its own.
  */
 public final class CrashLedger {
     /** Number of crashes from which on a request is taken for their cause. */
@@ -34,8 +34,8 @@
     private final long keepNanos;
     private final Map<String, Long> recentEnds = new LinkedHashMap<>();
     private final Map<String, Reporter> reporters = new HashMap<>();
-    /** The requests that were suspects when the ledger last changed; some of their crashes may no longer count. */
-    private final Set<String> suspects = new HashSet<>();
+    /** The requests that had enough crashes when the ledger last changed; some of these may no longer count. */
+    private final Set<String> candidates = new HashSet<>();
 
     private boolean anyLost;
     private long lastLostAt;
@@ -105,22 +105,22 @@
     }
 
     private void judgeAll(long now) {
-        Set<String> requests = new HashSet<>(suspects);
+        Set<String> requests = new HashSet<>(candidates);
         reporters.values().forEach(reporter -> reporter.lost.addRequests(requests));
         requests.forEach(request -> judge(request, now));
     }
 
-    /** Decides whether a request is a suspect; if it ended recently, dismisses its crashes. */
+    /** Decides whether a request has enough crashes to be a suspect; if it ended recently, dismisses its crashes. */
     private void judge(String request, long now) {
         Set<String> crashes = crashes(request, now);
         Long endedAt = recentEnds.get(request);
         if (endedAt != null && now - endedAt <= RECENT_END_NANOS) {
             crashes.forEach(incarnation -> own().ended.add(new Fact(request, incarnation), now));
-            suspects.remove(request);
+            candidates.remove(request);
         } else if (crashes.size() >= SUSPECT_CRASHES) {
-            suspects.add(request);
+            candidates.add(request);
         } else {
-            suspects.remove(request);
+            candidates.remove(request);
         }
     }
 
@@ -139,12 +139,29 @@
 
     /** Returns whether a request is taken for the cause of crashes. */
     public boolean isSuspect(String request, long now) {
-        return suspects.contains(request) && crashes(request, now).size() >= SUSPECT_CRASHES;
+        if (!candidates.contains(request)) {
+            return false;
+        }
+        Set<String> crashes = crashes(request, now);
+        return crashes.size() >= SUSPECT_CRASHES && !explained(crashes, now);
+    }
+
+    /** Returns whether each of the crashes is also one of a request that has more crashes than there are. */
+    private boolean explained(Set<String> crashes, long now) {
+        candidates.removeIf(candidate -> crashes(candidate, now).size() < SUSPECT_CRASHES);
+        Set<String> unexplained = new HashSet<>(crashes);
+        for (String candidate : candidates) {
+            Set<String> others = crashes(candidate, now);
+            if (others.size() > crashes.size()) {
+                unexplained.removeAll(others);
+            }
+        }
+        return unexplained.isEmpty();
     }
 
     /** Returns whether there may be a suspect; if not, no request needs to be looked up. */
     public boolean mayHaveSuspects() {
-        return !suspects.isEmpty();
+        return !candidates.isEmpty();
     }
 
     /** Returns the number of probes of a request that all entries have claimed. */
--- a/core/src/test/java/org/quetzalseam/core/crash/CrashLedgerTest.java
+++ b/core/src/test/java/org/quetzalseam/core/crash/CrashLedgerTest.java
@@ -104,6 +104,40 @@
         assertThat(ledger.ownReport(0)).isEqualTo(earlier);
     }
 
+    private void lose(String request, String... incarnations) {
+        for (String incarnation : incarnations) {
+            ledger.recordLost(request, incarnation, 0);
+        }
+    }
+
+    // Guards against requests being quarantined that were only at hand whenever another one crashed its endpoint.
+    @Test
+    void aRequestWhoseCrashesAreAllThoseOfARequestWithMoreIsNoSuspect() {
+        lose("culprit", "i-1", "i-2", "i-3");
+        lose("bystander", "i-1", "i-2", "i-3");
+        assertThat(ledger.isSuspect("culprit", 0)).isTrue();
+        assertThat(ledger.isSuspect("bystander", 0))
+                .as("which of them it was is not known")
+                .isTrue();
+        lose("culprit", "i-4");
+        assertThat(ledger.isSuspect("culprit", 0)).isTrue();
+        assertThat(ledger.isSuspect("bystander", 0)).isFalse();
+    }
+
+    // Guards against a request that crashes endpoints being let through because another one does so as well.
+    @Test
+    void aRequestWithACrashThatNoOtherExplainsStaysASuspect() {
+        lose("culprit", "i-1", "i-2", "i-3", "i-4", "i-5");
+        lose("another", "i-1", "i-2", "i-3", "i-9");
+        assertThat(ledger.isSuspect("another", 0)).isTrue();
+        lose("third", "i-9", "i-10", "i-11", "i-12", "i-13");
+        assertThat(ledger.isSuspect("another", 0))
+                .as("two with more crashes explain it")
+                .isFalse();
+        ledger.recordEnded("third", 0);
+        assertThat(ledger.isSuspect("another", 0)).isTrue();
+    }
+
     // Guards against a flood of requests that crash endpoints filling memory, the store or the event loop.
     @Test
     void ofTenThousandRequestsTheNewestAreKeptInBoundedSpaceAndTime() {
