Reports of crashes that could not be read are read once the store is back

Cause: an entry read the reports 0.3, 1 and 2.5 s after an endpoint ended, whether or not the store answered. After an outage of the store it knew nothing of the other entries' crashes until the next one. What callers would see: one more endpoint lost to a request that the site already knew.

A read that fails is repeated once a second until one succeeds. ReportScheduleTest, whose test of this failed before, also bounds the calls: three reads a crash, one a second while the store declines.

--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/ReportSchedule.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/ReportSchedule.java
@@ -20,7 +20,7 @@
     private static final long[] READ_DELAYS_MILLIS = {300, 1_000, 2_500};
     /** Reads that are planned within this time of each other are made once, in nanoseconds. */
     private static final long SAME_READ_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-    /** Time after which a report that failed is written again, in nanoseconds. */
+    /** Time after which a read or a write that failed is repeated, in nanoseconds. */
     private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final Timers timers;
@@ -39,19 +39,27 @@
 
     /** Reads the reports a few times in the next seconds, because another entry may have something to report. */
     void readSoon() {
-        long now = timers.now();
         for (long delay : READ_DELAYS_MILLIS) {
-            long at = now + TimeUnit.MILLISECONDS.toNanos(delay);
-            if (plannedReads.stream().noneMatch(planned -> Math.abs(planned - at) < SAME_READ_NANOS)) {
-                plannedReads.add(at);
-                timers.after(delay, () -> read(at));
-            }
+            planRead(TimeUnit.MILLISECONDS.toNanos(delay));
+        }
+    }
+
+    private void planRead(long delayNanos) {
+        long at = timers.now() + delayNanos;
+        if (plannedReads.stream().noneMatch(planned -> Math.abs(planned - at) < SAME_READ_NANOS)) {
+            plannedReads.add(at);
+            timers.after(TimeUnit.NANOSECONDS.toMillis(delayNanos), () -> read(at));
         }
     }
 
     private void read(long plannedAt) {
         plannedReads.remove(plannedAt);
-        reports.read(read -> reportIfOutdated());
+        reports.read(read -> {
+            if (!read && plannedReads.isEmpty()) {
+                planRead(RETRY_NANOS);
+            }
+            reportIfOutdated();
+        });
     }
 
     /** Writes this entry's report if the store has another one. */
