What is under way for a generation is a class of its own

The wait for memory, the prefill and the call of the decode engine move to GenerationWork; nothing else changes.

--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -34,9 +34,7 @@
     private final StreamRelay relay;
     private final GenerationStatistics statistics;
     private final GenerationAttempts attempts;
-    private @Nullable GenerationAdmission admission;
-    private @Nullable PrefillRun prefill;
-    private @Nullable EndpointCall decodeCall;
+    private final GenerationWork work = new GenerationWork();
     private @Nullable ScheduledCall deadlineTimer;
     private final long earlierAttemptsMillis;
     private boolean mayHaveRun;
@@ -90,11 +88,11 @@
 
                     @Override
                     public void refused(String why) {
-                        admission = null;
+                        work.admissionEnded();
                         giveUp(why);
                     }
                 });
-        admission = newAdmission;
+        work.admitting(newAdmission);
         newAdmission.start(demand);
     }
 
@@ -104,7 +102,7 @@
     }
 
     private void memoryBooked(BookedMemory booked) {
-        admission = null;
+        work.admissionEnded();
         held.booked(booked);
         log.booked(booked.engine(), booked.tokens());
         if (!mayHaveRun && !context.endsInTime(exchange, route)) {
@@ -140,7 +138,7 @@
 
                     @Override
                     public void notBegun() {
-                        prefill = null;
+                        work.prefillEnded();
                         held.release();
                         attempts.recordPostponed();
                         startAttempt();
@@ -151,12 +149,12 @@
                         giveUp(why);
                     }
                 });
-        prefill = newPrefill;
+        work.prefilling(newPrefill);
         newPrefill.start(booked.engine());
     }
 
     private void decodeBooked(BookedMemory booked) {
-        prefill = null;
+        work.prefillEnded();
         KvCache kv = held.markUsed();
         String source = kv == null
                 ? null
@@ -173,8 +171,8 @@
         Forwarding forwarding = new Forwarding(
                 engine.member().id(), forwarded.remainingMillis(), false, kvSource, booking, relay.resumePoint());
         DecodeReply reply = new DecodeReply(context.protocol(), new DecodeListener(engine, prefillEngine));
-        decodeCall = engine.send(
-                forwarded.head(forwarding), exchange.body(), exchange.facts().id(), reply);
+        work.decoding(engine.send(
+                forwarded.head(forwarding), exchange.body(), exchange.facts().id(), reply));
     }
 
     private final class DecodeListener implements DecodeReply.Listener {
@@ -200,7 +198,7 @@
 
         @Override
         public void piece(ByteBuf piece) {
-            relay.forward(piece, decodeCall);
+            relay.forward(piece, work.decodeCall());
         }
 
         @Override
@@ -331,14 +329,15 @@
     }
 
     private void callerWritable() {
-        EndpointCall running = decodeCall;
+        EndpointCall running = work.decodeCall();
         if (running != null) {
             running.setAutoRead(true);
         }
     }
 
     /** Records a failure of the engine if the caller has waited for more than twice the objective without a first event. */
-    private void recordMissingFirstEvent(@Nullable EndpointCall running) {
+    private void recordMissingFirstEvent() {
+        EndpointCall running = work.decodeCall();
         BookedMemory booked = held.memory();
         boolean overdue = exchange.ageMillis() > UNRESPONSIVE_OBJECTIVES * route.targetLatencyMillis();
         if (running != null
@@ -351,7 +350,7 @@
     }
 
     private void deadlinePassed() {
-        recordMissingFirstEvent(decodeCall);
+        recordMissingFirstEvent();
         endUnfinished("timed-out", HttpResponseStatus.GATEWAY_TIMEOUT, "no answer in time");
     }
 
@@ -360,8 +359,7 @@
     }
 
     private void endUnfinished(String outcome, HttpResponseStatus status, String why) {
-        EndpointCall running = decodeCall;
-        boolean sent = mayHaveRun || (running != null && running.active() && running.sent());
+        boolean sent = mayHaveRun || work.sentToEngine();
         cancelWork();
         if (!sent) {
             giveUp(why);
@@ -380,27 +378,14 @@
     }
 
     private void callerDisconnected() {
-        recordMissingFirstEvent(decodeCall);
+        recordMissingFirstEvent();
         cancelWork();
         finish("caller-gone", 0);
     }
 
     /** Cancels and releases all that is running, queued or held for this request. */
     private void cancelWork() {
-        GenerationAdmission currentAdmission = admission;
-        if (currentAdmission != null) {
-            currentAdmission.cancel();
-            admission = null;
-        }
-        PrefillRun currentPrefill = prefill;
-        if (currentPrefill != null) {
-            currentPrefill.cancel();
-            prefill = null;
-        }
-        EndpointCall running = decodeCall;
-        if (running != null) {
-            running.cancel();
-        }
+        work.cancel();
         held.release();
     }
 
