A suspect is not forgotten after ten minutes; one more probe in ten minutes

What callers would see: a request that crashes its endpoints, whose caller comes back more than ten minutes later, crashes three of them anew, then two probes, every ten minutes.

Cause: all facts expired after the same time, and the limit of probes with them.

Change: crashes of a request that has three of them count for an hour, ends always do, so that an entry that learns of a crash late doesn't take up again what an end has dismissed. When to probe is a class of its own (ProbeAllowance): two probes at first, then one in ten minutes.

--- a/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
@@ -17,6 +17,7 @@
  * <p>A crash also loses requests that did not cause it. Those end at another endpoint sooner or later, which dismisses all
  * crashes known until then and shortly after; the request that causes the crashes never ends. A request with
  * {@link #SUSPECT_CRASHES} crashes that nothing dismisses is a suspect, unless others with more crashes explain all of its own.
+ * The crashes of a suspect count longer than others, because its caller may send it again at long intervals.
  */
 public final class CrashLedger {
     /** Number of crashes from which on a request is taken for their cause. */
@@ -32,6 +33,7 @@
 
     private final String self;
     private final long keepNanos;
+    private final long suspectKeepNanos;
     private final Map<String, Long> recentEnds = new LinkedHashMap<>();
     private final Map<String, Reporter> reporters = new HashMap<>();
     /** The requests that had enough crashes when the ledger last changed; some of these may no longer count. */
@@ -44,11 +46,13 @@
      * Creates an empty ledger.
      *
      * @param self name of the entry that this ledger belongs to
-     * @param keepNanos how long a fact counts after this process has learnt of it
+     * @param keepNanos how long a crash or a probe counts after this process has learnt of it
+     * @param suspectKeepNanos how long a crash counts if its request has enough of them to be a suspect, and an end always
      */
-    public CrashLedger(String self, long keepNanos) {
+    public CrashLedger(String self, long keepNanos, long suspectKeepNanos) {
         this.self = self;
         this.keepNanos = keepNanos;
+        this.suspectKeepNanos = suspectKeepNanos;
     }
 
     /** Records that a request was lost when an incarnation of an endpoint crashed. */
@@ -127,13 +131,20 @@
     /** Returns the report of this entry, without what has expired. */
     public CrashReport ownReport(long now) {
         Reporter own = own();
-        return new CrashReport(own.lost.dropExpired(now), own.ended.dropExpired(now), own.probes.dropExpired(now));
+        return new CrashReport(
+                own.lost.dropExpired(this::crashKeepNanos, now),
+                own.ended.dropExpired(request -> suspectKeepNanos, now),
+                own.probes.dropExpired(request -> keepNanos, now));
+    }
+
+    private long crashKeepNanos(String request) {
+        return candidates.contains(request) ? suspectKeepNanos : keepNanos;
     }
 
     /** Returns the incarnations that crashed while they ran a request, without those dismissed. */
     public Set<String> crashes(String request, long now) {
-        Set<String> found = subjects(request, reporter -> reporter.lost, now);
-        found.removeAll(subjects(request, reporter -> reporter.ended, now));
+        Set<String> found = subjects(request, reporter -> reporter.lost, crashKeepNanos(request), now);
+        found.removeAll(subjects(request, reporter -> reporter.ended, suspectKeepNanos, now));
         return found;
     }
 
@@ -148,7 +159,7 @@
 
     /** Returns whether each of the crashes is also one of a request that has more crashes than there are. */
     private boolean explained(Set<String> crashes, long now) {
-        candidates.removeIf(candidate -> crashes(candidate, now).size() < SUSPECT_CRASHES);
+        dropExpired(now);
         Set<String> unexplained = new HashSet<>(crashes);
         for (String candidate : candidates) {
             Set<String> others = crashes(candidate, now);
@@ -159,14 +170,19 @@
         return unexplained.isEmpty();
     }
 
+    /** Forgets the suspects whose crashes no longer count. */
+    public void dropExpired(long now) {
+        candidates.removeIf(candidate -> crashes(candidate, now).size() < SUSPECT_CRASHES);
+    }
+
     /** Returns whether there may be a suspect; if not, no request needs to be looked up. */
     public boolean mayHaveSuspects() {
         return !candidates.isEmpty();
     }
 
-    /** Returns the number of probes of a request that all entries have claimed. */
+    /** Returns the number of probes of a request that all entries have claimed of late. */
     public int probes(String request, long now) {
-        return subjects(request, reporter -> reporter.probes, now).size();
+        return subjects(request, reporter -> reporter.probes, keepNanos, now).size();
     }
 
     /** Returns the names of the entries that reported crashes of a request. */
@@ -174,7 +190,7 @@
         Set<String> names = new TreeSet<>();
         reporters.forEach((name, reporter) -> {
             Set<String> incarnations = new HashSet<>();
-            reporter.lost.addSubjects(request, now, incarnations);
+            reporter.lost.addSubjects(request, crashKeepNanos(request), now, incarnations);
             if (!incarnations.isEmpty()) {
                 names.add(name);
             }
@@ -184,7 +200,7 @@
 
     /** Returns whether no crash is known that still counts, so that the end of a request dismisses nothing. */
     public boolean isEmpty(long now) {
-        return !anyLost || now - lastLostAt > keepNanos;
+        return candidates.isEmpty() && (!anyLost || now - lastLostAt > keepNanos);
     }
 
     private Reporter own() {
@@ -192,24 +208,18 @@
     }
 
     private Reporter reporter(String name) {
-        return reporters.computeIfAbsent(name, added -> new Reporter(keepNanos));
+        return reporters.computeIfAbsent(name, added -> new Reporter());
     }
 
-    private Set<String> subjects(String request, Function<Reporter, FactTable> sort, long now) {
+    private Set<String> subjects(String request, Function<Reporter, FactTable> sort, long countsNanos, long now) {
         Set<String> found = new TreeSet<>();
-        reporters.values().forEach(reporter -> sort.apply(reporter).addSubjects(request, now, found));
+        reporters.values().forEach(reporter -> sort.apply(reporter).addSubjects(request, countsNanos, now, found));
         return found;
     }
 
     private static final class Reporter {
-        private final FactTable lost;
-        private final FactTable ended;
-        private final FactTable probes;
-
-        Reporter(long keepNanos) {
-            lost = new FactTable(keepNanos);
-            ended = new FactTable(keepNanos);
-            probes = new FactTable(keepNanos);
-        }
+        private final FactTable lost = new FactTable();
+        private final FactTable ended = new FactTable();
+        private final FactTable probes = new FactTable();
     }
 }
--- a/core/src/main/java/org/quetzalseam/core/crash/FactTable.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/FactTable.java
@@ -6,26 +6,23 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.quetzalseam.core.crash.CrashReport.Fact;
 
 /**
  * Facts of one sort that one entry reported, by request, with the time at which this process learnt of each. Bounded: when it is
- * full, the request that has gone longest without a new fact is forgotten. Not thread-safe. Times are monotonic nanoseconds.
+ * full, the request that has gone longest without a new fact is forgotten. Not thread-safe. Times are monotonic nanoseconds; a
+ * fact expires when its age exceeds the time for which its request's facts count.
  */
 final class FactTable {
     /** Maximum number of facts. */
     static final int MAX_FACTS = 256;
 
-    private final long keepNanos;
     /** The requests, least recently added to first. */
     private final Map<String, Map<String, Long>> learntAt = new LinkedHashMap<>();
 
     private int size;
 
-    FactTable(long keepNanos) {
-        this.keepNanos = keepNanos;
-    }
-
     /** Adds a fact, unless it is known. Returns whether it is new. */
     boolean add(Fact fact, long now) {
         Map<String, Long> known = learntAt.remove(fact.request());
@@ -65,9 +62,9 @@
     }
 
     /** Adds what a request's facts name, without the expired ones. */
-    void addSubjects(String request, long now, Set<String> found) {
+    void addSubjects(String request, long keepNanos, long now, Set<String> found) {
         learntAt.getOrDefault(request, Map.of()).forEach((subject, at) -> {
-            if (!expired(at, now)) {
+            if (now - at <= keepNanos) {
                 found.add(subject);
             }
         });
@@ -79,8 +76,11 @@
     }
 
     /** Drops what has expired, and returns the rest, oldest request first. */
-    List<Fact> dropExpired(long now) {
-        learntAt.values().forEach(subjects -> subjects.values().removeIf(at -> expired(at, now)));
+    List<Fact> dropExpired(ToLongFunction<String> keepNanos, long now) {
+        learntAt.forEach((request, subjects) -> {
+            long keep = keepNanos.applyAsLong(request);
+            subjects.values().removeIf(at -> now - at > keep);
+        });
         learntAt.values().removeIf(Map::isEmpty);
         List<Fact> facts = new ArrayList<>();
         learntAt.forEach(
@@ -88,8 +88,4 @@
         size = facts.size();
         return facts;
     }
-
-    private boolean expired(long at, long now) {
-        return now - at > keepNanos;
-    }
 }
--- a/core/src/test/java/org/quetzalseam/core/crash/CrashLedgerTest.java
+++ b/core/src/test/java/org/quetzalseam/core/crash/CrashLedgerTest.java
@@ -12,7 +12,9 @@
 class CrashLedgerTest {
     private static final long KEEP = TimeUnit.MINUTES.toNanos(10);
 
-    private final CrashLedger ledger = new CrashLedger("a", KEEP);
+    private static final long SUSPECT_KEEP = TimeUnit.HOURS.toNanos(1);
+
+    private final CrashLedger ledger = new CrashLedger("a", KEEP, SUSPECT_KEEP);
 
     private static CrashReport lost(Fact... facts) {
         return new CrashReport(List.of(facts), List.of(), List.of());
@@ -83,15 +85,47 @@
     @Test
     void aCrashNoLongerCountsAfterItsTimeThoughItsReportStaysInTheStore() {
         ledger.recordLost("r", "i-1", 0);
-        ledger.learn(Map.of("b", lost(new Fact("r", "i-2"), new Fact("r", "i-3"))), 0);
-        assertThat(ledger.isSuspect("r", KEEP)).isTrue();
-        assertThat(ledger.isSuspect("r", KEEP + 1)).isFalse();
-        ledger.learn(Map.of("b", lost(new Fact("r", "i-2"), new Fact("r", "i-3"))), KEEP + 1);
+        ledger.learn(Map.of("b", lost(new Fact("r", "i-2"))), 0);
+        assertThat(ledger.crashes("r", KEEP)).containsExactly("i-1", "i-2");
+        assertThat(ledger.crashes("r", KEEP + 1)).isEmpty();
+        ledger.learn(Map.of("b", lost(new Fact("r", "i-2"))), KEEP + 1);
         assertThat(ledger.crashes("r", KEEP + 1)).isEmpty();
         assertThat(ledger.isEmpty(KEEP + 1)).isTrue();
         assertThat(ledger.ownReport(KEEP + 1)).isEqualTo(CrashReport.EMPTY);
     }
 
+    // Guards against a request crashing three endpoints anew every ten minutes, because its crashes had been forgotten
+    // when
+    // its caller sent it again.
+    @Test
+    void aSuspectIsForgottenLaterThanSingleCrashes() {
+        ledger.recordLost("r", "i-1", 0);
+        ledger.learn(Map.of("b", lost(new Fact("r", "i-2"), new Fact("r", "i-3"))), 0);
+        ledger.recordProbe("r", "p-1", 0);
+        ledger.dropExpired(SUSPECT_KEEP);
+        assertThat(ledger.isSuspect("r", SUSPECT_KEEP)).isTrue();
+        assertThat(ledger.isEmpty(SUSPECT_KEEP)).isFalse();
+        assertThat(ledger.ownReport(SUSPECT_KEEP).lost()).containsExactly(new Fact("r", "i-1"));
+        assertThat(ledger.probes("r", KEEP + 1)).isZero();
+        assertThat(ledger.isSuspect("r", SUSPECT_KEEP + 1)).isFalse();
+        ledger.learn(Map.of("b", lost(new Fact("r", "i-2"), new Fact("r", "i-3"))), SUSPECT_KEEP + 1);
+        assertThat(ledger.mayHaveSuspects()).isFalse();
+        assertThat(ledger.ownReport(SUSPECT_KEEP + 1)).isEqualTo(CrashReport.EMPTY);
+    }
+
+    // Guards against a request that has ended becoming a suspect because an entry learnt of its crashes late and the
+    // end was
+    // forgotten first.
+    @Test
+    void anEndDismissesCrashesThatAnEntryHasLearntOfLate() {
+        ledger.recordLost("r", "i-1", 0);
+        ledger.recordLost("r", "i-2", 0);
+        ledger.recordLost("r", "i-3", 0);
+        ledger.recordEnded("r", 0);
+        ledger.learn(Map.of("b", lost(new Fact("r", "i-1"), new Fact("r", "i-2"), new Fact("r", "i-3"))), KEEP + 1);
+        assertThat(ledger.isSuspect("r", KEEP + 1)).isFalse();
+    }
+
     @Test
     void aRestartedEntryInheritsWhatItsEarlierProcessReported() {
         CrashReport earlier = new CrashReport(
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.crash.CrashLedger;
+import org.quetzalseam.core.crash.ProbeAllowance;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Endpoint;
 import org.quetzalseam.gateway.runtime.Timers;
@@ -22,22 +23,12 @@
  */
 public final class CrashGuard {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** How long a crash counts, in nanoseconds: a caller that still repeats the request has long had other answers to it. */
-    private static final long KEEP_NANOS = TimeUnit.MINUTES.toNanos(10);
+    /** How long a crash or a probe counts, in nanoseconds. */
+    private static final long KEEP_NANOS = ProbeAllowance.PROBE_KEEP_NANOS;
+    /** How long the crashes of a suspect count, in nanoseconds: its caller may still come back after the last probe. */
+    private static final long SUSPECT_KEEP_NANOS = TimeUnit.HOURS.toNanos(1);
     /** Interval of the checks for crashes that no longer count, in milliseconds. */
     private static final long EXPIRY_CHECK_MILLIS = 60_000;
-    /**
-     * Maximum number of probes of a suspect by all entries together: one fewer than its callers may cost the site, because a
-     * request that was sent before the third crash was known may still arrive.
-     */
-    private static final int MAX_PROBES = 2;
-    /**
-     * Time from the suspicion to the first probe, in nanoseconds: runs of the request that are under way may end meanwhile, and a
-     * request that is suspect by chance loses little.
-     */
-    private static final long FIRST_PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-    /** Time between two probes, in nanoseconds: about as long as endpoints take to start, so that not many are down at once. */
-    private static final long PROBE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
     /** Time after which the store is asked again when it did not answer, in milliseconds. */
     private static final long STORE_RETRY_MILLIS = 1_000;
 
@@ -53,12 +44,12 @@
     public CrashGuard(Timers timers, String self) {
         this.timers = timers;
         this.self = self;
-        this.ledger = new CrashLedger(self, KEEP_NANOS);
+        this.ledger = new CrashLedger(self, KEEP_NANOS, SUSPECT_KEEP_NANOS);
     }
 
     /** What is known of a suspect beside its crashes. */
     private static final class Suspect {
-        private long nextProbeAt;
+        private final ProbeAllowance allowance;
         private int knownProbes;
         private boolean asking;
         /** Whether this entry has claimed a probe with which nothing has been sent yet. */
@@ -68,8 +59,8 @@
         /** The request that was sent as the latest probe. */
         private @Nullable Exchange sentProbe;
 
-        Suspect(long nextProbeAt) {
-            this.nextProbeAt = nextProbeAt;
+        Suspect(long now) {
+            this.allowance = new ProbeAllowance(now);
         }
 
         boolean busy() {
@@ -126,7 +117,7 @@
             return;
         }
         Suspect suspect = suspect(exchange.fingerprint());
-        if (suspect.busy() || timers.now() - suspect.nextProbeAt < 0) {
+        if (suspect.busy() || suspect.allowance.waitNanos(timers.now()) > 0) {
             refuse.run();
             return;
         }
@@ -148,7 +139,7 @@
             suspect.sentProbe = exchange;
             suspect.unusedClaim = false;
             suspect.knownProbes++;
-            suspect.nextProbeAt = timers.now() + PROBE_INTERVAL_NANOS;
+            suspect.allowance.postpone(ProbeAllowance.INTERVAL_NANOS, timers.now());
         }
     }
 
@@ -163,7 +154,7 @@
             suspect.probe = exchange;
             suspect.unusedClaim = true;
             suspect.knownProbes--;
-            suspect.nextProbeAt = timers.now();
+            suspect.allowance.postpone(0, timers.now());
         }
     }
 
@@ -174,13 +165,13 @@
     private Suspect suspect(String request) {
         return suspects.computeIfAbsent(request, added -> {
             logger.atInfo().log("event=request-suspected fingerprint=%s %s", request, describe(request));
-            return new Suspect(timers.now() + FIRST_PROBE_NANOS);
+            return new Suspect(timers.now());
         });
     }
 
     /** Returns after what time a request that is quarantined may be sent again, in milliseconds. */
     public long retryAfterMillis(Exchange exchange) {
-        long nanos = suspect(exchange.fingerprint()).nextProbeAt - timers.now();
+        long nanos = suspect(exchange.fingerprint()).allowance.waitNanos(timers.now());
         return Math.max(TimeUnit.NANOSECONDS.toMillis(nanos), STORE_RETRY_MILLIS);
     }
 
@@ -257,6 +248,7 @@
 
     private void dropExpired() {
         long now = timers.now();
+        ledger.dropExpired(now);
         suspects.keySet().removeIf(request -> {
             boolean expired = !ledger.isSuspect(request, now);
             if (expired) {
@@ -272,7 +264,7 @@
 
     /**
      * Asks the other entries, through the store, whether a suspect may have a probe. Each entry writes its claim and then counts
-     * the claims of all: the first {@link #MAX_PROBES} claims to be written count no more than that, whatever their order.
+     * the claims of all: the claims that are written first count no more than are allowed, whatever their order.
      */
     private final class ProbeRequest {
         private final Exchange exchange;
@@ -307,6 +299,8 @@
         private void decide(boolean reportsKnown, Runnable claim) {
             long now = timers.now();
             int probes = ledger.probes(request, now) - (suspect.unusedClaim ? 1 : 0);
+            // Probes that no longer count are not known any more either.
+            suspect.knownProbes = Math.min(suspect.knownProbes, probes);
             if (exchange.ended()) {
                 suspect.asking = false;
             } else if (!reportsKnown) {
@@ -315,11 +309,11 @@
                 suspects.remove(request);
                 logger.atInfo().log("event=request-cleared fingerprint=%s by=others", request);
                 run.run();
-            } else if (probes >= MAX_PROBES) {
-                refuseFor(KEEP_NANOS);
+            } else if (suspect.allowance.isUsedUp(probes, now)) {
+                refuseNow();
             } else if (probes > suspect.knownProbes) {
                 suspect.knownProbes = probes;
-                refuseFor(PROBE_INTERVAL_NANOS);
+                refuseFor(ProbeAllowance.INTERVAL_NANOS);
                 // The probe of another entry may end well.
                 readSoon();
             } else {
@@ -340,10 +334,10 @@
                 return;
             }
             shared.read(read -> {
-                if (read && ledger.probes(request, timers.now()) <= MAX_PROBES && !exchange.ended()) {
+                if (read && suspect.allowance.covers(ledger.probes(request, timers.now())) && !exchange.ended()) {
                     runAsProbe();
                 } else {
-                    refuseFor(PROBE_INTERVAL_NANOS);
+                    refuseFor(ProbeAllowance.INTERVAL_NANOS);
                 }
             });
         }
@@ -357,8 +351,12 @@
         }
 
         private void refuseFor(long nanos) {
+            suspect.allowance.postpone(nanos, timers.now());
+            refuseNow();
+        }
+
+        private void refuseNow() {
             suspect.asking = false;
-            suspect.nextProbeAt = timers.now() + nanos;
             refuse.run();
         }
     }
--- a/gateway/src/test/java/org/quetzalseam/gateway/crash/CrashReportsTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/crash/CrashReportsTest.java
@@ -32,7 +32,7 @@
         private final CrashReports reports;
 
         Entry(String name) {
-            ledger = new CrashLedger(name, KEEP_NANOS);
+            ledger = new CrashLedger(name, KEEP_NANOS, KEEP_NANOS);
             reports = new CrashReports(timers, store, name, ledger);
         }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/crash/ReportScheduleTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/crash/ReportScheduleTest.java
@@ -21,7 +21,7 @@
     private final MemoryStore store = new MemoryStore();
     private long nanos;
     private final Timers timers = new Timers(channel.eventLoop(), () -> nanos, () -> 0);
-    private final CrashLedger ledger = new CrashLedger("self", TimeUnit.MINUTES.toNanos(10));
+    private final CrashLedger ledger = new CrashLedger("self", TimeUnit.MINUTES.toNanos(10), TimeUnit.HOURS.toNanos(1));
     private final ReportSchedule schedule = new ReportSchedule(timers, new CrashReports(timers, store, "self", ledger));
 
     @BeforeEach
