An idempotent call that crashed its service is no longer reported as not run

What callers saw: 503, outcome not-run, code backend-down, for a GET that had run and during which its service ended. Found in the log of CrashingCallTest: each of its calls was told so, though the service had counted them.

Cause: the JDK's client sends a GET whose connection breaks again by itself; the service has ended, so that attempt can't connect, and a failure to connect means that nothing was sent.

Why it works: calls of either kind go through HttpCore, which repeats none. Idempotent ones still share connections (idempotentCallsShareAConnection, unchanged). The entry repeats them elsewhere, within its retry budget, knowing that they may have run.

--- a/daemon/src/main/java/org/quetzalseam/daemon/service/SingleUseClient.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/SendOnceClient.java
@@ -36,13 +36,15 @@
 import org.quetzalseam.wire.runtime.Service;
 
 /**
- * Makes HTTP calls that must not run twice, each over a connection of its own, and never repeats one. Thread-safe.
+ * Makes HTTP calls and never repeats one. An idempotent call may use a connection that an earlier one has left open; any other
+ * call has a connection of its own. Thread-safe.
  *
- * <p>The JDK's client cannot do this: it keeps a connection open unless the answer announces that it will be closed,
- * whatever the request asked for. A call that is then sent while the service closes the connection gets no answer
- * although it may have run.
+ * <p>The JDK's client cannot do this. It keeps a connection open unless the answer announces that it will be closed,
+ * whatever the request asked for: a call that is then sent while the service closes the connection gets no answer
+ * although it may have run. And it repeats an idempotent call whose connection breaks, so that a call during which the
+ * service ended fails as if it had not been sent.
  */
-final class SingleUseClient implements Service {
+final class SendOnceClient implements Service {
     /** Practically unlimited, because the endpoint's slots limit the calls that run. */
     private static final int MAX_CONNECTIONS = 65_536;
     /**
@@ -56,7 +58,7 @@
     private final HttpHost host;
     private final HttpAsyncRequester requester;
 
-    SingleUseClient(URI base) {
+    SendOnceClient(URI base) {
         this.host = new HttpHost(base.getScheme(), base.getHost(), base.getPort());
         this.requester = AsyncRequesterBootstrap.bootstrap()
                 .setIOReactorConfig(IOReactorConfig.custom()
@@ -90,7 +92,7 @@
      */
     CompletableFuture<ServiceAnswer> call(Call call) {
         long limit = Math.max(1, call.timeoutMillis());
-        PendingCall pending = new PendingCall(request(call));
+        PendingCall pending = new PendingCall(request(call), call.idempotent());
         // HttpCore also applies the timeout given here as the connection's idle timeout, so it must not be the connect
         // timeout.
         Future<AsyncClientEndpoint> unused = requester.connect(host, Timeout.ofMilliseconds(limit), null, pending);
@@ -101,7 +103,9 @@
         AsyncRequestBuilder builder =
                 AsyncRequestBuilder.create(call.method()).setHttpHost(host).setPath(call.path());
         HttpServiceClient.forwardedHeaders(call).forEach(builder::setHeader);
-        builder.setHeader("Connection", "close");
+        if (!call.idempotent()) {
+            builder.setHeader("Connection", "close");
+        }
         if (call.body().length > 0) {
             builder.setEntity(AsyncEntityProducers.create(call.body(), null));
         }
@@ -111,6 +115,7 @@
     /** One call, from connecting to its answer. */
     private static final class PendingCall implements FutureCallback<AsyncClientEndpoint> {
         private final AsyncRequestProducer request;
+        private final boolean reusable;
         /**
          * Completed by the connection or by the connect timeout; whichever comes first decides whether the call is
          * sent.
@@ -119,8 +124,9 @@
 
         private final CompletableFuture<ServiceAnswer> answer = new CompletableFuture<>();
 
-        PendingCall(AsyncRequestProducer request) {
+        PendingCall(AsyncRequestProducer request, boolean reusable) {
             this.request = request;
+            this.reusable = reusable;
         }
 
         /** Returns the answer. After the limit the call counts as started, even if it was still connecting. */
@@ -156,10 +162,13 @@
                 connection.releaseAndDiscard();
                 return;
             }
-            CompletableFuture<ServiceAnswer> unusedAnswer =
-                    answer.whenComplete((result, failure) -> connection.releaseAndDiscard());
+            CompletableFuture<ServiceAnswer> unusedAnswer = answer.whenComplete((result, failure) -> {
+                if (failure != null) {
+                    connection.releaseAndDiscard();
+                }
+            });
             Future<Message<HttpResponse, byte[]>> unused = connection.execute(
-                    request, new BasicResponseConsumer<>(new BasicAsyncEntityConsumer()), new Exchange());
+                    request, new BasicResponseConsumer<>(new BasicAsyncEntityConsumer()), new Exchange(connection));
         }
 
         @Override
@@ -177,8 +186,19 @@
         }
 
         private final class Exchange implements FutureCallback<Message<HttpResponse, byte[]>> {
+            private final AsyncClientEndpoint connection;
+
+            Exchange(AsyncClientEndpoint connection) {
+                this.connection = connection;
+            }
+
             @Override
             public void completed(Message<HttpResponse, byte[]> response) {
+                if (reusable) {
+                    connection.releaseAndReuse();
+                } else {
+                    connection.releaseAndDiscard();
+                }
                 answer.complete(toAnswer(response));
             }
 
--- a/daemon/src/test/java/org/quetzalseam/daemon/service/HttpServiceClientTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/service/HttpServiceClientTest.java
@@ -143,6 +143,17 @@
         assertThat(service.connections()).isEqualTo(1);
     }
 
+    // Guards against a caller being told that its idempotent call, which crashed the service, has not run.
+    @Test
+    void anIdempotentCallWhoseServiceEndsMeanwhileMayHaveRun() {
+        serve((request, connection) -> {
+            service.close();
+            connection.reset();
+        });
+        ServiceException failure = failure(call("GET", "", true, TIMEOUT_MILLIS));
+        assertThat(failure.code()).isEqualTo(ServiceException.Code.NO_ANSWER);
+    }
+
     @Test
     void aCallThatIsNotAnsweredInTimeMayHaveRun() {
         serve((request, connection) -> connection.awaitClosed((int) TIMEOUT_MILLIS));
