A probe that has shown nothing is repeated

Cause, from its log: of the two first probes one was rejected unrun by its endpoint (421), the other's connection was closed by an endpoint that lived on (run-lost, no crash-counted). Either counted like a probe that crashed its endpoint, and the next one was due five seconds later.

Evidence: CrashingGenerationTest#aProbeThatAnEngineRejectsGoesToAnotherOne and #aProbeThatALivingEngineResetsIsRepeatedAfterASecond, both seen to fail (503 where 200 is expected).

Why it works: a rejected probe goes on to another endpoint in the same run; one whose endpoint has not turned out to be down within a second may be sent again. Either happens once for each claim, so that two claims stand for four sends at most, the first of which falls into the three seconds after the third crash.

--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -31,6 +31,11 @@
     private static final long EXPIRY_CHECK_MILLIS = 60_000;
     /** Time after which the store is asked again when it did not answer, in milliseconds. */
     private static final long STORE_RETRY_MILLIS = 1_000;
+    /**
+     * Time in which a probe whose connection is lost turns out to have crashed its endpoint, in milliseconds: an attempt to connect
+     * to an endpoint that is down fails at once.
+     */
+    private static final long LOST_PROBE_MILLIS = 1_000;
 
     private final Timers timers;
     private final String self;
@@ -54,6 +59,8 @@
         private boolean asking;
         /** Whether this entry has claimed a probe with which nothing has been sent yet. */
         private boolean unusedClaim;
+        /** Whether the claim has been used for a probe that reached an endpoint and showed nothing. */
+        private boolean repeated;
         /** The request that may be sent as a probe. */
         private @Nullable Exchange probe;
         /** The request that was sent as the latest probe. */
@@ -63,6 +70,24 @@
             this.allowance = new ProbeAllowance(now);
         }
 
+        /** Allows the claim of the latest probe to be used again, because that probe has shown nothing. */
+        void giveBack(long now) {
+            sentProbe = null;
+            unusedClaim = true;
+            knownProbes--;
+            allowance.postpone(0, now);
+        }
+
+        /** Does what {@link #giveBack} does, once for each claim. Returns whether it did. */
+        boolean giveBackOnce(long now) {
+            if (repeated) {
+                return false;
+            }
+            repeated = true;
+            giveBack(now);
+            return true;
+        }
+
         boolean busy() {
             Exchange sending = probe;
             return asking || (sending != null && !sending.ended());
@@ -150,11 +175,16 @@
         }
         Suspect suspect = suspects.get(exchange.fingerprint());
         if (suspect != null && suspect.sentProbe == exchange) {
-            suspect.sentProbe = null;
+            suspect.giveBack(timers.now());
+            suspect.probe = exchange;
+        }
+    }
+
+    /** Records that an endpoint has rejected a request without running it; a probe may go on to another one, once. */
+    public void recordRejected(Exchange exchange) {
+        Suspect suspect = suspects.isEmpty() ? null : suspects.get(exchange.fingerprint());
+        if (suspect != null && suspect.sentProbe == exchange && suspect.giveBackOnce(timers.now())) {
             suspect.probe = exchange;
-            suspect.unusedClaim = true;
-            suspect.knownProbes--;
-            suspect.allowance.postpone(0, timers.now());
         }
     }
 
@@ -196,6 +226,21 @@
     public void recordLost(Exchange exchange, Endpoint endpoint) {
         String request = exchange.fingerprint();
         endpoint.ifCrashed(() -> crashed(request, endpoint));
+        Suspect suspect = suspects.get(request);
+        if (suspect != null && suspect.sentProbe == exchange) {
+            int crashes = ledger.crashes(request, timers.now()).size();
+            timers.after(LOST_PROBE_MILLIS, () -> probeLost(request, suspect, exchange, crashes));
+        }
+    }
+
+    /** Allows a probe to be repeated, unless its endpoint has crashed. */
+    private void probeLost(String request, Suspect suspect, Exchange exchange, int crashesBefore) {
+        long now = timers.now();
+        boolean crashed = ledger.crashes(request, now).size() > crashesBefore;
+        if (!crashed && suspect.sentProbe == exchange && suspect.giveBackOnce(now)) {
+            logger.atInfo().log(
+                    "event=probe-without-result request=%s %s", exchange.facts().id(), describe(exchange));
+        }
     }
 
     private void crashed(String request, Endpoint endpoint) {
@@ -324,6 +369,7 @@
         private void claim() {
             if (!suspect.unusedClaim) {
                 suspect.unusedClaim = true;
+                suspect.repeated = false;
                 ledger.recordProbe(request, UUID.randomUUID().toString(), timers.now());
             }
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -236,6 +236,7 @@
         if (facts.notRun()) {
             body.release();
             outcome.recordRefusal(context.now());
+            context.crashGuard().recordRejected(exchange);
             log.rejected(engine, status, context.describeBudget(service));
             retryNotRun("the engine turned it away");
             return;
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -146,6 +146,7 @@
         ReplyFacts facts = context.protocol().facts(answer);
         if (facts.notRun()) {
             body.release();
+            context.crashGuard().recordRejected(exchange);
             rejected(endpoint, answer.status().code());
             return;
         }
--- a/gateway/src/test/java/org/quetzalseam/gateway/CrashingGenerationTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/CrashingGenerationTest.java
@@ -26,6 +26,8 @@
     private static final long FIRST_PROBE_MILLIS = 400;
 
     private static final long PROBE_INTERVAL_MILLIS = 5_500;
+    /** More than the time after which a probe is repeated whose connection a living engine closed, in milliseconds. */
+    private static final long LOST_PROBE_MILLIS = 1_300;
 
     private final TestEntry entry = new TestEntry();
     private final List<ScriptedEndpoint> engines = new ArrayList<>();
@@ -163,9 +165,7 @@
         assertThat(fullEngine.runs()).isEmpty();
     }
 
-    // Guards against a generation being refused for minutes because its probes went to engines that can't be reached,
-    // so that
-    // nothing was sent.
+    // Guards against a generation being refused for minutes because its probes went to engines that can't be reached.
     @Test
     void aProbeThatReachesNoEngineIsNotUsedUp() throws InterruptedException {
         crashThreeEngines();
@@ -179,6 +179,49 @@
         assertThat(entry.ask("/stream/x", "third")).startsWith("HTTP/1.1 200");
     }
 
+    private void awaitFirstProbe() throws InterruptedException {
+        entry.ask("/stream/x", "before");
+        TimeUnit.MILLISECONDS.sleep(FIRST_PROBE_MILLIS);
+    }
+
+    // Guards against a generation being refused for seconds because an engine turned its probe away without running it.
+    @Test
+    void aProbeThatAnEngineRejectsGoesToAnotherOne() throws InterruptedException {
+        crashThreeEngines();
+        AtomicBoolean first = new AtomicBoolean(true);
+        ScriptedEndpoint.Script script = (request, connection) -> {
+            if (first.getAndSet(false)) {
+                connection.reject(request);
+            } else {
+                stream(request, connection);
+            }
+        };
+        entry.updateEndpoints(
+                engine(script).member("s", Stage.DECODE), engine(script).member("s", Stage.DECODE));
+        awaitFirstProbe();
+        assertThat(entry.ask("/stream/x", "probe")).startsWith("HTTP/1.1 200");
+    }
+
+    // Guards against a generation being refused for seconds because a living engine closed the connection of its probe.
+    @Test
+    void aProbeThatALivingEngineResetsIsRepeatedAfterASecond() throws InterruptedException {
+        crashThreeEngines();
+        AtomicBoolean first = new AtomicBoolean(true);
+        useOnly(engine((request, connection) -> {
+            if (first.getAndSet(false)) {
+                connection.beginStream(request);
+                connection.reset();
+            } else {
+                stream(request, connection);
+            }
+        }));
+        awaitFirstProbe();
+        entry.ask("/stream/x", "probe");
+        assertThat(entry.ask("/stream/x", "at once")).startsWith("HTTP/1.1 503");
+        TimeUnit.MILLISECONDS.sleep(LOST_PROBE_MILLIS);
+        assertThat(entry.ask("/stream/x", "again")).startsWith("HTTP/1.1 200");
+    }
+
     // Guards against a generation being refused on and on after a probe has ended well.
     @Test
     void aProbeThatEndsClearsTheGeneration() {
