--- a/standins/src/main/java/org/quetzalseam/standins/EngineStandIn.java
+++ b/standins/src/main/java/org/quetzalseam/standins/EngineStandIn.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Simulates a model engine with continuous batching, which prefills prompts, decodes from a fetched KV cache and cancels
@@ -25,8 +26,11 @@
     private final PrefillBatch prefills;
     private final DecodeBatch decodes;
     private final Set<String> cancelledIds = new LinkedHashSet<>();
+    private final AtomicInteger crashes = new AtomicInteger();
     private volatile boolean refusing;
-    private final StandInServer server;
+    private volatile String crashingText = "";
+    private volatile long downMillis;
+    private final RestartingServer server;
 
     /** Starts an engine on a free port of the loopback interface. */
     public EngineStandIn(EngineCosts costs, KvRegistry registry) {
@@ -35,7 +39,7 @@
         this.link = new TransferLink(costs.linkBytesPerMilli());
         this.prefills = new PrefillBatch(costs, registry);
         this.decodes = new DecodeBatch(costs);
-        this.server = new StandInServer(0, this::handle);
+        this.server = new RestartingServer(this::handle);
     }
 
     /** Returns the engine's base address. */
@@ -63,6 +67,31 @@
         refusing = now;
     }
 
+    /**
+     * Lets each later prompt that contains a text crash the engine while it is prefilled or decoded: all its connections close,
+     * and it starts again at the same address after a time in milliseconds.
+     */
+    public void crashOn(String text, long restartMillis) {
+        downMillis = restartMillis;
+        crashingText = text;
+    }
+
+    /** Returns how often the engine has crashed. */
+    public int crashes() {
+        return crashes.get();
+    }
+
+    private boolean crashes(JsonNode request) {
+        return !crashingText.isEmpty() && request.path("prompt").asText().contains(crashingText);
+    }
+
+    private IOException crash() {
+        crashes.incrementAndGet();
+        server.crash(downMillis);
+        Pause.millis(downMillis);
+        return new IOException("crashed on purpose");
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
         byte[] body = exchange.getRequestBody().readAllBytes();
         String path = exchange.getRequestURI().getPath();
@@ -112,6 +141,9 @@
         String id = request.path("request_id").asText();
         int tokens = tokens(request);
         String hash = hash(request);
+        if (crashes(request)) {
+            throw crash();
+        }
         boolean done = !isCancelled(id)
                 && prefills.prefill(
                         id,
@@ -147,6 +179,9 @@
             link.transfer(kv.get().tokens() * costs.kvBytesPerToken());
             exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
             exchange.sendResponseHeaders(200, 0);
+            if (crashes(request)) {
+                throw crash();
+            }
             stream(exchange, sequence, kv.get().promptHash());
         } finally {
             decodes.remove(sequence);
--- a/standins/src/main/java/org/quetzalseam/standins/ServiceStandIn.java
+++ b/standins/src/main/java/org/quetzalseam/standins/ServiceStandIn.java
@@ -41,9 +41,7 @@
     private volatile boolean breaksOff;
     private volatile String crashingId = "";
     private volatile long downMillis;
-    private final int port;
-    private StandInServer server;
-    private boolean stopped;
+    private final RestartingServer server;
 
     /**
      * Starts an instance of a service on a free port of the loopback interface.
@@ -54,13 +52,12 @@
     public ServiceStandIn(Ledger ledger, long millis) {
         this.ledger = ledger;
         this.callMillis = millis;
-        this.server = new StandInServer(0, this::handle);
-        this.port = server.port();
+        this.server = new RestartingServer(this::handle);
     }
 
     /** Returns the service's base address. */
     public String url() {
-        return "http://127.0.0.1:" + port;
+        return server.url();
     }
 
     /** Returns the number of calls received. */
@@ -87,28 +84,13 @@
         crashingId = id;
     }
 
-    private void crash() {
-        synchronized (this) {
-            server.stop();
-        }
-        Pause.millis(downMillis);
-        synchronized (this) {
-            if (!stopped) {
-                server = new StandInServer(port, this::handle);
-            }
-        }
-    }
-
     private void handle(HttpExchange exchange) throws IOException {
         calls.incrementAndGet();
         byte[] body = exchange.getRequestBody().readAllBytes();
         String id = exchange.getRequestHeaders().getFirst("X-Business-Id");
         int count = id == null ? 1 : ledger.execute(id);
         if (crashingId.equals(id)) {
-            // Not on this thread, which the crash interrupts.
-            Thread crash = new Thread(this::crash, "stand-in-crash");
-            crash.setDaemon(true);
-            crash.start();
+            server.crash(downMillis);
             Pause.millis(downMillis);
             throw new IOException("crashed on purpose");
         }
@@ -128,8 +110,7 @@
     }
 
     /** Stops the service immediately and interrupts calls in progress. */
-    public synchronized void stop() {
-        stopped = true;
+    public void stop() {
         callThreads.forEach(Thread::interrupt);
         server.stop();
     }
