quetzalseamd: a request that crashes its back ends is quarantined

Nothing about a request outlived its attempts, and endpoints reported a crash of their back end like any lost answer.

Why it works: the endpoint process outlives its back end and knows what ran. They send a suspect to one endpoint, by rendezvous hashing, and that endpoint allows two probes, then one in ten minutes. Refusals are new (QUARANTINED), and are given to probes only, which only entries that know them send. While no crash is known, no fingerprint is computed.

--- a/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
@@ -170,6 +170,13 @@
         return unexplained.isEmpty();
     }
 
+    /** Returns the requests that are taken for the cause of crashes. */
+    public Set<String> suspects(long now) {
+        Set<String> suspects = new TreeSet<>(candidates);
+        suspects.removeIf(request -> !isSuspect(request, now));
+        return suspects;
+    }
+
     /** Forgets the suspects whose crashes no longer count. */
     public void dropExpired(long now) {
         candidates.removeIf(candidate -> crashes(candidate, now).size() < SUSPECT_CRASHES);
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/Admission.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/Admission.java
@@ -233,6 +233,14 @@
         return result;
     }
 
+    /** Refuses a job that has not started and must not run. */
+    void refuse(Job job, RefusalReason reason, long retryMillis) {
+        if (table.seal(job.id(), System.nanoTime()) == SealResult.BEFORE_START) {
+            job.complete(new Refused(job.id(), reason, retryMillis, load()));
+            finish(job);
+        }
+    }
+
     /** Cancels an attempt, whether it waits, holds a slot or runs. */
     void cancel(AttemptId id) {
         SealResult result = seal(id);
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/DecodeBackend.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/DecodeBackend.java
@@ -9,6 +9,7 @@
 import java.util.function.Function;
 import org.quetzalseam.core.admission.WorkClass;
 import org.quetzalseam.core.attempt.AttemptId;
+import org.quetzalseam.daemon.RequestFingerprint;
 import org.quetzalseam.daemon.engine.Engine;
 import org.quetzalseam.daemon.engine.EngineException;
 import org.quetzalseam.daemon.engine.EngineRequest;
@@ -31,6 +32,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private final Engine engine;
     private final Sessions sessions;
+    private final BackendCrashes crashes;
     private final Admission admission;
     private final int slots;
     private final Object lock = new Object();
@@ -40,10 +42,16 @@
     /** A started decode that waits until its slot is free. */
     private record WaitingDecode(Job job, Decode decode) {}
 
-    DecodeBackend(Engine engine, Sessions sessions, int slots, Function<JobRunner, Admission> admission) {
+    DecodeBackend(
+            Engine engine,
+            Sessions sessions,
+            int slots,
+            BackendCrashes crashes,
+            Function<JobRunner, Admission> admission) {
         this.engine = engine;
         this.sessions = sessions;
         this.slots = slots;
+        this.crashes = crashes;
         this.admission = admission.apply(this);
     }
 
@@ -69,6 +77,9 @@
 
     @Override
     public void run(Job job) {
+        if (job.request() instanceof Book book && crashes.refuses(admission, job, book.work())) {
+            return;
+        }
         job.sendInterim(new Booked(job.id(), admission.load()));
     }
 
@@ -78,6 +89,9 @@
             // The entry has sent the message again after a lost connection.
             return;
         }
+        if (job != null && job.request() instanceof Book book && crashes.refusesToRun(admission, job, book.work())) {
+            return;
+        }
         if (job == null || job.bookedAtNanos() == 0 || !admission.start(job)) {
             Refused refused = new Refused(decode.attempt(), RefusalReason.SEALED, 0, admission.load());
             sessions.send(decode.attempt().entry(), refused);
@@ -94,6 +108,10 @@
         startOnEngine(job, decode);
     }
 
+    private static String fingerprint(Book book, Decode decode) {
+        return RequestFingerprint.of(book.work(), decode.body());
+    }
+
     private void startOnEngine(Job job, Decode decode) {
         if (job.isComplete() || !(job.request() instanceof Book book)) {
             memoryFreed(job);
@@ -101,7 +119,7 @@
         }
         int priority = book.work().workClass() == WorkClass.SHORT ? 0 : 1;
         EngineRequest request = new EngineRequest(job.id().toString(), priority, decode.body());
-        engine.decode(request, decode.transfer(), new JobSink(job));
+        engine.decode(request, decode.transfer(), new JobSink(job, book, decode));
     }
 
     /**
@@ -133,9 +151,14 @@
 
     private final class JobSink implements OutputSink {
         private final Job job;
+        private final Book book;
+        private final Decode decode;
+        private final long sentAt = crashes.now();
 
-        JobSink(Job job) {
+        JobSink(Job job, Book book, Decode decode) {
             this.job = job;
+            this.book = book;
+            this.decode = decode;
         }
 
         @Override
@@ -145,6 +168,7 @@
 
         @Override
         public void ended(String reason) {
+            crashes.recordEnded(() -> fingerprint(book, decode));
             job.complete(new Finished(job.id(), job.outputCount(), reason, admission.load()));
             memoryFreed(job);
         }
@@ -158,6 +182,7 @@
             logger.atWarning().log(
                     "event=engine-failed attempt=%s outputs=%d reason=%s",
                     job.id(), job.outputCount(), failure.getMessage());
+            EngineFailures.record(crashes, failure, book.work(), () -> fingerprint(book, decode), sentAt);
             FailureCode code = EngineFailures.code(failure);
             job.complete(new Failed(job.id(), code, String.valueOf(failure.getMessage()), admission.load()));
             abort(job);
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
@@ -35,6 +35,7 @@
 import org.quetzalseam.wire.message.Leaving;
 import org.quetzalseam.wire.message.LeavingHeard;
 import org.quetzalseam.wire.message.Load;
+import org.quetzalseam.wire.message.LostRequest;
 import org.quetzalseam.wire.message.Message;
 import org.quetzalseam.wire.message.RefusalReason;
 import org.quetzalseam.wire.message.Refused;
@@ -65,6 +66,7 @@
     private final Identity self;
     private final TimerService timers;
     private final Sessions sessions = new Sessions();
+    private final BackendCrashes crashes;
     private final AttemptHandler handler;
     private final Optional<ServiceBackend> serviceBackend;
     private final Acceptor acceptor;
@@ -78,6 +80,11 @@
         this.settings = settings;
         this.self = Identity.start(settings.role(), settings.name(), settings.zone());
         this.timers = new TimerService(settings.name());
+        this.crashes = new BackendCrashes(
+                settings.name() + "@" + Long.toHexString(self.incarnation()),
+                settings.backend().url(),
+                this::reportLost,
+                timers::now);
         this.handler = createHandler(settings);
         this.serviceBackend = handler instanceof ServiceBackend known ? Optional.of(known) : Optional.empty();
         this.acceptor = new Acceptor(
@@ -87,7 +94,7 @@
                 ProcessSecurity.siteKey(settings.security()),
                 ProcessSecurity.transport(settings.security()),
                 new Receiver(),
-                sessions::opened);
+                this::opened);
         Metrics metrics = new Metrics();
         metrics.gauge(
                 "quetzalseam.endpoint.free", () -> handler.admission().load().free());
@@ -112,8 +119,9 @@
                 new AttemptTable<>(from.timing().lease().toNanos(), ATTEMPT_RETENTION.toNanos()),
                 runner);
         return switch (backend.kind()) {
-            case PREFILL -> new PrefillBackend(new HttpEngine(backend.url()), sessions, admission);
-            case DECODE -> new DecodeBackend(new HttpEngine(backend.url()), sessions, backend.places(), admission);
+            case PREFILL -> new PrefillBackend(new HttpEngine(backend.url()), sessions, crashes, admission);
+            case DECODE ->
+                new DecodeBackend(new HttpEngine(backend.url()), sessions, backend.places(), crashes, admission);
             case SERVICE ->
                 new ServiceBackend(
                         new HttpServiceClient(backend.url()),
@@ -122,6 +130,7 @@
                                 new HttpObjectStore(from.platformUrl()), from.name(), self.incarnation()),
                         self.incarnation(),
                         from.timing().keyRetention(),
+                        crashes,
                         admission);
         };
     }
@@ -134,6 +143,7 @@
     @Override
     public void start() {
         timers.start();
+        crashes.start();
         serviceBackend.ifPresent(ServiceBackend::start);
         serviceBackend.ifPresent(this::recordStart);
         acceptor.start();
@@ -189,9 +199,7 @@
         if (message instanceof Heartbeat heartbeat) {
             handler.admission().table().renew(heartbeat.attempts(), timers.now());
             serviceBackend.ifPresent(known -> known.updateMembersVersion(heartbeat.members()));
-            SiteState known = state;
-            connection.send(new HeartbeatAck(
-                    handler.admission().load(), known.manifest().version(), known.members()));
+            connection.send(acknowledgement(List.of()));
         } else if (message instanceof LeavingHeard) {
             sessions.shutdownAcknowledged(connection);
         } else if (message instanceof FetchState) {
@@ -203,6 +211,24 @@
         }
     }
 
+    private HeartbeatAck acknowledgement(List<LostRequest> lost) {
+        SiteState known = state;
+        return new HeartbeatAck(handler.admission().load(), known.manifest().version(), known.members(), lost);
+    }
+
+    private void opened(Connection connection) {
+        sessions.opened(connection);
+        // A crash that is reported meanwhile may be reported twice.
+        List<LostRequest> lost = crashes.recentlyLost();
+        if (!lost.isEmpty()) {
+            connection.send(acknowledgement(lost));
+        }
+    }
+
+    private void reportLost(List<LostRequest> lost) {
+        sessions.sendToAll(acknowledgement(lost));
+    }
+
     private synchronized void updateState(SiteState received) {
         state = SiteState.newer(state, received);
     }
@@ -328,6 +354,7 @@
         acceptor.stop();
         operatorServer.stop();
         serviceBackend.ifPresent(ServiceBackend::stop);
+        crashes.stop();
         timers.stop();
     }
 
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EngineFailures.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EngineFailures.java
@@ -1,8 +1,10 @@
 package org.quetzalseam.daemon.endpoint;
 
+import java.util.function.Supplier;
 import org.quetzalseam.daemon.HttpClients;
 import org.quetzalseam.daemon.engine.EngineException;
 import org.quetzalseam.wire.message.FailureCode;
+import org.quetzalseam.wire.message.Work;
 
 /** Converts failures of engines to failure codes of the protocol. Stateless. */
 final class EngineFailures {
@@ -15,6 +17,16 @@
                 : new EngineException(EngineException.Code.FAILED, String.valueOf(cause), cause);
     }
 
+    /** Records a failure of an engine that may be the end of its process. */
+    static void record(
+            BackendCrashes crashes, EngineException failure, Work work, Supplier<String> fingerprint, long sentAt) {
+        if (failure.code() == EngineException.Code.FAILED && failure.getCause() != null) {
+            crashes.recordLost(fingerprint.get(), sentAt);
+        } else if (failure.code() == EngineException.Code.NOT_RUN) {
+            crashes.recordNotSent(work);
+        }
+    }
+
     static FailureCode code(EngineException failure) {
         return switch (failure.code()) {
             case TRANSFER_LOST -> FailureCode.TRANSFER_LOST;
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/PrefillBackend.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/PrefillBackend.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.quetzalseam.core.admission.WorkClass;
+import org.quetzalseam.daemon.RequestFingerprint;
 import org.quetzalseam.daemon.engine.Engine;
 import org.quetzalseam.daemon.engine.EngineException;
 import org.quetzalseam.daemon.engine.EngineRequest;
@@ -21,11 +22,13 @@
 
     private final Engine engine;
     private final Sessions sessions;
+    private final BackendCrashes crashes;
     private final Admission admission;
 
-    PrefillBackend(Engine engine, Sessions sessions, Function<JobRunner, Admission> admission) {
+    PrefillBackend(Engine engine, Sessions sessions, BackendCrashes crashes, Function<JobRunner, Admission> admission) {
         this.engine = engine;
         this.sessions = sessions;
+        this.crashes = crashes;
         this.admission = admission.apply(this);
     }
 
@@ -47,24 +50,36 @@
 
     @Override
     public void run(Job job) {
+        if (job.request() instanceof Prefill prefill && crashes.refusesToRun(admission, job, prefill.work())) {
+            return;
+        }
         if (!(job.request() instanceof Prefill prefill) || !admission.start(job)) {
             job.complete(new Refused(job.id(), RefusalReason.SEALED, 0, admission.load()));
             admission.finish(job);
             return;
         }
         int priority = prefill.work().workClass() == WorkClass.SHORT ? 0 : 1;
+        long sentAt = crashes.now();
         CompletableFuture<Void> unused = engine.prefill(
                         new EngineRequest(job.id().toString(), priority, prefill.body()))
-                .thenAccept(transfer -> job.complete(new Prefilled(job.id(), transfer, admission.load())))
+                .thenAccept(transfer -> {
+                    crashes.recordEnded(() -> fingerprint(prefill));
+                    job.complete(new Prefilled(job.id(), transfer, admission.load()));
+                })
                 .exceptionally(failure -> {
-                    fail(job, failure);
+                    fail(job, prefill, sentAt, failure);
                     return null;
                 })
                 .thenRun(() -> admission.finish(job));
     }
 
-    private void fail(Job job, Throwable failure) {
+    private static String fingerprint(Prefill prefill) {
+        return RequestFingerprint.of(prefill.work(), prefill.body());
+    }
+
+    private void fail(Job job, Prefill prefill, long sentAt, Throwable failure) {
         EngineException cause = EngineFailures.of(failure);
+        EngineFailures.record(crashes, cause, prefill.work(), () -> fingerprint(prefill), sentAt);
         logger.atWarning().log("event=engine-failed attempt=%s reason=%s", job.id(), cause.getMessage());
         if (cause.code() == EngineException.Code.NOT_RUN) {
             job.complete(new Refused(job.id(), RefusalReason.BACKEND_DOWN, 0, admission.load()));
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/ServiceBackend.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/ServiceBackend.java
@@ -9,6 +9,7 @@
 import org.quetzalseam.core.keyed.KeyTable;
 import org.quetzalseam.core.keyed.KeyTable.Claim;
 import org.quetzalseam.daemon.HttpClients;
+import org.quetzalseam.daemon.RequestFingerprint;
 import org.quetzalseam.daemon.service.HttpServiceClient;
 import org.quetzalseam.daemon.service.ServiceAnswer;
 import org.quetzalseam.daemon.service.ServiceException;
@@ -38,6 +39,7 @@
     private final HttpServiceClient client;
     private final Sessions sessions;
     private final Admission admission;
+    private final BackendCrashes crashes;
     private final IncarnationRecords incarnationRecords;
     private final long incarnation;
     private final KeyTable<AttemptReply> keys;
@@ -51,12 +53,14 @@
             IncarnationRecords incarnationRecords,
             long incarnation,
             Duration keyRetention,
+            BackendCrashes crashes,
             Function<JobRunner, Admission> admission) {
         this.client = client;
         this.sessions = sessions;
         this.incarnationRecords = incarnationRecords;
         this.incarnation = incarnation;
         this.keyRetentionNanos = keyRetention.toNanos();
+        this.crashes = crashes;
         this.keys = new KeyTable<>(keyRetentionNanos);
         this.admission = admission.apply(this);
     }
@@ -217,20 +221,44 @@
 
     @Override
     public void run(Job job) {
+        if (job.request() instanceof Call call && crashes.refusesToRun(admission, job, call.work())) {
+            return;
+        }
         if (!(job.request() instanceof Call call) || !admission.start(job)) {
             job.complete(new Refused(job.id(), RefusalReason.SEALED, 0, admission.load()));
             admission.finish(job);
             return;
         }
+        long sentAt = crashes.now();
         CompletableFuture<Void> unused = client.call(call)
-                .thenAccept(answer -> finish(job, call, answer(job, answer)))
+                .thenAccept(answer -> {
+                    crashes.recordEnded(() -> fingerprint(call));
+                    finish(job, call, answer(job, answer));
+                })
                 .exceptionally(failure -> {
-                    finish(job, call, failure(job, HttpClients.cause(failure)));
+                    Throwable cause = HttpClients.cause(failure);
+                    recordFailure(call, cause, sentAt);
+                    finish(job, call, failure(job, cause));
                     return null;
                 })
                 .thenRun(() -> admission.finish(job));
     }
 
+    private static String fingerprint(Call call) {
+        return RequestFingerprint.of(call.work().owner(), call.work().entry(), call.method(), call.path(), call.body());
+    }
+
+    private void recordFailure(Call call, Throwable cause, long sentAt) {
+        if (!(cause instanceof ServiceException known)) {
+            return;
+        }
+        if (known.code() == ServiceException.Code.NO_ANSWER) {
+            crashes.recordLost(fingerprint(call), sentAt);
+        } else if (known.code() == ServiceException.Code.NOT_RUN) {
+            crashes.recordNotSent(call.work());
+        }
+    }
+
     private AttemptReply answer(Job job, ServiceAnswer answer) {
         return new Answer(job.id(), answer.status(), answer.headers(), answer.body(), admission.load());
     }
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/Sessions.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/Sessions.java
@@ -50,6 +50,11 @@
         }
     }
 
+    /** Sends a message to every entry that is connected. */
+    void sendToAll(Message message) {
+        byIncarnation.values().forEach(connection -> connection.send(message));
+    }
+
     /** Notifies every entry that this process is shutting down, including those whose connection opens later. */
     void announceShutdown(Leaving leaving) {
         shutdownNotice = leaving;
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/CompletionAttempt.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/CompletionAttempt.java
@@ -17,6 +17,7 @@
 import org.quetzalseam.wire.message.Outputs;
 import org.quetzalseam.wire.message.Prefill;
 import org.quetzalseam.wire.message.Prefilled;
+import org.quetzalseam.wire.message.RefusalReason;
 import org.quetzalseam.wire.message.Refused;
 import org.quetzalseam.wire.message.Resume;
 import org.quetzalseam.wire.message.Work;
@@ -35,6 +36,7 @@
     private static final long ADMITTED_WAIT_MILLIS = 60_000;
 
     private static final int MAX_PREFILL_ATTEMPTS = 4;
+    private static final long PROBE_RETRY_MILLIS = 1_000;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final EntryContext context;
@@ -44,6 +46,7 @@
     private final AttemptId id;
     private final Set<String> excluded;
     private final long requestStartedNanos;
+    private final boolean probe;
     private final Inbox inbox = new Inbox();
     private @Nullable EndpointLink decoder;
     private @Nullable EndpointLink prefiller;
@@ -68,6 +71,7 @@
         this.excluded = leftOut;
         this.requestStartedNanos = requestStartedNanos;
         this.admitted = admitted;
+        this.probe = context.quarantine().isSuspect(request::fingerprint);
     }
 
     /** Returns whether this attempt has been prefilled or has delivered outputs. */
@@ -76,6 +80,10 @@
     }
 
     RunResult run() {
+        long waitMillis = probe ? context.quarantine().waitMillis(request.fingerprint()) : 0;
+        if (waitMillis > 0) {
+            throw quarantined(waitMillis);
+        }
         try {
             return context.settings().policy().booking() == BookingOrder.BEFORE_PREFILL ? bookFirst() : prefillFirst();
         } finally {
@@ -120,7 +128,8 @@
                 request.promptTokens(),
                 request.outputTokens(),
                 waitMillis,
-                queueLength);
+                queueLength,
+                probe ? request.fingerprint() : "");
     }
 
     /** Returns the time that remains for the request to be admitted, in milliseconds. */
@@ -168,6 +177,11 @@
     }
 
     private EndpointLink choose(String pool, Set<String> excludedNames) {
+        if (probe) {
+            return context.fleet()
+                    .probeEndpoint(pool, request.fingerprint())
+                    .orElseThrow(() -> quarantined(PROBE_RETRY_MILLIS));
+        }
         long maxWaitMillis =
                 Math.min(context.settings().timing().lease().toMillis(), Math.max(0, remainingWaitMillis()));
         return context.fleet()
@@ -176,6 +190,24 @@
                         "no-endpoint", "no endpoint of pool " + pool + " takes work", 1_000, Next.NONE));
     }
 
+    private AttemptEnded quarantined(long retryAfterMillis) {
+        RunResult result = context.quarantine()
+                .refusal(
+                        request.requestId().toString(),
+                        request.fingerprint(),
+                        hasRun() ? Outcome.INCOMPLETE : Outcome.NOT_RUN,
+                        true,
+                        retryAfterMillis);
+        return new AttemptEnded(result, Next.NONE);
+    }
+
+    /** Ends an attempt whose request turns out to have crashed back ends, before it is sent to another one. */
+    private void endIfSuspect() {
+        if (!probe && context.quarantine().isSuspect(request::fingerprint)) {
+            throw AttemptEnded.refused("suspected", "back ends have crashed meanwhile", 0, Next.RETRY_FREE);
+        }
+    }
+
     private void admit() {
         if (!admitted) {
             admitted = true;
@@ -239,6 +271,7 @@
         return switch (refused.reason()) {
             case QUEUE_FULL, WAIT_TOO_LONG ->
                 AttemptEnded.refused(code, message, refused.retryAfterMillis(), Next.NONE);
+            case QUARANTINED -> quarantined(refused.retryAfterMillis());
             case LEAVING, SEALED -> {
                 excluded.add(link.name());
                 yield AttemptEnded.refused(code, message, refused.retryAfterMillis(), Next.RETRY_FREE);
@@ -259,6 +292,7 @@
     }
 
     private byte[] prefill() {
+        endIfSuspect();
         Set<String> tried = new HashSet<>();
         for (int i = 0; i < MAX_PREFILL_ATTEMPTS; i++) {
             Optional<EndpointLink> choice = tried.isEmpty()
@@ -305,6 +339,9 @@
                 if (event.reply() instanceof Failed) {
                     link.recordFailure();
                 }
+                if (event.reply() instanceof Refused refused && refused.reason() == RefusalReason.QUARANTINED) {
+                    throw quarantined(refused.retryAfterMillis());
+                }
                 trace.note("prefill ended at " + link.name() + ": "
                         + event.reply().getClass().getSimpleName());
                 return Optional.empty();
@@ -317,6 +354,7 @@
     }
 
     private RunResult decode(EndpointLink link, byte[] transfer) {
+        endIfSuspect();
         Decode order = new Decode(id, transfer, request.body());
         if (!link.send(order)) {
             trace.note("the order to " + link.name() + " waits for its connection");
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/CompletionRequest.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/CompletionRequest.java
@@ -2,6 +2,7 @@
 
 import org.quetzalseam.core.catalogue.EntrySpec;
 import org.quetzalseam.core.catalogue.ModelSpec;
+import org.quetzalseam.daemon.RequestFingerprint;
 
 /**
  * A validated completion request. Immutable; the array is not copied and must not be changed.
@@ -25,4 +26,9 @@
         int outputTokens,
         long affinity,
         long deadlineMillis,
-        byte[] body) {}
+        byte[] body) {
+    /** Returns the digest that is the same for each repetition of this request. */
+    public String fingerprint() {
+        return RequestFingerprint.of(entry.owner(), entry.name(), "", "", body);
+    }
+}
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/CompletionRun.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/CompletionRun.java
@@ -38,7 +38,9 @@
             CompletionAttempt attempt =
                     new CompletionAttempt(context, request, sink, trace, id, excluded, startedNanos, admitted);
             try {
-                return attempt.run();
+                RunResult answered = attempt.run();
+                context.quarantine().recordEnded(request::fingerprint);
+                return answered;
             } catch (AttemptEnded ended) {
                 ran |= attempt.hasRun();
                 admitted |= attempt.wasAdmitted();
@@ -69,6 +71,6 @@
         if (last.outcome() != Outcome.NOT_RUN || !ran) {
             return last;
         }
-        return RunResult.ended(Outcome.INCOMPLETE, last.code(), last.message(), true, 0);
+        return new RunResult(Outcome.INCOMPLETE, last.code(), last.message(), true, last.retryAfterMillis(), "", 0);
     }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/EndpointLink.java
@@ -334,6 +334,7 @@
             handleReply(connection, reply);
         } else if (message instanceof HeartbeatAck ack) {
             updateLoad(connection, ack.load());
+            context.quarantine().learn(vm.name(), ack.lost());
             context.site().reconcile(this, ack);
         } else if (message instanceof SiteState state) {
             context.site().offer(state);
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/EntryContext.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/EntryContext.java
@@ -12,6 +12,7 @@
  * @param fleet the endpoints
  * @param site the site's state at this entry
  * @param members reads the list of VMs
+ * @param quarantine the requests that have crashed back ends
  * @param retries the retry budgets of the owners
  * @param metrics the metrics
  * @param traces the traces of recent requests
@@ -22,6 +23,7 @@
         Fleet fleet,
         SiteSync site,
         MemberWatch members,
+        Quarantine quarantine,
         RetryBudget retries,
         Metrics metrics,
         TraceLog traces,
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/EntryRouter.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/EntryRouter.java
@@ -1,5 +1,6 @@
 package org.quetzalseam.daemon.entry;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -25,6 +26,7 @@
  * <p>Example: {@code router.run(request, sink).outcome()}.
  */
 public final class EntryRouter implements Service {
+    private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofMinutes(1);
     private static final double RETRY_RATIO = 0.1;
     private static final long AFFINITY_SLACK_MILLIS = 200;
 
@@ -33,6 +35,8 @@
     private final TraceLog traces = new TraceLog();
     private final AtomicLong counter = new AtomicLong();
     private final SiteSync site;
+    private final Quarantine quarantine;
+    private final TimerService timers;
     private final Fleet fleet;
     private final EntryContext context;
     private final MemberWatch members;
@@ -54,6 +58,9 @@
         this.fleet = new Fleet(
                 settings.name(), settings.zone(), placement(settings.policy().placement()));
         this.site = new SiteSync(inForce, fleet);
+        this.timers = timers;
+        this.quarantine = new Quarantine(timers::now);
+        metrics.gauge("quetzalseam.requests.suspected", quarantine::suspects);
         LinkContext links = new LinkContext(
                 self,
                 ProcessSecurity.siteKey(settings.security()),
@@ -61,11 +68,12 @@
                 timers,
                 settings.timing(),
                 site,
+                quarantine,
                 pool -> fleet.history(pool).recordChange(timers.now()));
         this.fleet.setLinkContext(links);
         this.members = new MemberWatch(store, site, settings.name());
-        this.context =
-                new EntryContext(settings, fleet, site, members, new RetryBudget(RETRY_RATIO), metrics, traces, timers);
+        this.context = new EntryContext(
+                settings, fleet, site, members, quarantine, new RetryBudget(RETRY_RATIO), metrics, traces, timers);
         this.seeds = new SeedInquiry(settings.seeds(), links);
     }
 
@@ -82,6 +90,7 @@
     @Override
     public void start() {
         fleet.start();
+        timers.every(EXPIRY_CHECK_INTERVAL, quarantine::dropExpired);
         seeds.start();
         members.start();
     }
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/Fleet.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/Fleet.java
@@ -200,6 +200,21 @@
         return Optional.of(usable.get(choice));
     }
 
+    /**
+     * Returns the one endpoint of a pool to which all entries send a request that has crashed back ends, or empty if it can't
+     * be used now or this entry is not linked to it.
+     */
+    synchronized Optional<EndpointLink> probeEndpoint(String pool, String request) {
+        List<String> names = listed().stream()
+                .filter(vm -> vm.role() == Role.ENDPOINT && vm.pool().equals(pool) && !vm.leaving())
+                .map(Vm::name)
+                .toList();
+        return names.isEmpty()
+                ? Optional.empty()
+                : Optional.ofNullable(links.get(names.get(Rendezvous.top(names, Rendezvous.hash(request)))))
+                        .filter(EndpointLink::isUsable);
+    }
+
     /**
      * Chooses an endpoint as {@link #choose} does, and an excluded one when no other is usable. When none is usable at
      * all, waits for one, such as after a lost connection, for at most {@code maxWaitMillis}.
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyedRun.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/KeyedRun.java
@@ -80,10 +80,7 @@
                 continue;
             }
             long incarnation = link.incarnation();
-            AttemptReply reply = attempts.call(
-                    link, id, keyUse(fencedFor), request.entry().limits().queueWaitMillis());
-            trace.note("attempt " + id.number() + " at key holder " + link.name() + ": "
-                    + reply.getClass().getSimpleName());
+            AttemptReply reply = call(link, fencedFor);
             if (reply instanceof Answer answer) {
                 return new ServiceResult(RunResult.answered("", 1), Optional.of(answer));
             }
@@ -121,6 +118,41 @@
         }
     }
 
+    /** Makes an attempt at the key's holder. A call that has crashed back ends may run there only if it is to be probed there. */
+    private AttemptReply call(EndpointLink link, long fencedFor) {
+        boolean suspect = context.quarantine().isSuspect(request::fingerprint);
+        if (suspect && !isProbeEndpoint(link)) {
+            return new Refused(id, RefusalReason.QUARANTINED, RETRY_MILLIS, link.load());
+        }
+        AttemptReply reply = attempts.call(
+                link, id, keyUse(fencedFor), request.entry().limits().queueWaitMillis(), suspect);
+        trace.note("attempt " + id.number() + " at key holder " + link.name() + ": "
+                + reply.getClass().getSimpleName());
+        if (reply instanceof Answer) {
+            context.quarantine().recordEnded(request::fingerprint);
+        }
+        return reply;
+    }
+
+    private boolean isProbeEndpoint(EndpointLink link) {
+        return context.fleet()
+                .probeEndpoint(request.service().pool(), request.fingerprint())
+                .filter(link::equals)
+                .isPresent();
+    }
+
+    /** Returns the result of a call that has crashed back ends; an earlier request with its key may have run. */
+    private ServiceResult quarantined(long retryAfterMillis) {
+        RunResult result = context.quarantine()
+                .refusal(
+                        request.requestId().toString(),
+                        request.fingerprint(),
+                        Outcome.UNKNOWN,
+                        true,
+                        Math.max(retryAfterMillis, RETRY_MILLIS));
+        return new ServiceResult(result, Optional.empty());
+    }
+
     private ServiceResult unreachable(EndpointLink holder) {
         logger.atInfo().log(
                 "event=key-holder-not-connected request=%s holder=%s reached_before=%s",
@@ -183,7 +215,10 @@
      * Returns the result for a refusal. Only a holder that had claimed the key before it refused proves that no earlier
      * request with the key has run either.
      */
-    private static ServiceResult refused(RefusalReason reason, long retryAfterMillis) {
+    private ServiceResult refused(RefusalReason reason, long retryAfterMillis) {
+        if (reason == RefusalReason.QUARANTINED) {
+            return quarantined(retryAfterMillis);
+        }
         if (reason == RefusalReason.KEY_MISMATCH) {
             String message = "the idempotency key was used before with another request";
             return new ServiceResult(
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/LinkContext.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/LinkContext.java
@@ -16,6 +16,7 @@
  * @param timers the timer service
  * @param timing intervals and limits of time
  * @param site the site's state at this entry
+ * @param quarantine learns of crashed back ends
  * @param poolChanged called with the name of a pool when one of its endpoints announces its shutdown
  */
 record LinkContext(
@@ -25,4 +26,5 @@
         TimerService timers,
         Timing timing,
         SiteSync site,
+        Quarantine quarantine,
         Consumer<String> poolChanged) {}
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/ServiceAttempt.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/ServiceAttempt.java
@@ -19,6 +19,7 @@
 final class ServiceAttempt {
     private static final long REPLY_MARGIN_MILLIS = 1_000;
     private static final long SEAL_TIMEOUT_MILLIS = 1_000;
+    private static final long RECALL_CHECK_MILLIS = 250;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final EntryContext context;
@@ -36,10 +37,12 @@
      * @param id the attempt
      * @param key the use of an idempotency key
      * @param waitMillis maximum wait in the endpoint's queue, in milliseconds
+     * @param probe whether the call has crashed back ends; any other call is recalled from the endpoint's queue if it turns
+     *     out to have done so meanwhile
      * @return {@link Answer}, {@link Refused} when the call certainly has not run, {@link Failed} when it may have run,
      *     or {@link AttemptEvent.Lost} when the endpoint is lost and it is unknown whether the call has run
      */
-    AttemptReply call(EndpointLink link, AttemptId id, KeyUse key, long waitMillis) {
+    AttemptReply call(EndpointLink link, AttemptId id, KeyUse key, long waitMillis, boolean probe) {
         Inbox inbox = new Inbox();
         Work work = new Work(
                 request.entry().owner(),
@@ -49,7 +52,8 @@
                 0,
                 0,
                 waitMillis,
-                request.entry().limits().queueLength());
+                request.entry().limits().queueLength(),
+                probe ? request.fingerprint() : "");
         Call order = new Call(
                 id,
                 work,
@@ -64,28 +68,39 @@
             return new Refused(id, RefusalReason.SEALED, 0, Load.unknown());
         }
         try {
-            return await(link, id, inbox, waitMillis + request.deadlineMillis() + REPLY_MARGIN_MILLIS);
+            return await(link, id, inbox, waitMillis + request.deadlineMillis() + REPLY_MARGIN_MILLIS, !probe);
         } finally {
             link.forget(id);
         }
     }
 
-    private AttemptReply await(EndpointLink link, AttemptId id, Inbox inbox, long timeoutMillis) {
+    private AttemptReply await(
+            EndpointLink link, AttemptId id, Inbox inbox, long timeoutMillis, boolean recallSuspect) {
         long deadlineNanos = context.timers().now() + timeoutMillis * NANOS_PER_MILLI;
+        boolean recalled = !recallSuspect;
         boolean sealing = false;
         while (true) {
-            long leftMillis = (deadlineNanos - context.timers().now()) / NANOS_PER_MILLI;
-            AttemptEvent event = inbox.poll(Math.max(0, leftMillis));
+            long leftMillis = Math.max(0, (deadlineNanos - context.timers().now()) / NANOS_PER_MILLI);
+            AttemptEvent event = inbox.poll(Math.min(leftMillis, RECALL_CHECK_MILLIS));
             if (event != null && isFinal(event.reply())) {
                 return event.reply();
             }
             if (event != null && event.reply() instanceof SealAnswer sealed) {
-                return afterSeal(id, sealed);
+                if (sealing || sealed.result() == SealResult.BEFORE_START) {
+                    return afterSeal(id, sealed);
+                }
+                // The call had started before it was recalled.
+                continue;
             }
-            if (event == null && (sealing || Thread.currentThread().isInterrupted())) {
+            if (!recalled && context.quarantine().isSuspect(request::fingerprint)) {
+                recalled = true;
+                link.send(new Seal(id));
+                continue;
+            }
+            if (Thread.currentThread().isInterrupted() || (sealing && leftMillis == 0)) {
                 return new Failed(id, FailureCode.BACKEND_TIMEOUT, "no answer in time", Load.unknown());
             }
-            if (event == null) {
+            if (leftMillis == 0) {
                 sealing = true;
                 deadlineNanos = context.timers().now() + SEAL_TIMEOUT_MILLIS * NANOS_PER_MILLI;
                 link.send(new Seal(id));
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/ServiceRequest.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/ServiceRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.quetzalseam.core.catalogue.EntrySpec;
 import org.quetzalseam.core.catalogue.ServiceSpec;
+import org.quetzalseam.daemon.RequestFingerprint;
 
 /**
  * A validated call of a plain service. Immutable; the array is not copied and must not be changed.
@@ -34,4 +35,9 @@
     public ServiceRequest {
         headers = Map.copyOf(headers);
     }
+
+    /** Returns the digest that is the same for each repetition of this request. */
+    public String fingerprint() {
+        return RequestFingerprint.of(entry.owner(), entry.name(), method, path, body);
+    }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/ServiceRun.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/ServiceRun.java
@@ -47,18 +47,27 @@
         }
         AttemptId id = request.requestId().firstAttempt();
         while (true) {
-            Optional<EndpointLink> link = choose();
+            boolean suspect = context.quarantine().isSuspect(request::fingerprint);
+            long waitMillis = suspect ? context.quarantine().waitMillis(request.fingerprint()) : 0;
+            if (waitMillis > 0) {
+                return quarantined(waitMillis);
+            }
+            Optional<EndpointLink> link = suspect ? probeEndpoint() : choose();
             if (link.isEmpty()) {
-                return noEndpoint();
+                return suspect ? quarantined(RETRY_MILLIS) : noEndpoint();
             }
-            AttemptReply reply = attempts.call(link.get(), id, KeyUse.none(), remainingWaitMillis());
+            AttemptReply reply = attempts.call(link.get(), id, KeyUse.none(), remainingWaitMillis(), suspect);
             trace.note("attempt " + id.number() + " at " + link.get().name() + ": "
                     + reply.getClass().getSimpleName());
             recordReply(link.get(), reply);
             mayHaveRun |= !(reply instanceof Refused);
             if (reply instanceof Answer answer) {
+                context.quarantine().recordEnded(request::fingerprint);
                 return new ServiceResult(RunResult.answered("", 1), Optional.of(answer));
             }
+            if (reply instanceof Refused refused && refused.reason() == RefusalReason.QUARANTINED) {
+                return quarantined(refused.retryAfterMillis());
+            }
             if (id.number() >= MAX_ATTEMPTS || !mayRetry(reply)) {
                 return finalResult(reply);
             }
@@ -66,6 +75,22 @@
         }
     }
 
+    private Optional<EndpointLink> probeEndpoint() {
+        return context.fleet().probeEndpoint(request.service().pool(), request.fingerprint());
+    }
+
+    /** Returns the result of a call that has crashed back ends and may not be probed now. */
+    private ServiceResult quarantined(long retryAfterMillis) {
+        RunResult result = context.quarantine()
+                .refusal(
+                        request.requestId().toString(),
+                        request.fingerprint(),
+                        mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN,
+                        !mayHaveRun || request.entry().idempotent(),
+                        Math.max(retryAfterMillis, RETRY_MILLIS));
+        return new ServiceResult(result, Optional.empty());
+    }
+
     private ServiceResult noEndpoint() {
         String message = "no endpoint of the service takes work";
         if (mayHaveRun) {
--- a/daemon/src/test/java/org/quetzalseam/daemon/entry/EndpointLinkTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/entry/EndpointLinkTest.java
@@ -66,6 +66,7 @@
             timers,
             new Timing(LONG, LONG, LONG, LONG, LONG),
             new SiteSync(new CatalogueInForce(), members -> {}),
+            new Quarantine(timers::now),
             pool -> {});
     private FakeEndpoint endpoint = FakeEndpoint.start(0);
 
--- a/wire/src/main/java/org/quetzalseam/wire/message/RefusalReason.java
+++ b/wire/src/main/java/org/quetzalseam/wire/message/RefusalReason.java
@@ -25,7 +25,9 @@
     /** The endpoint's process was started recently, and its previous incarnation may have seen the key. */
     KEY_FORGOTTEN,
     /** The entry chose the endpoint by an outdated list of VMs. */
-    OLD_MEMBERS;
+    OLD_MEMBERS,
+    /** The request has crashed back ends, and may not be probed now. Only probes are refused so. */
+    QUARANTINED;
 
     /** Returns the name used in callers' error bodies, logs and metrics. */
     public String label() {
--- a/wire/src/test/java/org/quetzalseam/wire/MessageCodecTest.java
+++ b/wire/src/test/java/org/quetzalseam/wire/MessageCodecTest.java
@@ -17,9 +17,11 @@
 import org.quetzalseam.core.admission.WorkClass;
 import org.quetzalseam.core.attempt.AttemptId;
 import org.quetzalseam.core.catalogue.Manifest;
+import org.quetzalseam.wire.message.Book;
 import org.quetzalseam.wire.message.Heartbeat;
 import org.quetzalseam.wire.message.HeartbeatAck;
 import org.quetzalseam.wire.message.Load;
+import org.quetzalseam.wire.message.LostRequest;
 import org.quetzalseam.wire.message.Message;
 import org.quetzalseam.wire.message.Outputs;
 import org.quetzalseam.wire.message.Role;
@@ -35,8 +37,10 @@
         List<Message> messages = List.of(
                 new Heartbeat(List.of(ID, ID.next()), 9, 12),
                 new HeartbeatAck(new Load(1, 2, 3, 4, 5, true), 5, 6),
+                new HeartbeatAck(Load.unknown(), 5, 6, List.of(new LostRequest("request", "crash"))),
+                new Book(ID, new Work("o", "e", WorkClass.LONG, 1, 2, 3, 4, 5, "request"), 6),
                 new Outputs(ID, 4, List.of("a", "ü"), Load.unknown()),
-                new org.quetzalseam.wire.message.Book(ID, new Work("o", "e", WorkClass.LONG, 1, 2, 3, 4, 5), 6),
+                new Book(ID, new Work("o", "e", WorkClass.LONG, 1, 2, 3, 4, 5), 6),
                 new SiteState(
                         new Manifest(3, 4, "me", Map.of("a.ini", "digest")),
                         Map.of("a.ini", "text"),
