--- a/cli/src/main/java/org/quetzalseam/cli/BenchCommand.java
+++ b/cli/src/main/java/org/quetzalseam/cli/BenchCommand.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import org.quetzalseam.cli.fault.CrashRun;
 import org.quetzalseam.cli.fault.FaultRun;
 import org.quetzalseam.cli.measure.AddedTime;
 import org.quetzalseam.cli.measure.Capacity;
@@ -28,7 +29,7 @@
         name = "bench",
         description = {
             "Measures a deployment with stand-ins, or checks its guarantees under injected faults.",
-            "Without --faults, --added-time or --capacity, compares policies on the same arrivals."
+            "Without --faults, --crash, --added-time or --capacity, compares policies on the same arrivals."
         },
         mixinStandardHelpOptions = true)
 final class BenchCommand extends PrintingCommand implements Callable<Integer> {
@@ -71,6 +72,12 @@
     @Option(names = "--faults", paramLabel = "SEED", description = "Inject random faults and reconcile all records.")
     private Optional<Long> faults = Optional.empty();
 
+    @Option(
+            names = "--crash",
+            description =
+                    "Repeat a completion that crashes each engine that decodes it; then crash engines without one.")
+    private boolean crash;
+
     @Option(
             names = "--added-time",
             description = "Measure the time that the router adds to short calls, at 200 per second.")
@@ -84,6 +91,9 @@
         if (faults.isPresent()) {
             return faultRun(faults.get());
         }
+        if (crash) {
+            return crashRuns();
+        }
         if (addedTime) {
             new AddedTime(deployment, ADDED_TIME_RATE, seconds).run(out());
             return 0;
@@ -129,6 +139,17 @@
         }
     }
 
+    private int crashRuns() {
+        boolean good = true;
+        for (boolean control : new boolean[] {false, true}) {
+            CrashRun.Result result = new CrashRun(deployment, seeds.get(0), seconds, control).run();
+            result.print(out());
+            out().flush();
+            good &= result.good();
+        }
+        return good ? 0 : PROMISES_BROKEN;
+    }
+
     private int faultRun(long seed) {
         PrintWriter out = out();
         out.printf("%s, %.0f s, faults from seed %d%n", deployment, seconds, seed);
--- a/cli/src/test/java/org/quetzalseam/cli/CrashingCallTest.java
+++ b/cli/src/test/java/org/quetzalseam/cli/CrashingCallTest.java
@@ -43,9 +43,8 @@
         }
     }
 
-    // Guards against a call that crashes each service that runs it being sent to one after the other, because no entry
-    // remembers
-    // it beyond one attempt, nor knows of the crashes that other entries saw.
+    // Guards against a call that crashes each service that runs it being sent to one after the other, because nobody
+    // remembers it beyond one attempt.
     @Test
     void aCallThatHasCrashedThreeServicesIsSentToThreeMoreAtMost() {
         site.services().forEach(vm -> vm.backend().service().crashOn(CRASHING_ID, RESTART_MILLIS));
--- a/core/src/test/java/org/quetzalseam/core/crash/CrashLedgerTest.java
+++ b/core/src/test/java/org/quetzalseam/core/crash/CrashLedgerTest.java
@@ -52,9 +52,7 @@
         assertThat(ledger.recordEnded("r", later)).isZero();
     }
 
-    // Guards against a request that many callers send being quarantined because several endpoints crash at about the
-    // same
-    // time.
+    // Guards against a request that many callers send being quarantined because several endpoints crash together.
     @Test
     void aRequestThatEndedRecentlyDismissesCrashesThatAreLearntOfLater() {
         ledger.recordEnded("r", 0);
@@ -94,9 +92,7 @@
         assertThat(ledger.ownReport(KEEP + 1)).isEqualTo(CrashReport.EMPTY);
     }
 
-    // Guards against a request crashing three endpoints anew every ten minutes, because its crashes had been forgotten
-    // when
-    // its caller sent it again.
+    // Guards against a request crashing three endpoints anew every ten minutes because its crashes are forgotten.
     @Test
     void aSuspectIsForgottenLaterThanSingleCrashes() {
         ledger.recordLost("r", "i-1", 0);
--- a/standins/src/main/java/org/quetzalseam/standins/EngineStandIn.java
+++ b/standins/src/main/java/org/quetzalseam/standins/EngineStandIn.java
@@ -85,9 +85,14 @@
         return !crashingText.isEmpty() && request.path("prompt").asText().contains(crashingText);
     }
 
-    private IOException crash() {
+    /** Crashes the engine, which starts again after a time in milliseconds. */
+    public void crash(long restartMillis) {
         crashes.incrementAndGet();
-        server.crash(downMillis);
+        server.crash(restartMillis);
+    }
+
+    private IOException crash() {
+        crash(downMillis);
         Pause.millis(downMillis);
         return new IOException("crashed on purpose");
     }
