A stop that comes while a connection opens lets its messages through

Cause: the socket was still among those that a stop cuts because their handshake hasn't finished, though its connection was open and known to the owner.

Why it works: a connection moves from the handshakes to the open connections in one step, under the lock under which a stop cuts the former; one that comes too late is closed unopened.

--- a/wire/src/main/java/org/quetzalseam/wire/connection/Acceptor.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Acceptor.java
@@ -40,6 +40,8 @@
 
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
     private final ExecutorService handshakes;
+    private final Object stopLock = new Object();
+    private boolean stopping;
     private volatile @Nullable ServerSocket server;
 
     /**
@@ -132,7 +134,10 @@
             OutputStream out = Connection.output(socket);
             Handshake.Peer peer = Handshake.answer(in, out, self, key);
             Connection connection = new Connection(socket, in, out, peer, new RemovingListener());
-            connections.add(connection);
+            if (!admit(socket, connection)) {
+                Sockets.close(socket);
+                return;
+            }
             onOpened.accept(connection);
             connection.start();
         } catch (IOException | RuntimeException e) {
@@ -144,6 +149,18 @@
         }
     }
 
+    /** Moves a connection from the handshakes, which a stop cuts, to those that it closes gracefully. */
+    private boolean admit(Socket socket, Connection connection) {
+        synchronized (stopLock) {
+            if (stopping) {
+                return false;
+            }
+            handshaking.remove(socket);
+            connections.add(connection);
+            return true;
+        }
+    }
+
     private final class RemovingListener implements Connection.Listener {
         @Override
         public void received(Connection connection, Message message) {
@@ -176,7 +193,10 @@
             Sockets.close(serverSocket);
         }
         handshakes.shutdownNow();
-        handshaking.forEach(Sockets::close);
+        synchronized (stopLock) {
+            stopping = true;
+            handshaking.forEach(Sockets::close);
+        }
     }
 
     @Override
