--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -52,48 +52,6 @@
         this.ledger = new CrashLedger(self, KEEP_NANOS, SUSPECT_KEEP_NANOS);
     }
 
-    /** What is known of a suspect beside its crashes. */
-    private static final class Suspect {
-        private final ProbeAllowance allowance;
-        private int knownProbes;
-        private boolean asking;
-        /** Whether this entry has claimed a probe with which nothing has been sent yet. */
-        private boolean unusedClaim;
-        /** Whether the claim has been used for a probe that reached an endpoint and showed nothing. */
-        private boolean repeated;
-        /** The request that may be sent as a probe. */
-        private @Nullable Exchange probe;
-        /** The request that was sent as the latest probe. */
-        private @Nullable Exchange sentProbe;
-
-        Suspect(long now) {
-            this.allowance = new ProbeAllowance(now);
-        }
-
-        /** Allows the claim of the latest probe to be used again, because that probe has shown nothing. */
-        void giveBack(long now) {
-            sentProbe = null;
-            unusedClaim = true;
-            knownProbes--;
-            allowance.postpone(0, now);
-        }
-
-        /** Does what {@link #giveBack} does, once for each claim. Returns whether it did. */
-        boolean giveBackOnce(long now) {
-            if (repeated) {
-                return false;
-            }
-            repeated = true;
-            giveBack(now);
-            return true;
-        }
-
-        boolean busy() {
-            Exchange sending = probe;
-            return asking || (sending != null && !sending.ended());
-        }
-    }
-
     /**
      * Starts to share reports with the other entries.
      *
@@ -142,52 +100,47 @@
             return;
         }
         Suspect suspect = suspect(exchange.fingerprint());
-        if (suspect.busy() || suspect.allowance.waitNanos(timers.now()) > 0) {
+        if (!suspect.ask(timers.now())) {
             refuse.run();
             return;
         }
         exchange.onShutdown(refuse);
-        suspect.asking = true;
         new ProbeRequest(exchange, suspect, run, refuse).start();
     }
 
     /** Returns whether a request must not be sent to an endpoint now. */
     public boolean quarantines(Exchange exchange) {
-        return isSuspect(exchange) && suspect(exchange.fingerprint()).probe != exchange;
+        return isSuspect(exchange) && !suspect(exchange.fingerprint()).allows(exchange);
     }
 
     /** Records that a request was sent to an endpoint that will run it; a probe allows that once. */
     public void recordSent(Exchange exchange) {
-        Suspect suspect = suspects.isEmpty() ? null : suspects.get(exchange.fingerprint());
-        if (suspect != null && suspect.probe == exchange) {
-            suspect.probe = null;
-            suspect.sentProbe = exchange;
-            suspect.unusedClaim = false;
-            suspect.knownProbes++;
-            suspect.allowance.postpone(ProbeAllowance.INTERVAL_NANOS, timers.now());
+        Suspect suspect = knownSuspect(exchange);
+        if (suspect != null) {
+            suspect.recordSent(exchange, timers.now());
         }
     }
 
     /** Records that a request has not reached an endpoint after all; a probe may go on to another one. */
     public void recordNotSent(Exchange exchange) {
-        if (suspects.isEmpty() || exchange.ended()) {
-            return;
-        }
-        Suspect suspect = suspects.get(exchange.fingerprint());
-        if (suspect != null && suspect.sentProbe == exchange) {
-            suspect.giveBack(timers.now());
-            suspect.probe = exchange;
+        Suspect suspect = knownSuspect(exchange);
+        if (suspect != null && !exchange.ended()) {
+            suspect.recordNotSent(exchange, timers.now());
         }
     }
 
     /** Records that an endpoint has rejected a request without running it; a probe may go on to another one, once. */
     public void recordRejected(Exchange exchange) {
-        Suspect suspect = suspects.isEmpty() ? null : suspects.get(exchange.fingerprint());
-        if (suspect != null && suspect.sentProbe == exchange && suspect.giveBackOnce(timers.now())) {
-            suspect.probe = exchange;
+        Suspect suspect = knownSuspect(exchange);
+        if (suspect != null) {
+            suspect.recordRejected(exchange, timers.now());
         }
     }
 
+    private @Nullable Suspect knownSuspect(Exchange exchange) {
+        return suspects.isEmpty() ? null : suspects.get(exchange.fingerprint());
+    }
+
     private boolean isSuspect(Exchange exchange) {
         return ledger.mayHaveSuspects() && ledger.isSuspect(exchange.fingerprint(), timers.now());
     }
@@ -201,7 +154,7 @@
 
     /** Returns after what time a request that is quarantined may be sent again, in milliseconds. */
     public long retryAfterMillis(Exchange exchange) {
-        long nanos = suspect(exchange.fingerprint()).allowance.waitNanos(timers.now());
+        long nanos = suspect(exchange.fingerprint()).waitNanos(timers.now());
         return Math.max(TimeUnit.NANOSECONDS.toMillis(nanos), STORE_RETRY_MILLIS);
     }
 
@@ -227,7 +180,7 @@
         String request = exchange.fingerprint();
         endpoint.ifCrashed(() -> crashed(request, endpoint));
         Suspect suspect = suspects.get(request);
-        if (suspect != null && suspect.sentProbe == exchange) {
+        if (suspect != null && suspect.isLatestProbe(exchange)) {
             int crashes = ledger.crashes(request, timers.now()).size();
             timers.after(LOST_PROBE_MILLIS, () -> probeLost(request, suspect, exchange, crashes));
         }
@@ -237,7 +190,7 @@
     private void probeLost(String request, Suspect suspect, Exchange exchange, int crashesBefore) {
         long now = timers.now();
         boolean crashed = ledger.crashes(request, now).size() > crashesBefore;
-        if (!crashed && suspect.sentProbe == exchange && suspect.giveBackOnce(now)) {
+        if (!crashed && suspect.repeatProbe(exchange, now)) {
             logger.atInfo().log(
                     "event=probe-without-result request=%s %s", exchange.facts().id(), describe(exchange));
         }
@@ -343,21 +296,18 @@
 
         private void decide(boolean reportsKnown, Runnable claim) {
             long now = timers.now();
-            int probes = ledger.probes(request, now) - (suspect.unusedClaim ? 1 : 0);
-            // Probes that no longer count are not known any more either.
-            suspect.knownProbes = Math.min(suspect.knownProbes, probes);
+            int claims = ledger.probes(request, now);
             if (exchange.ended()) {
-                suspect.asking = false;
+                suspect.stopAsking();
             } else if (!reportsKnown) {
                 refuseFor(TimeUnit.MILLISECONDS.toNanos(STORE_RETRY_MILLIS));
             } else if (!ledger.isSuspect(request, now)) {
                 suspects.remove(request);
                 logger.atInfo().log("event=request-cleared fingerprint=%s by=others", request);
                 run.run();
-            } else if (suspect.allowance.isUsedUp(probes, now)) {
+            } else if (suspect.isUsedUp(claims, now)) {
                 refuseNow();
-            } else if (probes > suspect.knownProbes) {
-                suspect.knownProbes = probes;
+            } else if (suspect.noteProbesOfOthers(claims)) {
                 refuseFor(ProbeAllowance.INTERVAL_NANOS);
                 // The probe of another entry may end well.
                 readSoon();
@@ -367,9 +317,7 @@
         }
 
         private void claim() {
-            if (!suspect.unusedClaim) {
-                suspect.unusedClaim = true;
-                suspect.repeated = false;
+            if (suspect.claim()) {
                 ledger.recordProbe(request, UUID.randomUUID().toString(), timers.now());
             }
         }
@@ -380,7 +328,7 @@
                 return;
             }
             shared.read(read -> {
-                if (read && suspect.allowance.covers(ledger.probes(request, timers.now())) && !exchange.ended()) {
+                if (read && suspect.covers(ledger.probes(request, timers.now())) && !exchange.ended()) {
                     runAsProbe();
                 } else {
                     refuseFor(ProbeAllowance.INTERVAL_NANOS);
@@ -389,20 +337,19 @@
         }
 
         private void runAsProbe() {
-            suspect.asking = false;
-            suspect.probe = exchange;
+            suspect.allow(exchange);
             logger.atInfo().log(
                     "event=request-probed request=%s %s", exchange.facts().id(), describe(exchange));
             run.run();
         }
 
         private void refuseFor(long nanos) {
-            suspect.allowance.postpone(nanos, timers.now());
+            suspect.postpone(nanos, timers.now());
             refuseNow();
         }
 
         private void refuseNow() {
-            suspect.asking = false;
+            suspect.stopAsking();
             refuse.run();
         }
     }
