--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/BackendCrashes.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/BackendCrashes.java
@@ -34,11 +34,15 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     /** How long a lost request is reported to entries that connect. */
     private static final Duration KEEP = Duration.ofHours(1);
+
+    private static final int HTTP_PORT = 80;
+    private static final int HTTPS_PORT = 443;
     /** Maximum number of lost requests that are remembered; the oldest are forgotten first. */
     static final int MAX_LOST = 256;
 
     private final String name;
-    private final InetSocketAddress address;
+    private final String host;
+    private final int port;
     private final Consumer<List<LostRequest>> report;
     private final LongSupplier clock;
     private final ProbeGate probes = new ProbeGate();
@@ -54,7 +58,7 @@
     private record Reported(LostRequest lost, long at) {}
 
     /**
-     * Creates a watch of a back end; {@link #start} is not needed before the first request is lost.
+     * Creates a watch of a back end.
      *
      * @param name name that the crashes of this process's back end begin with, different for each process
      * @param url the back end's address
@@ -64,12 +68,20 @@
     BackendCrashes(String name, String url, Consumer<List<LostRequest>> report, LongSupplier clock) {
         URI base = URI.create(url);
         this.name = name;
-        this.address = new InetSocketAddress(base.getHost(), base.getPort());
+        this.host = base.getHost();
+        this.port = port(base);
         this.report = report;
         this.clock = clock;
         this.checks = Executors.newSingleThreadExecutor(Threads.named(name + "-crash-check"));
     }
 
+    private static int port(URI base) {
+        if (base.getPort() >= 0) {
+            return base.getPort();
+        }
+        return "https".equals(base.getScheme()) ? HTTPS_PORT : HTTP_PORT;
+    }
+
     @Override
     public void start() {
         // The executor starts its thread with the first check.
@@ -175,7 +187,7 @@
 
     private boolean connects() {
         try (Socket socket = new Socket()) {
-            socket.connect(address, (int) CONNECT_TIMEOUT.toMillis());
+            socket.connect(new InetSocketAddress(host, port), (int) CONNECT_TIMEOUT.toMillis());
             return true;
         } catch (IOException e) {
             return false;
--- a/daemon/src/test/java/org/quetzalseam/daemon/endpoint/BackendCrashesTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/endpoint/BackendCrashesTest.java
@@ -70,6 +70,14 @@
         assertThat(nextReport()).containsExactly(new LostRequest("r", "e#2"));
     }
 
+    // Guards against an endpoint that can't start because its back end's address states no port.
+    @Test
+    void theAddressOfABackEndMayStateNoPort() {
+        BackendCrashes withoutPort = new BackendCrashes("e", "http://127.0.0.1", reports::add, clock::get);
+        assertThat(withoutPort.recentlyLost()).isEmpty();
+        withoutPort.stop();
+    }
+
     // Guards against a flood of lost requests filling memory.
     @Test
     void theNewestLostRequestsAreKept() {
