A claim with which no probe is sent counts for seconds; an arrival waits for the reports

Cause: a claim counted like a probe for ten minutes, whether anything was sent with it or not. And a suspicion began at the first arrival after it, not at the crash that caused it, so the first arrival was refused although another entry had cleared the request seconds before; so were the arrivals during the read of the reports.

Fix: an entry reports that it sent a probe. A claim without that counts for 20 s, its entry may use it for 5 s, and withdraws it when other claims came first. The time to the first probe runs from when the last crash became known. Arrivals during the read wait for it.

Why it holds: the entry's 5 s run from before its write, the others' 20 s from after it, so a claim is no longer usable when it stops to count; a probe counts for ten minutes from its report, which is written when it is sent.

--- a/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
@@ -31,6 +31,12 @@
      */
     static final long RECENT_END_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    /**
+     * How long a claim counts with which no probe is known to have been sent, in nanoseconds: longer than its entry may use it,
+     * and then long enough for the report that it was used to get past a store that does not answer.
+     */
+    static final long UNSENT_CLAIM_NANOS = TimeUnit.SECONDS.toNanos(20);
+
     private final String self;
     private final long keepNanos;
     private final long suspectKeepNanos;
@@ -88,6 +94,16 @@
         own().probes.add(new Fact(request, probe), now);
     }
 
+    /** Records that this entry sends a probe that it has claimed, so that the claim counts as long as a probe does. */
+    public void recordProbeSent(String request, String probe, long now) {
+        own().sentProbes.add(new Fact(request, probe), now);
+    }
+
+    /** Withdraws a claim of this entry with which no probe was sent. */
+    public void withdrawProbe(String request, String probe) {
+        own().probes.remove(new Fact(request, probe));
+    }
+
     /** Replaces what is known of other entries by their newest reports, by the names of the entries. */
     public void learn(Map<String, CrashReport> reports, long now) {
         reports.forEach((reporter, report) -> {
@@ -95,6 +111,7 @@
             noteLost(known.lost.replace(report.lost(), now), now);
             known.ended.replace(report.ended(), now);
             known.probes.replace(report.probes(), now);
+            known.sentProbes.replace(report.sentProbes(), now);
         });
         judgeAll(now);
     }
@@ -105,6 +122,7 @@
         report.lost().forEach(fact -> noteLost(own.lost.add(fact, now), now));
         report.ended().forEach(fact -> own.ended.add(fact, now));
         report.probes().forEach(fact -> own.probes.add(fact, now));
+        report.sentProbes().forEach(fact -> own.sentProbes.add(fact, now));
         judgeAll(now);
     }
 
@@ -134,7 +152,8 @@
         return new CrashReport(
                 own.lost.dropExpired(this::crashKeepNanos, now),
                 own.ended.dropExpired(request -> suspectKeepNanos, now),
-                own.probes.dropExpired(request -> keepNanos, now));
+                own.probes.dropExpired(request -> UNSENT_CLAIM_NANOS, now),
+                own.sentProbes.dropExpired(request -> keepNanos, now));
     }
 
     private long crashKeepNanos(String request) {
@@ -187,9 +206,29 @@
         return !candidates.isEmpty();
     }
 
-    /** Returns the number of probes of a request that all entries have claimed of late. */
+    /** Returns the number of probes of a request that all entries have sent, or have claimed and may still send. */
     public int probes(String request, long now) {
-        return subjects(request, reporter -> reporter.probes, keepNanos, now).size();
+        Set<String> probes = sentProbeIds(request, now);
+        probes.addAll(subjects(request, reporter -> reporter.probes, UNSENT_CLAIM_NANOS, now));
+        return probes.size();
+    }
+
+    /** Returns the number of probes of a request that all entries have sent. */
+    public int sentProbes(String request, long now) {
+        return sentProbeIds(request, now).size();
+    }
+
+    private Set<String> sentProbeIds(String request, long now) {
+        return subjects(request, reporter -> reporter.sentProbes, keepNanos, now);
+    }
+
+    /** Returns how long this process has known of the latest crash of a request, in nanoseconds; 0 if it knows of none. */
+    public long latestCrashAgeNanos(String request, long now) {
+        return reporters.values().stream()
+                .flatMapToLong(reporter -> reporter.lost.times(request))
+                .map(at -> now - at)
+                .min()
+                .orElse(0);
     }
 
     /** Returns the names of the entries that reported crashes of a request. */
@@ -228,5 +267,6 @@
         private final FactTable lost = new FactTable();
         private final FactTable ended = new FactTable();
         private final FactTable probes = new FactTable();
+        private final FactTable sentProbes = new FactTable();
     }
 }
--- a/core/src/main/java/org/quetzalseam/core/crash/CrashReport.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashReport.java
@@ -8,9 +8,10 @@
  *
  * @param lost requests that were lost in the crash of an endpoint's incarnation
  * @param ended requests that ended elsewhere, each with a crash that it therefore did not cause
- * @param probes probes of quarantined requests, each with an id of its own
+ * @param probes claims of probes of quarantined requests, each with an id of its own
+ * @param sentProbes the claims with which a probe was sent
  */
-public record CrashReport(List<Fact> lost, List<Fact> ended, List<Fact> probes) {
+public record CrashReport(List<Fact> lost, List<Fact> ended, List<Fact> probes, List<Fact> sentProbes) {
     /** The report of an entry that has nothing to report. */
     public static final CrashReport EMPTY = new CrashReport(List.of(), List.of(), List.of());
 
@@ -19,13 +20,19 @@
         lost = List.copyOf(lost);
         ended = List.copyOf(ended);
         probes = List.copyOf(probes);
+        sentProbes = List.copyOf(sentProbes);
+    }
+
+    /** Creates the report of an entry that has sent no probe. */
+    public CrashReport(List<Fact> lost, List<Fact> ended, List<Fact> probes) {
+        this(lost, ended, probes, List.of());
     }
 
     /**
      * One fact about a request. Immutable.
      *
      * @param request the fingerprint of the request
-     * @param subject the incarnation that crashed, or the id of the probe
+     * @param subject the incarnation that crashed, or the id of the claim
      */
     public record Fact(String request, String subject) {}
 }
--- a/core/src/main/java/org/quetzalseam/core/crash/FactTable.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/FactTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.ToLongFunction;
+import java.util.stream.LongStream;
 import org.quetzalseam.core.crash.CrashReport.Fact;
 
 /**
@@ -70,6 +71,20 @@
         });
     }
 
+    /** Removes a fact, if it is known. */
+    void remove(Fact fact) {
+        Map<String, Long> subjects = learntAt.get(fact.request());
+        if (subjects != null && subjects.remove(fact.subject()) != null) {
+            size--;
+            learntAt.values().removeIf(Map::isEmpty);
+        }
+    }
+
+    /** Returns the times at which this process learnt of a request's facts, expired or not. */
+    LongStream times(String request) {
+        return learntAt.getOrDefault(request, Map.of()).values().stream().mapToLong(Long::longValue);
+    }
+
     /** Adds the requests that have facts, expired or not. */
     void addRequests(Set<String> found) {
         found.addAll(learntAt.keySet());
--- a/core/src/main/java/org/quetzalseam/core/crash/ProbeAllowance.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/ProbeAllowance.java
@@ -37,9 +37,9 @@
         return nextProbeAt - now;
     }
 
-    /** Returns whether the probes that count are as many as are allowed. If so, the next one is far off. */
-    public boolean isUsedUp(int probes, long now) {
-        if (probes < maxProbes) {
+    /** Returns whether the probes that were sent are as many as are allowed. If so, the next one is far off. */
+    public boolean isUsedUp(int sentProbes, long now) {
+        if (covers(sentProbes + 1)) {
             return false;
         }
         maxProbes = MAX_LATER_PROBES;
--- a/core/src/test/java/org/quetzalseam/core/crash/CrashLedgerTest.java
+++ b/core/src/test/java/org/quetzalseam/core/crash/CrashLedgerTest.java
@@ -91,6 +91,37 @@
         assertThat(ledger.probes("r", TimeUnit.MINUTES.toNanos(1))).isZero();
     }
 
+    // Guards against a request that crashes endpoints being probed without end because the claims of its probes expire.
+    @Test
+    void aProbeThatWasSentCountsLongerThanItsClaimAlone() {
+        Fact claim = new Fact("r", "p-1");
+        ledger.learn(Map.of("b", new CrashReport(List.of(), List.of(), List.of(claim), List.of(claim))), 0);
+        ledger.recordProbe("r", "p-2", 0);
+        ledger.recordProbeSent("r", "p-2", 0);
+        assertThat(ledger.probes("r", KEEP)).isEqualTo(2);
+        assertThat(ledger.sentProbes("r", KEEP)).isEqualTo(2);
+        assertThat(ledger.ownReport(KEEP).sentProbes()).containsExactly(new Fact("r", "p-2"));
+        assertThat(ledger.probes("r", KEEP + 1)).isZero();
+    }
+
+    // Guards against two entries that claim a probe at the same time keeping each other from sending one.
+    @Test
+    void aWithdrawnClaimNoLongerCounts() {
+        ledger.recordProbe("r", "p-1", 0);
+        ledger.recordProbe("r", "p-2", 0);
+        ledger.withdrawProbe("r", "p-1");
+        assertThat(ledger.probes("r", 0)).isEqualTo(1);
+        assertThat(ledger.ownReport(0).probes()).containsExactly(new Fact("r", "p-2"));
+    }
+
+    @Test
+    void theAgeOfTheLatestCrashCountsFromWhenItBecameKnown() {
+        ledger.recordLost("r", "i-1", 10);
+        ledger.learn(Map.of("b", lost(new Fact("r", "i-2"))), 30);
+        assertThat(ledger.latestCrashAgeNanos("r", 50)).isEqualTo(20);
+        assertThat(ledger.latestCrashAgeNanos("q", 50)).isZero();
+    }
+
     @Test
     void aCrashNoLongerCountsAfterItsTimeThoughItsReportStaysInTheStore() {
         ledger.recordLost("r", "i-1", 0);
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.crash.CrashLedger;
@@ -100,6 +99,10 @@
             return;
         }
         Suspect suspect = suspect(exchange.fingerprint());
+        if (suspect.waitForRead(() -> decideAfterRead(exchange, run, refuse))) {
+            exchange.onShutdown(refuse);
+            return;
+        }
         if (!suspect.ask(timers.now())) {
             refuse.run();
             return;
@@ -108,16 +111,29 @@
         new ProbeRequest(exchange, suspect, run, refuse).start();
     }
 
+    private void decideAfterRead(Exchange exchange, Runnable run, Runnable refuse) {
+        if (exchange.ended()) {
+            return;
+        }
+        if (isSuspect(exchange)) {
+            refuse.run();
+        } else {
+            run.run();
+        }
+    }
+
     /** Returns whether a request must not be sent to an endpoint now. */
     public boolean quarantines(Exchange exchange) {
-        return isSuspect(exchange) && !suspect(exchange.fingerprint()).allows(exchange);
+        return isSuspect(exchange) && !suspect(exchange.fingerprint()).allows(exchange, timers.now());
     }
 
     /** Records that a request was sent to an endpoint that will run it; a probe allows that once. */
     public void recordSent(Exchange exchange) {
         Suspect suspect = knownSuspect(exchange);
-        if (suspect != null) {
-            suspect.recordSent(exchange, timers.now());
+        String probe = suspect == null ? null : suspect.recordSent(exchange, timers.now());
+        if (probe != null) {
+            ledger.recordProbeSent(exchange.fingerprint(), probe, timers.now());
+            reportSoon(true);
         }
     }
 
@@ -148,7 +164,8 @@
     private Suspect suspect(String request) {
         return suspects.computeIfAbsent(request, added -> {
             logger.atInfo().log("event=request-suspected fingerprint=%s %s", request, describe(request));
-            return new Suspect(timers.now());
+            long now = timers.now();
+            return new Suspect(now - ledger.latestCrashAgeNanos(request, now));
         });
     }
 
@@ -168,10 +185,11 @@
         CrashReports shared = reports;
         long ageNanos = shared == null ? Long.MAX_VALUE : shared.ageNanos();
         return String.format(
-                "crashed=%s reported_by=%s probes=%d reports_age_ms=%d",
+                "crashed=%s reported_by=%s probes=%d sent=%d reports_age_ms=%d",
                 ledger.crashes(request, now),
                 ledger.reporters(request, now),
                 ledger.probes(request, now),
+                ledger.sentProbes(request, now),
                 ageNanos == Long.MAX_VALUE ? -1 : TimeUnit.NANOSECONDS.toMillis(ageNanos));
     }
 
@@ -288,15 +306,21 @@
                 });
                 return;
             }
-            shared.read(read -> decide(read, () -> {
-                claim();
-                shared.write(written -> decideClaim(shared, written));
-            }));
+            suspect.startReading();
+            shared.read(read -> {
+                decide(read, () -> {
+                    claim();
+                    shared.write(written -> decideClaim(shared, written));
+                });
+                suspect.stopReading();
+            });
         }
 
         private void decide(boolean reportsKnown, Runnable claim) {
             long now = timers.now();
-            int claims = ledger.probes(request, now);
+            if (!suspect.hasUsableClaim(now)) {
+                withdrawClaim();
+            }
             if (exchange.ended()) {
                 suspect.stopAsking();
             } else if (!reportsKnown) {
@@ -305,9 +329,9 @@
                 suspects.remove(request);
                 logger.atInfo().log("event=request-cleared fingerprint=%s by=others", request);
                 run.run();
-            } else if (suspect.isUsedUp(claims, now)) {
+            } else if (suspect.isUsedUp(ledger.sentProbes(request, now), now)) {
                 refuseNow();
-            } else if (suspect.noteProbesOfOthers(claims)) {
+            } else if (suspect.waitsForOthers(ledger.probes(request, now))) {
                 refuseFor(ProbeAllowance.INTERVAL_NANOS);
                 // The probe of another entry may end well.
                 readSoon();
@@ -317,8 +341,9 @@
         }
 
         private void claim() {
-            if (suspect.claim()) {
-                ledger.recordProbe(request, UUID.randomUUID().toString(), timers.now());
+            long now = timers.now();
+            if (!suspect.hasUsableClaim(now)) {
+                ledger.recordProbe(request, suspect.claim(now), now);
             }
         }
 
@@ -331,11 +356,20 @@
                 if (read && suspect.covers(ledger.probes(request, timers.now())) && !exchange.ended()) {
                     runAsProbe();
                 } else {
+                    withdrawClaim();
                     refuseFor(ProbeAllowance.INTERVAL_NANOS);
                 }
             });
         }
 
+        private void withdrawClaim() {
+            String probe = suspect.withdrawClaim();
+            if (probe != null) {
+                ledger.withdrawProbe(request, probe);
+                reportSoon(false);
+            }
+        }
+
         private void runAsProbe() {
             suspect.allow(exchange);
             logger.atInfo().log(
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReportObject.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReportObject.java
@@ -14,6 +14,7 @@
     private static final String LOST = "lost";
     private static final String ENDED = "ended";
     private static final String PROBES = "probes";
+    private static final String SENT_PROBES = "sent-probes";
     private static final String REQUEST = "request";
     private static final String SUBJECT = "subject";
 
@@ -24,6 +25,7 @@
         write(json.putArray(LOST), report.lost());
         write(json.putArray(ENDED), report.ended());
         write(json.putArray(PROBES), report.probes());
+        write(json.putArray(SENT_PROBES), report.sentProbes());
         return json;
     }
 
@@ -38,7 +40,9 @@
      */
     static CrashReport of(JsonNode spec) {
         ObjectFields fields = new ObjectFields("crashes", spec);
-        return new CrashReport(read(fields, LOST), read(fields, ENDED), read(fields, PROBES));
+        // An entry of an earlier version does not report which probes it sent.
+        List<Fact> sentProbes = fields.hasValue(SENT_PROBES) ? read(fields, SENT_PROBES) : List.of();
+        return new CrashReport(read(fields, LOST), read(fields, ENDED), read(fields, PROBES), sentProbes);
     }
 
     private static List<Fact> read(ObjectFields fields, String name) {
