--- /dev/null
+++ b/core/src/main/java/org/quetzalseam/core/access/EntryPart.java
@@ -0,0 +1,52 @@
+package org.quetzalseam.core.access;
+
+/**
+ * Decides which part of each allowance an entry accrues, so that the parts of all entries add up to no more than the whole. Not
+ * thread-safe. Times are in nanoseconds, of a clock that also counts the time for which the machine was suspended.
+ *
+ * <p>An entry accrues only while its count of the entries is recent, and an entry that is new to the site accrues only once the
+ * counts of all others are so recent that they include it. Until then it borrows.
+ */
+public final class EntryPart {
+    /** Number of counts that may fail in a row before an entry stops to accrue. */
+    private static final double VALID_COUNTS = 2.5;
+    /** Number of counts after which a new entry is included by all others: theirs may be old, and may show a list that is old. */
+    private static final double COUNTS_UNTIL_KNOWN = 4;
+
+    private boolean counted;
+    private int entries = 1;
+    private long countedAt;
+    private long intervalNanos;
+    private boolean added;
+    private long addedAt;
+
+    /** Records that this entry's name has been added to a site that was running. */
+    public void recordAdded(long now) {
+        added = true;
+        addedAt = now;
+    }
+
+    /**
+     * Records a count.
+     *
+     * @param newEntries the number of entries, this one included
+     * @param newIntervalNanos time between two counts
+     * @param askedAt when the list of the entries was requested
+     */
+    public void recordCount(int newEntries, long newIntervalNanos, long askedAt) {
+        if (newEntries < 1) {
+            throw new IllegalArgumentException("entries: expected at least 1, got " + newEntries);
+        }
+        counted = true;
+        entries = newEntries;
+        intervalNanos = newIntervalNanos;
+        countedAt = askedAt;
+    }
+
+    /** Returns the part that this entry accrues now, from 0 to 1. */
+    public double part(long now) {
+        boolean recent = counted && now - countedAt <= VALID_COUNTS * intervalNanos;
+        boolean known = !added || now - addedAt > COUNTS_UNTIL_KNOWN * intervalNanos;
+        return recent && known ? 1.0 / entries : 0;
+    }
+}
