The age of what an entry knows counts the time for which its machine was suspended

The monotonic clock leaves a suspension out, so an entry that was suspended took what it knew before for recent. The existing tests of KindWatch pass unchanged.

--- a/gateway/src/main/java/org/quetzalseam/gateway/runtime/Timers.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/runtime/Timers.java
@@ -10,9 +10,15 @@
 public final class Timers {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+    /** By how much the wall clock may run ahead of the monotonic clock between two readings without a suspension, in nanoseconds. */
+    private static final long CLOCK_DRIFT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
     private final EventLoop loop;
     private final LongSupplier monotonicNanos;
     private final LongSupplier wallMillis;
+    private boolean clocksCompared;
+    private long wallAheadNanos;
+    private long suspendedNanos;
 
     /** Creates timers of an event loop that use the system clocks. */
     public Timers(EventLoop loop) {
@@ -42,6 +48,22 @@
         return wallMillis.getAsLong();
     }
 
+    /**
+     * Returns a monotonic time in nanoseconds that also counts the time for which the machine was suspended, which the monotonic
+     * clock does not. A wall clock that jumps forward looks like a suspension, so this time may run ahead but not lag behind, unless
+     * the wall clock is set back during a suspension. Used on the event loop only.
+     */
+    public long elapsed() {
+        long monotonic = now();
+        long ahead = TimeUnit.MILLISECONDS.toNanos(wallMillis()) - monotonic;
+        if (clocksCompared && ahead - wallAheadNanos > CLOCK_DRIFT_NANOS) {
+            suspendedNanos += ahead - wallAheadNanos;
+        }
+        clocksCompared = true;
+        wallAheadNanos = ahead;
+        return monotonic + suspendedNanos;
+    }
+
     /** Calls once, after the tasks that the event loop already has. */
     public void soon(Runnable call) {
         loop.execute(guarded(call));
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -75,7 +75,7 @@
         this.store = store;
         this.kind = kind;
         this.listener = listener;
-        this.lastResponse = new LastResponse(timers.now(), RECOVERY_NANOS);
+        this.lastResponse = new LastResponse(timers.elapsed(), RECOVERY_NANOS);
     }
 
     /** Begins to list and watch the kind. */
@@ -85,7 +85,7 @@
 
     @Override
     public long ageMillis() {
-        return lastResponse.ageMillis(timers.now());
+        return lastResponse.ageMillis(timers.elapsed());
     }
 
     @Override
@@ -95,12 +95,12 @@
 
     @Override
     public boolean current() {
-        return lastResponse.current(timers.now());
+        return lastResponse.current(timers.elapsed());
     }
 
     @Override
     public void refresh(Runnable answered) {
-        if (unavailable || newest.equals(StorePosition.NONE) || lastResponse.recentlyRestored(timers.now())) {
+        if (unavailable || newest.equals(StorePosition.NONE) || lastResponse.recentlyRestored(timers.elapsed())) {
             answered.run();
             return;
         }
@@ -121,7 +121,7 @@
     private void listAll() {
         listedObjects.clear();
         immediateAnswerExpected = true;
-        listSentAtNanos = timers.now();
+        listSentAtNanos = timers.elapsed();
         listFrom(null);
     }
 
@@ -167,7 +167,7 @@
         }
         if (lastListed.era() != position.era()) {
             // To a new process, a store that was restored earlier may have been restored just now.
-            lastResponse.recordRestore(timers.now());
+            lastResponse.recordRestore(timers.elapsed());
         }
         lastListed = position;
     }
@@ -202,7 +202,7 @@
     /** Starts a watch in place of the one in flight, if any. If it may be late, it is restarted once over another connection. */
     private void startWatch(long waitMillis, boolean mayBeLate) {
         long watch = ++newestWatch;
-        long sentAt = timers.now();
+        long sentAt = timers.elapsed();
         immediateAnswerExpected = waitMillis == NO_WAIT_MILLIS;
         nextCall.cancel();
         StorePosition from = newest;
