Entries ask each other over their internal ports

For units of allowances and for what the store has told others of the desired state. Addresses come with the list of entries. PeersTest: an entry that is silent or gone costs 120 ms once and is not asked for a second; bytes that are no message end their connection only.

--- a/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryRegistry.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryRegistry.java
@@ -1,10 +1,10 @@
 package org.quetzalseam.gateway.entry;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.runtime.Timers;
@@ -51,7 +51,8 @@
     private final Timers timers;
     private final ObjectStore store;
     private final String self;
-    private final Consumer<EntryCount> listener;
+    private final JsonNode registration;
+    private final EntryListener listener;
     private boolean registered;
     private @Nullable EntryCount lastCount;
     private int ticksUntilCount;
@@ -67,10 +68,29 @@
      * @param self this entry's name
      * @param listener receives the number of entries and the rank of this one whenever either changes
      */
-    public EntryRegistry(Timers timers, ObjectStore store, String self, Consumer<EntryCount> listener) {
+    public EntryRegistry(Timers timers, ObjectStore store, String self, EntryListener listener) {
+        this(timers, store, self, null, listener);
+    }
+
+    /**
+     * Creates a registry that does not count before {@link #start}.
+     *
+     * @param timers the event loop's timers
+     * @param store the platform's store
+     * @param self this entry's name
+     * @param peerAddress address at which this entry answers the others, or null if it does not
+     * @param listener receives what is learnt of the entries
+     */
+    public EntryRegistry(
+            Timers timers,
+            ObjectStore store,
+            String self,
+            @Nullable InetSocketAddress peerAddress,
+            EntryListener listener) {
         this.timers = timers;
         this.store = store;
         this.self = self;
+        this.registration = PeerAddresses.toJson(peerAddress);
         this.listener = listener;
     }
 
@@ -97,9 +117,10 @@
         store.create(
                 KIND,
                 self,
-                JsonNodeFactory.instance.objectNode(),
+                registration,
                 object -> {
                     markRegistered();
+                    listener.added();
                     timers.after(FIRST_COUNT_DELAY_MILLIS, this::countFromNewestList);
                 },
                 this::registerFailed);
@@ -120,11 +141,13 @@
     }
 
     private void countFromNewestList() {
-        store.list(KIND, null, this::handlePage, EntryRegistry::countFailed);
+        long askedAt = timers.elapsed();
+        store.list(KIND, null, page -> handlePage(page, askedAt), EntryRegistry::countFailed);
     }
 
     private void countFromRecentList() {
-        store.listRecent(KIND, this::handlePage, EntryRegistry::countFailed);
+        long askedAt = timers.elapsed();
+        store.listRecent(KIND, page -> handlePage(page, askedAt), EntryRegistry::countFailed);
     }
 
     private static void countFailed(StoreFailure failure) {
@@ -141,7 +164,7 @@
         era = currentEra;
     }
 
-    private void handlePage(ObjectPage page) {
+    private void handlePage(ObjectPage page, long askedAt) {
         updateEra(page.position().era());
         Set<String> names = page.objects().stream().map(StoredObject::name).collect(Collectors.toSet());
         if (names.add(self)) {
@@ -150,12 +173,28 @@
         }
         int rank = (int) names.stream().filter(name -> name.compareTo(self) < 0).count();
         EntryCount count = new EntryCount(names.size(), rank);
+        updateRegistration(page);
+        int listed = mayBeTooLow(count) && lastCount != null ? lastCount.entries() : count.entries();
+        listener.listed(new EntryList(listed, PeerAddresses.ofOthers(page, self), intervalMillis(listed), askedAt));
         if (count.equals(lastCount) || mayBeTooLow(count)) {
             return;
         }
         lastCount = count;
         logger.atInfo().log("event=entries-counted entries=%d rank=%d", count.entries(), count.rank());
-        listener.accept(count);
+        listener.counted(count);
+    }
+
+    private static long intervalMillis(int entries) {
+        return COUNT_INTERVAL_MILLIS * (1 + entries / ENTRIES_PER_EXTRA_INTERVAL);
+    }
+
+    /** Replaces the registration of an earlier process of this entry that listened at another address. */
+    private void updateRegistration(ObjectPage page) {
+        page.objects().stream()
+                .filter(object -> object.name().equals(self) && !object.spec().equals(registration))
+                .findFirst()
+                .ifPresent(object -> store.replace(
+                        KIND, self, object.position(), registration, replaced -> {}, EntryRegistry::countFailed));
     }
 
     private boolean mayBeTooLow(EntryCount newCount) {
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerLink.java
@@ -0,0 +1,173 @@
+package org.quetzalseam.gateway.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.gateway.runtime.ScheduledCall;
+import org.quetzalseam.gateway.runtime.Timers;
+
+/**
+ * Asks one other entry, over a connection that is opened when it is first needed. A connection on which an answer is late is closed,
+ * because it may have become unresponsive while new ones work. Used on the event loop only.
+ */
+final class PeerLink {
+    /** Time in which an answer is expected, in milliseconds: many round trips within a region. */
+    private static final long ANSWER_TIMEOUT_MILLIS = 120;
+    /** Time for which an entry is not asked after it has not answered, in nanoseconds. */
+    private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final EventLoop loop;
+    private final Timers timers;
+    private final InetSocketAddress address;
+    private final Map<Long, PendingAsk> pending = new HashMap<>();
+    private @Nullable Channel channel;
+    private boolean connecting;
+    private long nextId;
+    private boolean pausing;
+    private long pausedAt;
+
+    private record PendingAsk(PeerMessage ask, Consumer<Optional<PeerMessage>> answered, ScheduledCall timeout) {}
+
+    PeerLink(EventLoop loop, Timers timers, InetSocketAddress address) {
+        this.loop = loop;
+        this.timers = timers;
+        this.address = address;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Returns whether the entry is worth asking: it has not failed to answer just now. */
+    boolean usable() {
+        if (pausing && timers.now() - pausedAt > PAUSE_NANOS) {
+            pausing = false;
+        }
+        return !pausing;
+    }
+
+    /** Asks for units of a team's allowance; {@code answered} receives how many were granted, 0 if there is no answer in time. */
+    void ask(String team, long units, LongConsumer answered) {
+        ask(
+                new PeerMessage.Ask(nextId++, team, units),
+                answer -> answered.accept(answer.orElse(null) instanceof PeerMessage.Grant grant ? grant.units() : 0));
+    }
+
+    /** Asks what the entry knows of the desired state; {@code answered} is called only if there is an answer in time. */
+    void askState(Consumer<ProvedState> answered) {
+        ask(new PeerMessage.AskState(nextId++), answer -> {
+            if (answer.orElse(null) instanceof PeerMessage.State state) {
+                answered.accept(new ProvedState(state.version(), state.ageMillis()));
+            }
+        });
+    }
+
+    private void ask(PeerMessage ask, Consumer<Optional<PeerMessage>> answered) {
+        ScheduledCall timeout = timers.after(ANSWER_TIMEOUT_MILLIS, () -> timedOut(ask.id()));
+        pending.put(ask.id(), new PendingAsk(ask, answered, timeout));
+        Channel open = channel;
+        if (open != null) {
+            send(open, ask);
+        } else if (!connecting) {
+            connect();
+        }
+    }
+
+    private void send(Channel open, PeerMessage ask) {
+        open.writeAndFlush(ask).addListener(written -> {
+            if (!written.isSuccess()) {
+                failAll();
+            }
+        });
+    }
+
+    private void connect() {
+        connecting = true;
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) ANSWER_TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel opened) {
+                        PeerCodec.addTo(opened.pipeline());
+                        opened.pipeline().addLast(new AnswerHandler());
+                    }
+                });
+        ChannelFuture opening = bootstrap.connect(address);
+        opening.addListener(done -> {
+            connecting = false;
+            if (!done.isSuccess()) {
+                failAll();
+                return;
+            }
+            channel = opening.channel();
+            pending.values().forEach(waiting -> send(opening.channel(), waiting.ask()));
+        });
+    }
+
+    private void timedOut(long id) {
+        if (pending.containsKey(id)) {
+            failAll();
+        }
+    }
+
+    /** Ends all questions without an answer and closes the connection. */
+    @SuppressWarnings("FutureReturnValueIgnored")
+    void failAll() {
+        pausing = true;
+        pausedAt = timers.now();
+        Channel open = channel;
+        channel = null;
+        if (open != null) {
+            open.close();
+        }
+        List<PendingAsk> failed = List.copyOf(pending.values());
+        pending.clear();
+        failed.forEach(waiting -> {
+            waiting.timeout().cancel();
+            waiting.answered().accept(Optional.empty());
+        });
+    }
+
+    private final class AnswerHandler extends SimpleChannelInboundHandler<PeerMessage> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, PeerMessage message) {
+            PendingAsk waiting = pending.remove(message.id());
+            if (waiting != null) {
+                waiting.timeout().cancel();
+                waiting.answered().accept(Optional.of(message));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (ctx.channel() == channel) {
+                failAll();
+            }
+        }
+
+        @SuppressWarnings("FutureReturnValueIgnored")
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/Peers.java
@@ -0,0 +1,61 @@
+package org.quetzalseam.gateway.peer;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.quetzalseam.gateway.runtime.Timers;
+
+/** The other entries of the site, as far as this one knows their addresses. Used on the event loop only. */
+public final class Peers {
+    private final EventLoop loop;
+    private final Timers timers;
+    private final Map<String, PeerLink> links = new HashMap<>();
+
+    /** Creates a view without other entries. */
+    public Peers(EventLoop loop, Timers timers) {
+        this.loop = loop;
+        this.timers = timers;
+    }
+
+    /** Replaces the addresses of the other entries, by their names. */
+    public void update(Map<String, InetSocketAddress> addresses) {
+        List.copyOf(links.keySet()).forEach(name -> {
+            PeerLink link = links.get(name);
+            if (link != null && !link.address().equals(addresses.get(name))) {
+                links.remove(name);
+                link.failAll();
+            }
+        });
+        addresses.forEach((name, address) -> links.computeIfAbsent(name, added -> new PeerLink(loop, timers, address)));
+    }
+
+    /** Returns the names of the entries that are worth asking. */
+    public List<String> usable() {
+        return links.entrySet().stream()
+                .filter(link -> link.getValue().usable())
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /** Asks an entry for units of a team's allowance; {@code answered} receives how many were granted, which may be none. */
+    public void ask(String peer, String team, long units, LongConsumer answered) {
+        PeerLink link = links.get(peer);
+        if (link == null) {
+            answered.accept(0);
+        } else {
+            link.ask(team, units, answered);
+        }
+    }
+
+    /** Asks an entry what it knows of the desired state; {@code answered} is called only if there is an answer in time. */
+    public void askState(String peer, Consumer<ProvedState> answered) {
+        PeerLink link = links.get(peer);
+        if (link != null) {
+            link.askState(answered);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/quetzalseam/gateway/peer/PeersTest.java
@@ -0,0 +1,103 @@
+package org.quetzalseam.gateway.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.gateway.runtime.Timers;
+
+class PeersTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final Peers peers = new Peers(loop, new Timers(loop));
+    private final AtomicLong stock = new AtomicLong(100);
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    private InetSocketAddress lender() {
+        return new PeerServer(
+                        loop,
+                        (team, units) -> {
+                            long lent = Math.min(stock.get(), units);
+                            stock.addAndGet(-lent);
+                            return team.equals("dealers") ? lent : 0;
+                        },
+                        () -> new ProvedState(7, 40))
+                .start(ANY);
+    }
+
+    private void know(InetSocketAddress address) {
+        loop.submit(() -> peers.update(Map.of("other", address))).syncUninterruptibly();
+    }
+
+    private long ask(String team, long units) {
+        CompletableFuture<Long> granted = new CompletableFuture<>();
+        loop.execute(() -> peers.ask("other", team, units, granted::complete));
+        return granted.join();
+    }
+
+    @Test
+    void anEntryLendsWhatItHas() {
+        know(lender());
+        assertThat(ask("dealers", 30)).isEqualTo(30);
+        assertThat(ask("dealers", 300)).isEqualTo(70);
+        assertThat(ask("dealers", 30)).isZero();
+        assertThat(ask("strangers", 30)).isZero();
+    }
+
+    @Test
+    void anEntryStatesWhatItKnowsOfTheDesiredState() {
+        know(lender());
+        CompletableFuture<ProvedState> stated = new CompletableFuture<>();
+        loop.execute(() -> peers.askState("other", stated::complete));
+        assertThat(stated.join()).isEqualTo(new ProvedState(7, 40));
+    }
+
+    // Guards against a request waiting for an entry whose machine is gone or has fallen silent.
+    @Test
+    void anEntryThatIsSilentOrGoneLendsNothingAndIsNotAskedForAWhile() throws IOException {
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            know(new InetSocketAddress(InetAddress.getLoopbackAddress(), silent.getLocalPort()));
+            assertThat(ask("dealers", 30)).isZero();
+            assertThat(usable()).isFalse();
+        }
+        know(lender());
+        assertThat(usable()).as("at another address").isTrue();
+        assertThat(ask("dealers", 30)).isEqualTo(30);
+    }
+
+    private boolean usable() {
+        return loop.submit(() -> peers.usable().contains("other"))
+                .syncUninterruptibly()
+                .getNow();
+    }
+
+    @Test
+    void bytesThatAreNoMessageEndTheConnectionOnly() throws IOException {
+        InetSocketAddress address = lender();
+        try (Socket stranger = new Socket(address.getAddress(), address.getPort())) {
+            stranger.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            stranger.setSoTimeout(5_000);
+            assertThat(stranger.getInputStream().read()).isEqualTo(-1);
+        }
+        know(address);
+        assertThat(ask("dealers", 30)).isEqualTo(30);
+    }
+}
