The streaming entry knows teams: API keys, revocation, allowances

Cause: the entry had no notion of a team.

Change: a key identifies the team; a key in force is accepted only while the state is proved recent, by the store or by another entry that the store has answered; an unknown key is denied only when a missing route may be denied. Allowances are shared by core.access, with loans between entries.

Evidence: TeamsTest, AccessControlTest, SharedProofTest, TeamsOnStoreTest (a store that turns an entry away while a key goes).

Tests changed: TestEntry and TestProtocol know teams; EntryOnStore takes more settings; the template's test renders the new placeholders. No assertion removed.

--- a/core/src/main/java/org/quetzalseam/core/routing/RouteRule.java
+++ b/core/src/main/java/org/quetzalseam/core/routing/RouteRule.java
@@ -19,6 +19,7 @@
  *     milliseconds
  * @param priority priority; 0 is the most urgent
  * @param resumable whether a stream can be resumed at another endpoint
+ * @param isPublic whether requests need no API key
  */
 public record RouteRule(
         String name,
@@ -32,7 +33,8 @@
         long targetGapMillis,
         long idleTimeoutMillis,
         int priority,
-        boolean resumable) {
+        boolean resumable,
+        boolean isPublic) {
     /** Checks that there is at least one service and copies the list. */
     public RouteRule {
         shares = List.copyOf(shares);
--- a/core/src/main/java/org/quetzalseam/core/routing/RouteTable.java
+++ b/core/src/main/java/org/quetzalseam/core/routing/RouteTable.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.quetzalseam.core.access.AccessRules;
 
 /**
  * One version of the desired state, indexed for lookup. Immutable.
@@ -17,12 +18,20 @@
     private final long version;
     private final CallerLimits limits;
     private final List<ServiceRule> services;
+    private final AccessRules access;
     private final Map<String, Map<String, RouteRule>> byHost = new HashMap<>();
 
-    /** Creates a table of the routes, services and limits of one version. */
+    /** Creates a table of the routes, services and limits of one version of a site without teams. */
     public RouteTable(long version, List<RouteRule> routes, List<ServiceRule> services, CallerLimits limits) {
+        this(version, routes, services, limits, AccessRules.OPEN);
+    }
+
+    /** Creates a table of the routes, services, limits and teams of one version. */
+    public RouteTable(
+            long version, List<RouteRule> routes, List<ServiceRule> services, CallerLimits limits, AccessRules access) {
         this.version = version;
         this.limits = limits;
+        this.access = access;
         this.services = List.copyOf(services);
         for (RouteRule route : routes) {
             byHost.computeIfAbsent(route.host(), host -> new HashMap<>()).put(route.pathPrefix(), route);
@@ -39,6 +48,11 @@
         return limits;
     }
 
+    /** Returns the teams and their keys. */
+    public AccessRules access() {
+        return access;
+    }
+
     /** Returns the settings of the services. */
     public Collection<ServiceRule> services() {
         return services;
--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -5,12 +5,20 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import org.quetzalseam.core.access.EntryPart;
+import org.quetzalseam.gateway.access.AccessControl;
+import org.quetzalseam.gateway.access.AccessSettings;
+import org.quetzalseam.gateway.access.TeamAllowances;
 import org.quetzalseam.gateway.caller.CallerServer;
 import org.quetzalseam.gateway.endpoint.Directory;
 import org.quetzalseam.gateway.entry.EntryCount;
+import org.quetzalseam.gateway.entry.EntryList;
+import org.quetzalseam.gateway.entry.EntryListener;
 import org.quetzalseam.gateway.http.Connector;
 import org.quetzalseam.gateway.operator.GatewayMetrics;
 import org.quetzalseam.gateway.operator.OperatorServer;
+import org.quetzalseam.gateway.peer.PeerServer;
+import org.quetzalseam.gateway.peer.Peers;
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.route.EntrySettings;
 import org.quetzalseam.gateway.route.RequestRouter;
@@ -22,9 +30,12 @@
  */
 public final class EntryProcess {
     private static final String METRICS_PATH = "/metrics";
+    /** How often an entry checks whether its count of the entries is still recent, in milliseconds. */
+    private static final long PART_CHECK_MILLIS = 500;
     /** How often the event loop's delay is measured, in milliseconds. */
     private static final long LOOP_DELAY_INTERVAL_MILLIS = 500;
 
+    private final boolean firstStart;
     private final NioEventLoopGroup group;
     private final EventLoop loop;
     private final Timers timers;
@@ -34,20 +45,34 @@
     private final GatewayMetrics metrics;
     private final OperatorServer operatorServer;
     private final Connector connector;
+    private final Peers peers;
+    private final PeerServer peerServer;
+    private final AccessControl accessControl;
+    private final TeamAllowances allowances;
     private volatile boolean draining;
     private volatile EntryCount entryCount = EntryCount.ALONE;
     private long loopMeasuredAt;
     private long loopDelayMillis;
 
-    /** Creates an entry that listens nowhere until {@link #start} is called. */
+    /** Creates an entry of a site without limits on teams. It listens nowhere until {@link #start} is called. */
     public EntryProcess(Protocol protocol, EntrySettings settings) {
+        this(protocol, settings, AccessSettings.DEFAULT);
+    }
+
+    /** Creates an entry that listens nowhere until {@link #start} is called. */
+    public EntryProcess(Protocol protocol, EntrySettings settings, AccessSettings accessSettings) {
+        firstStart = settings.firstStart();
         group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
         loop = group.next();
         timers = new Timers(loop);
         connector = new Connector(loop, protocol.idHeader());
         directory = new Directory(connector);
         metrics = new GatewayMetrics();
-        router = new RequestRouter(timers, protocol, directory, settings, metrics);
+        peers = new Peers(loop, timers);
+        accessControl = new AccessControl(accessSettings);
+        allowances = new TeamAllowances(timers, peers, accessSettings.bounds());
+        router = new RequestRouter(timers, protocol, directory, settings, metrics, accessControl, allowances, peers);
+        peerServer = new PeerServer(loop, allowances, router::provedState);
         callerServer = new CallerServer(loop, protocol, router::limits, router::route);
         operatorServer = new OperatorServer(loop, () -> router.ready() && !draining);
     }
@@ -112,10 +137,61 @@
         loopMeasuredAt = now;
     }
 
-    /** Sets the number of entries, which share budgets and shut down one after the other. */
-    public void entryCountChanged(EntryCount count) {
-        entryCount = count;
-        router.entries(count);
+    /** Starts to answer other entries. Returns the address with the port in use. */
+    public InetSocketAddress startPeerServer(InetSocketAddress address) {
+        return peerServer.start(address);
+    }
+
+    /** Returns the other entries, whose addresses the owner of this entry keeps up to date. */
+    public Peers peers() {
+        return peers;
+    }
+
+    /** Returns this entry's shares of the teams' allowances. */
+    public TeamAllowances allowances() {
+        return allowances;
+    }
+
+    /** Applies settings of the access of teams that were read again; bounds of allowances stay until the next start. */
+    public void accessSettings(AccessSettings settings) {
+        accessControl.update(settings);
+    }
+
+    /** Returns the listener that keeps up to date which entries share the site with this one. */
+    public EntryListener siteEntries() {
+        return new SiteEntries();
+    }
+
+    private final class SiteEntries implements EntryListener {
+        private final EntryPart part = new EntryPart();
+
+        SiteEntries() {
+            timers.every(PART_CHECK_MILLIS, this::updatePart);
+        }
+
+        private void updatePart() {
+            allowances.part(part.part(timers.elapsed()));
+        }
+
+        @Override
+        public void counted(EntryCount count) {
+            entryCount = count;
+            router.entries(count);
+        }
+
+        @Override
+        public void listed(EntryList list) {
+            peers.update(list.peers());
+            part.recordCount(list.entries(), TimeUnit.MILLISECONDS.toNanos(list.intervalMillis()), list.askedAt());
+            updatePart();
+        }
+
+        @Override
+        public void added() {
+            if (!firstStart) {
+                part.recordAdded(timers.elapsed());
+            }
+        }
     }
 
     /** Returns the metrics, to which code outside the entry adds its own measurements. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
@@ -51,6 +51,9 @@
     private @Nullable Runnable onCallerDisconnected;
     private @Nullable Runnable onWritable;
     private @Nullable Runnable onShutdown;
+    private @Nullable Runnable onNotRun;
+    private @Nullable String team;
+    private boolean identified;
 
     Exchange(Channel channel, HttpRequest request, ByteBuf body, RequestFacts facts, Runnable onEnd) {
         this.channel = channel;
@@ -135,6 +138,40 @@
         onShutdown = call;
     }
 
+    /**
+     * Records that the credentials of the request have been evaluated, so that they are not forwarded.
+     *
+     * @param name the team that makes the request, or null if it needs none
+     */
+    public void identify(@Nullable String name) {
+        identified = true;
+        team = name;
+    }
+
+    /** Returns whether the credentials of the request have been evaluated. */
+    public boolean identified() {
+        return identified;
+    }
+
+    /** Returns the team that makes the request, or null if it needs none. */
+    public @Nullable String team() {
+        return team;
+    }
+
+    /** Sets the callback that runs once if the request is refused without having run. */
+    public void onNotRun(Runnable call) {
+        onNotRun = call;
+    }
+
+    /** Records that the request is refused and has not run and will not run. */
+    public void recordNotRun() {
+        Runnable call = onNotRun;
+        onNotRun = null;
+        if (call != null && !ended) {
+            call.run();
+        }
+    }
+
     /** Returns whether the caller reads as fast as the answer is written. */
     public boolean writable() {
         return channel.isWritable();
--- a/gateway/src/main/java/org/quetzalseam/gateway/operator/GatewayMetrics.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/operator/GatewayMetrics.java
@@ -119,6 +119,16 @@
         count("quetzalseam.refusals", "entry", "all", "reason", reason);
     }
 
+    /** Counts a request of a team, by whether its allowance admitted it. */
+    public void teamRequest(String team, boolean admitted) {
+        count("quetzalseam.team.requests", "team", team, "admitted", Boolean.toString(admitted));
+    }
+
+    /** Counts a request without a key that is in force, by its reason, which must come from a fixed set. */
+    public void keyRejected(String reason) {
+        count("quetzalseam.keys.rejected", "entry", "all", "reason", reason);
+    }
+
     /** Counts a retry, by whether the retry budget allowed it. */
     public void retry(String service, boolean allowed) {
         count("quetzalseam.retries", "service", service, "allowed", Boolean.toString(allowed));
--- a/gateway/src/main/java/org/quetzalseam/gateway/protocol/Protocol.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/protocol/Protocol.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.fleet.Stage;
 
 /**
@@ -20,6 +21,13 @@
     /** Removes headers that callers may not set, and writes those that the entry adds. */
     void rewriteHeaders(HttpHeaders headers, Forwarding forwarding);
 
+    /**
+     * Removes the team that a caller may have stated, and states the given one instead, if any.
+     *
+     * @param team the team that makes the request, or null
+     */
+    void setTeam(HttpHeaders headers, @Nullable String team);
+
     /** Returns the facts that a reply states beside its status. */
     ReplyFacts facts(HttpResponse reply);
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ForwardedRequest.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ForwardedRequest.java
@@ -1,6 +1,7 @@
 package org.quetzalseam.gateway.route;
 
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import org.quetzalseam.core.routing.RouteRule;
@@ -35,6 +36,10 @@
         head.headers().set(exchange.request().headers());
         HopByHopHeaders.remove(head.headers());
         protocol.rewriteHeaders(head.headers(), forwarding);
+        protocol.setTeam(head.headers(), exchange.team());
+        if (exchange.identified()) {
+            head.headers().remove(HttpHeaderNames.AUTHORIZATION);
+        }
         return head;
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -4,18 +4,26 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Locale;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.access.Team;
 import org.quetzalseam.core.drain.GracePeriod;
 import org.quetzalseam.core.routing.CallKind;
 import org.quetzalseam.core.routing.CallerLimits;
 import org.quetzalseam.core.routing.RouteRule;
 import org.quetzalseam.core.routing.RouteTable;
+import org.quetzalseam.gateway.access.AccessControl;
+import org.quetzalseam.gateway.access.AccessDecision;
+import org.quetzalseam.gateway.access.SharedProof;
+import org.quetzalseam.gateway.access.TeamAllowances;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Directory;
 import org.quetzalseam.gateway.entry.EntryCount;
 import org.quetzalseam.gateway.operator.GatewayMetrics;
+import org.quetzalseam.gateway.peer.Peers;
+import org.quetzalseam.gateway.peer.ProvedState;
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.KindFreshness;
@@ -35,18 +43,36 @@
      */
     private static final long IN_DOUBT_RETRY_AFTER_MILLIS = 500;
 
+    /** A request may wait for units of its team's allowance for this part of its latency objective. */
+    private static final long ALLOWANCE_WAIT_DIVISOR = 4;
+
     private final RunContext context;
+    private final AccessControl accessControl;
+    private final TeamAllowances allowances;
+    private final SharedProof proof;
     private final WaitingRequests earlyRequests;
     private final WaitingRequests requestsInDoubt;
+    private final WaitingRequests keysInDoubt;
     private @Nullable RouteTable routes;
     private @Nullable KindFreshness knowledge;
 
     /** Creates a router that knows no routes yet. */
     public RequestRouter(
-            Timers timers, Protocol protocol, Directory directory, EntrySettings settings, GatewayMetrics metrics) {
+            Timers timers,
+            Protocol protocol,
+            Directory directory,
+            EntrySettings settings,
+            GatewayMetrics metrics,
+            AccessControl accessControl,
+            TeamAllowances allowances,
+            Peers peers) {
         this.context = new RunContext(timers, protocol, directory, settings, metrics);
+        this.accessControl = accessControl;
+        this.allowances = allowances;
+        this.proof = new SharedProof(timers, peers, this::version);
         this.earlyRequests = new WaitingRequests(context, this::refuseEarly);
         this.requestsInDoubt = new WaitingRequests(context, this::refuseInDoubt);
+        this.keysInDoubt = new WaitingRequests(context, this::refuseKeyInDoubt);
     }
 
     /** Puts a version of the desired state in force, unless it is not newer than the one in force. */
@@ -58,13 +84,20 @@
         }
         routes = table;
         context.services(table.services());
-        logger.atInfo().log("event=desired-state version=%d routes=%d", table.version(), table.routeCount());
+        allowances.update(table.access());
+        logger.atInfo().log(
+                "event=desired-state version=%d routes=%d teams=%d keys=%d",
+                table.version(),
+                table.routeCount(),
+                table.access().names().size(),
+                table.access().keys());
         routeEarlyRequests();
     }
 
     /** Sets the source that states how current the known desired state is. */
     public void knowledge(KindFreshness desiredState) {
         knowledge = desiredState;
+        proof.start(desiredState);
     }
 
     /** Applies settings that were read again. */
@@ -77,6 +110,11 @@
         context.entries(counted);
     }
 
+    /** Returns what this entry knows of the desired state from the store itself. */
+    public ProvedState provedState() {
+        return proof.ownState();
+    }
+
     /** Returns the version of the desired state in force, 0 before the first. */
     public long version() {
         RouteTable table = routes;
@@ -108,6 +146,7 @@
         context.startDraining(period);
         earlyRequests.refuseAll();
         requestsInDoubt.refuseAll();
+        keysInDoubt.refuseAll();
     }
 
     /** Routes a request and has it answered. */
@@ -125,7 +164,43 @@
             handleMissingRoute(exchange, host, table.version());
             return;
         }
-        start(exchange, found.get(), table.version());
+        identify(exchange, found.get(), table);
+    }
+
+    /** Finds the team that makes a request, and refuses the request if it has no key that is in force. */
+    private void identify(Exchange exchange, RouteRule route, RouteTable table) {
+        KindFreshness currentKnowledge = knowledge;
+        boolean newest = currentKnowledge == null || currentKnowledge.current();
+        AccessDecision decision =
+                accessControl.decide(table.access(), route, exchange.request().headers(), newest, proof.ageMillis());
+        switch (decision.verdict()) {
+            case ALLOWED -> {
+                if (table.access().required()) {
+                    Team team = decision.team();
+                    exchange.identify(team == null ? null : team.name());
+                }
+                start(exchange, route, table, decision.team());
+            }
+            case DENIED -> {
+                logger.atInfo().log(
+                        "event=key-rejected request=%s route=%s reason=\"%s\" version=%d %s",
+                        exchange.facts().id(), route.name(), decision.reason(), table.version(), describeKnowledge());
+                context.metrics().keyRejected(decision.reason());
+                context.refuseUnidentified(exchange, decision.reason());
+            }
+            case IN_DOUBT -> {
+                keysInDoubt.add(exchange);
+                KindFreshness doubted = Objects.requireNonNull(knowledge, "without freshness there is no doubt");
+                doubted.refresh(() -> resolveDoubts(doubted.current()));
+            }
+        }
+    }
+
+    private void refuseKeyInDoubt(Exchange exchange) {
+        logger.atInfo().log(
+                "event=key-in-doubt request=%s version=%d proof_age_ms=%d age_ms=%d %s",
+                exchange.facts().id(), version(), proof.ageMillis(), exchange.ageMillis(), describeKnowledge());
+        context.refuse(exchange, "it can't be known now whether the key is in force", IN_DOUBT_RETRY_AFTER_MILLIS);
     }
 
     /**
@@ -148,8 +223,10 @@
     private void resolveDoubts(boolean current) {
         if (current) {
             requestsInDoubt.removeAll().forEach(this::route);
+            keysInDoubt.removeAll().forEach(this::route);
         } else {
             requestsInDoubt.refuseAll();
+            keysInDoubt.refuseAll();
         }
     }
 
@@ -184,11 +261,38 @@
         }
     }
 
-    private void start(Exchange exchange, RouteRule route, long version) {
+    private void start(Exchange exchange, RouteRule route, RouteTable table, @Nullable Team team) {
         if (!context.endsInTime(exchange, route)) {
             context.refuseDraining(exchange);
             return;
         }
+        if (team == null) {
+            startAdmitted(exchange, route, table.version());
+            return;
+        }
+        allowances.admit(
+                team,
+                exchange,
+                route.targetLatencyMillis() / ALLOWANCE_WAIT_DIVISOR,
+                () -> {
+                    context.metrics().teamRequest(team.name(), true);
+                    startAdmitted(exchange, route, table.version());
+                },
+                (retryAfterMillis, inputs) -> {
+                    context.metrics().teamRequest(team.name(), false);
+                    logger.atInfo().log(
+                            "event=allowance-exceeded request=%s route=%s version=%d retry_after_ms=%d age_ms=%d %s",
+                            exchange.facts().id(),
+                            route.name(),
+                            table.version(),
+                            retryAfterMillis,
+                            exchange.ageMillis(),
+                            inputs);
+                    context.refuseLimited(exchange, retryAfterMillis);
+                });
+    }
+
+    private void startAdmitted(Exchange exchange, RouteRule route, long version) {
         String service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
         context.retries(service).recordRequest(context.now());
         RunLog log = new RunLog(context.metrics(), exchange, route, service, version);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Collection;
@@ -312,11 +313,30 @@
         return ThreadLocalRandom.current().nextDouble();
     }
 
+    /** Refuses a request that exceeds its team's allowance. It has not run and will not run. */
+    void refuseLimited(Exchange exchange, long retryAfterMillis) {
+        answerNotRun(
+                exchange, HttpResponseStatus.TOO_MANY_REQUESTS, "the team's allowance is used up", retryAfterMillis);
+    }
+
+    /** Refuses a request without a key that is in force. It has not run and will not run. */
+    void refuseUnidentified(Exchange exchange, String why) {
+        metrics.requestRefused(why);
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
+        exchange.answer(HttpResponseStatus.UNAUTHORIZED, why, headers);
+    }
+
     private void answerRefused(Exchange exchange, String why, long retryAfterMillis) {
+        answerNotRun(exchange, HttpResponseStatus.SERVICE_UNAVAILABLE, why, retryAfterMillis);
+    }
+
+    private void answerNotRun(Exchange exchange, HttpResponseStatus status, String why, long retryAfterMillis) {
+        exchange.recordNotRun();
         metrics.requestRefused(why);
         HttpHeaders headers = new DefaultHttpHeaders();
         protocol.setRetryAfter(headers, retryAfterMillis);
-        exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, why, headers);
+        exchange.answer(status, why, headers);
     }
 
     /** Answers with a failure that does not state whether the request has run. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectFields.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectFields.java
@@ -172,6 +172,31 @@
         return hasValue(field) ? list(field) : List.of();
     }
 
+    /** Returns the texts of a list, none of which is blank, or none where the field has no value. Messages don't quote them. */
+    public List<String> nonBlankTexts(String field) {
+        if (!hasValue(field)) {
+            return List.of();
+        }
+        JsonNode value = node.path(field);
+        if (!value.isArray()) {
+            throw new UnreadableException(
+                    Code.WRONG_TYPE,
+                    pathOf(field),
+                    "a list",
+                    value.getNodeType().name());
+        }
+        List<String> texts = new ArrayList<>();
+        for (JsonNode element : value) {
+            if (!element.isTextual() || element.asText().isBlank()) {
+                String path = pathOf(field) + "[" + texts.size() + "]";
+                String found = element.getNodeType().name();
+                throw new UnreadableException(Code.NOT_ALLOWED, path, "a text that is not blank", found);
+            }
+            texts.add(element.asText());
+        }
+        return texts;
+    }
+
     /** Returns an exception for a value that has the right type but is not allowed. */
     public UnreadableException notAllowed(String field, String expected) {
         return new UnreadableException(Code.NOT_ALLOWED, pathOf(field), expected, describe(node.path(field)));
--- a/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.quetzalseam.core.access.AccessRules;
 import org.quetzalseam.core.fleet.Member;
 import org.quetzalseam.core.routing.CallKind;
 import org.quetzalseam.core.routing.CallerLimits;
@@ -34,6 +35,7 @@
 
     private final double retryRatio;
     private final double retrySlack;
+    private AccessRules access = AccessRules.OPEN;
     private final EntryProcess process;
     private final ListeningAddresses listening;
 
@@ -86,7 +88,7 @@
     }
 
     /**
-     * Puts the routes in force: {@code /once/} (not idempotent), {@code /many/} (idempotent), and the streams
+     * Puts the routes in force: {@code /once/} (not idempotent), {@code /many/} (idempotent, public), and the streams
      * {@code /stream/}, {@code /resumable/} and {@code /paced/} (with a limit on pauses).
      */
     void updateRoutes(long timeoutMillis) {
@@ -110,11 +112,17 @@
         rules.add(rule("stream", CallKind.STREAM, false, timeoutMillis, 0));
         rules.add(rule("resumable", CallKind.STREAM, true, timeoutMillis, 0));
         rules.add(rule("paced", CallKind.STREAM, false, timeoutMillis, MAX_PAUSE_MILLIS));
-        RouteTable table =
-                new RouteTable(version, rules, List.of(new ServiceRule("s", maxConnections)), CallerLimits.DEFAULT);
+        RouteTable table = new RouteTable(
+                version, rules, List.of(new ServiceRule("s", maxConnections)), CallerLimits.DEFAULT, access);
         runOnEventLoop(() -> process.router().update(table));
     }
 
+    /** Sets the teams of the next version, and lets this entry accrue all of their allowances. */
+    void useTeams(AccessRules.Grant... teams) {
+        access = AccessRules.of(List.of(teams));
+        runOnEventLoop(() -> process.allowances().part(1));
+    }
+
     private static RouteRule rule(String name, CallKind kind, boolean resumable, long timeoutMillis, long pauseMillis) {
         return new RouteRule(
                 name,
@@ -128,7 +136,8 @@
                 pauseMillis,
                 8_000,
                 0,
-                resumable);
+                resumable,
+                name.equals("many"));
     }
 
     void updateEndpoints(Member... members) {
--- a/gateway/src/test/java/org/quetzalseam/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestProtocol.java
@@ -43,6 +43,12 @@
         set(headers, "x-resume", forwarding.resumeAfter());
     }
 
+    @Override
+    public void setTeam(HttpHeaders headers, @Nullable String team) {
+        headers.remove("x-team");
+        set(headers, "x-team", team);
+    }
+
     private static void set(HttpHeaders headers, String name, @Nullable String value) {
         if (value != null) {
             headers.set(name, value);
