A team at its allowance does not make entries ask each other without pause

Found by reading: with nothing left to borrow, each arrival began a new search of all other entries, so a team far above its allowance cost up to a hundred searches a second at each entry. A search that found too little is followed by the next one after 40 ms or more; who can't wait for it is limited at once. The order of asking is computed once a search.

--- a/gateway/src/main/java/org/quetzalseam/gateway/access/TeamAllowance.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/access/TeamAllowance.java
@@ -1,11 +1,8 @@
 package org.quetzalseam.gateway.access;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.quetzalseam.core.access.Allowance;
 import org.quetzalseam.core.access.AllowanceBounds;
@@ -25,8 +22,8 @@
 final class TeamAllowance {
     /** Number of entries that are asked first; it doubles with each further batch. */
     private static final int FIRST_BATCH = 2;
-    /** Shortest time between two searches, in milliseconds: some round trips within a region. */
-    private static final long MIN_SEARCH_PAUSE_MILLIS = 10;
+    /** Shortest time from a search that found too little to the next one, in milliseconds: a search asks all other entries. */
+    private static final long MIN_SEARCH_PAUSE_MILLIS = 40;
     /** Number of requests that may wait at the same time. */
     private static final int MAX_WAITING = 100;
     /** Shortest retry-after time, in milliseconds. */
@@ -37,11 +34,17 @@
     private final String team;
     private final AllowanceShare share;
     private final Deque<Waiting> waiting = new ArrayDeque<>();
-    private final Set<String> asked = new HashSet<>();
+    /** The entries to ask in the present search, in this order, of which {@code asked} have been asked. */
+    private List<String> order = List.of();
+
+    private int asked;
     private int unanswered;
     private int batch;
+    /** Whether a search is under way or planned. */
     private boolean searching;
 
+    private long nextSearchAt;
+
     private record Waiting(
             Exchange exchange, long cost, long waitsUntil, Runnable admitted, TeamAllowances.LimitedListener limited) {}
 
@@ -50,6 +53,7 @@
         this.peers = peers;
         this.team = team;
         this.share = new AllowanceShare(bounds, timers.elapsed());
+        this.nextSearchAt = timers.now();
     }
 
     void update(Allowance allowance, double part) {
@@ -72,8 +76,9 @@
             admit(request);
             return;
         }
-        if (waiting.size() >= MAX_WAITING) {
-            limit(request);
+        boolean waitsInVain = !searching && nextSearchAt - waitsUntil > 0;
+        if (waiting.size() >= MAX_WAITING || waitsInVain) {
+            admitOrLimit(request);
             return;
         }
         exchange.onCallerDisconnected(() -> waiting.remove(request));
@@ -83,7 +88,7 @@
         });
         waiting.addLast(request);
         if (!searching) {
-            beginSearch();
+            planSearch();
         }
     }
 
@@ -99,27 +104,38 @@
                 TimeUnit.NANOSECONDS.toMillis(share.accrualNanos((double) request.cost() - available)));
         String inputs = String.format(
                 "team=%s cost=%d available=%.0f accrues_per_s=%.0f entries_asked=%d waiting=%d",
-                team, request.cost(), available, share.perSecond(), asked.size(), waiting.size());
+                team, request.cost(), available, share.perSecond(), asked, waiting.size());
         request.limited().limited(retryAfterMillis, inputs);
     }
 
-    private void beginSearch() {
+    private void planSearch() {
         searching = true;
-        asked.clear();
+        long delayNanos = nextSearchAt - timers.now();
+        if (delayNanos <= 0) {
+            beginSearch();
+        } else {
+            timers.after(TimeUnit.NANOSECONDS.toMillis(delayNanos), this::beginSearch);
+        }
+    }
+
+    private void beginSearch() {
+        List<String> usable = peers.usable();
+        order = Rendezvous.subset(usable, Rendezvous.hash(team), usable.size());
+        asked = 0;
         batch = FIRST_BATCH;
         askNextBatch();
     }
 
     private void askNextBatch() {
         long missing = missingUnits();
-        List<String> next = nextPeers();
+        List<String> next = order.subList(asked, Math.min(asked + batch, order.size()));
         if (missing <= 0 || next.isEmpty()) {
             endSearch();
             return;
         }
         batch *= 2;
         unanswered = next.size();
-        asked.addAll(next);
+        asked += next.size();
         long askedAt = timers.elapsed();
         long each = (missing + next.size() - 1) / next.size();
         for (String peer : next) {
@@ -132,12 +148,6 @@
         return (long) Math.ceil((double) wanted - share.available(timers.elapsed()));
     }
 
-    private List<String> nextPeers() {
-        List<String> candidates = new ArrayList<>(peers.usable());
-        candidates.removeAll(asked);
-        return Rendezvous.subset(candidates, Rendezvous.hash(team), batch);
-    }
-
     private void answered(long units, long askedAt) {
         unanswered--;
         share.borrow(units, askedAt, timers.elapsed());
@@ -153,23 +163,24 @@
         }
     }
 
-    /** Ends a search: there is nobody left to ask. What accrues soon is searched for again, as long as requests may wait for it. */
+    /** Ends a search: nothing is missing, or there is nobody left to ask. What accrues soon is searched for again. */
     private void endSearch() {
         searching = false;
         admitWaiting();
-        long pauseMillis =
-                Math.max(MIN_SEARCH_PAUSE_MILLIS, TimeUnit.NANOSECONDS.toMillis(share.accrualNanos(missingForFirst())));
-        long nextSearchAt = timers.now() + TimeUnit.MILLISECONDS.toNanos(pauseMillis);
-        List<Waiting> tooLate = waiting.stream()
-                .filter(request -> request.waitsUntil() - nextSearchAt < 0)
-                .toList();
-        waiting.removeAll(tooLate);
-        tooLate.forEach(this::admitOrLimit);
+        if (!waiting.isEmpty()) {
+            long pauseNanos = Math.max(
+                    TimeUnit.MILLISECONDS.toNanos(MIN_SEARCH_PAUSE_MILLIS), share.accrualNanos(missingForFirst()));
+            nextSearchAt = timers.now() + pauseNanos;
+            List<Waiting> tooLate = waiting.stream()
+                    .filter(request -> nextSearchAt - request.waitsUntil() > 0)
+                    .toList();
+            waiting.removeAll(tooLate);
+            tooLate.forEach(this::admitOrLimit);
+        }
         if (waiting.isEmpty()) {
             share.saveLoans(timers.elapsed());
         } else {
-            searching = true;
-            timers.after(pauseMillis, this::beginSearch);
+            planSearch();
         }
     }
 
