Other entries are asked for proof only on a site with teams; names in plain terms

Entries of a site without teams asked three others every 0.4 s while the store was away, for a proof that nothing used. SharedProofTest#withoutTeamsNoOtherEntryIsAsked.

--- a/core/src/main/java/org/quetzalseam/core/access/AllowanceBounds.java
+++ b/core/src/main/java/org/quetzalseam/core/access/AllowanceBounds.java
@@ -18,7 +18,7 @@
     private static final double SAVED_EXCESS = 0.7;
     /** Part of the units beyond the allowance that may accrue in a window. */
     private static final double ACCRUED_EXCESS = 0.5;
-    /** Part of the overshoot that accrues at the most, in place of units that are lent in vain or to an entry that is gone. */
+    /** Part of the overshoot that accrues at the most, in place of loans that expire or never arrive. */
     private static final double ACCRUED_OVERSHOOT = 0.5;
 
     /** Checks that no number is negative. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/access/SharedProof.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/access/SharedProof.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.peer.Peers;
@@ -32,20 +33,23 @@
     private final Timers timers;
     private final Peers peers;
     private final LongSupplier version;
+    private final BooleanSupplier needed;
     private @Nullable KindFreshness own;
-    private long vouchedVersion;
-    private long vouchedAt;
-    private boolean vouched;
+    private long confirmedVersion;
+    private long confirmedAt;
+    private boolean confirmed;
 
     /**
      * Creates a proof that asks nobody before {@link #start}.
      *
      * @param version the version of the desired state in force
+     * @param needed whether there are keys whose revocation matters, so that other entries are asked
      */
-    public SharedProof(Timers timers, Peers peers, LongSupplier version) {
+    public SharedProof(Timers timers, Peers peers, LongSupplier version, BooleanSupplier needed) {
         this.timers = timers;
         this.peers = peers;
         this.version = version;
+        this.needed = needed;
     }
 
     /** Starts to ask other entries whenever the store has not answered for some time. */
@@ -58,10 +62,10 @@
     public long ageMillis() {
         KindFreshness known = own;
         long ownMillis = known == null ? 0 : known.ageMillis();
-        if (!vouched || vouchedVersion != version.getAsLong()) {
+        if (!confirmed || confirmedVersion != version.getAsLong()) {
             return ownMillis;
         }
-        return Math.min(ownMillis, TimeUnit.NANOSECONDS.toMillis(timers.elapsed() - vouchedAt));
+        return Math.min(ownMillis, TimeUnit.NANOSECONDS.toMillis(timers.elapsed() - confirmedAt));
     }
 
     /** Returns what this entry knows from the store itself. */
@@ -72,28 +76,28 @@
 
     private void askIfOld() {
         KindFreshness known = own;
-        if (known == null || known.ageMillis() < ASK_AGE_MILLIS) {
+        if (known == null || !needed.getAsBoolean() || known.ageMillis() < ASK_AGE_MILLIS) {
             return;
         }
         List<String> usable = new ArrayList<>(peers.usable());
         Collections.shuffle(usable);
         long askedAt = timers.elapsed();
         for (String peer : usable.subList(0, Math.min(ASKED_ENTRIES, usable.size()))) {
-            peers.askState(peer, state -> vouch(peer, state, askedAt));
+            peers.askState(peer, state -> confirm(peer, state, askedAt));
         }
     }
 
-    private void vouch(String peer, ProvedState state, long askedAt) {
+    private void confirm(String peer, ProvedState state, long askedAt) {
         if (state.version() != version.getAsLong() || state.ageMillis() > ASK_AGE_MILLIS) {
             return;
         }
         long provedAt = askedAt - TimeUnit.MILLISECONDS.toNanos(state.ageMillis());
-        if (!vouched || vouchedVersion != state.version() || provedAt - vouchedAt > 0) {
-            vouched = true;
-            vouchedVersion = state.version();
-            vouchedAt = provedAt;
+        if (!confirmed || confirmedVersion != state.version() || provedAt - confirmedAt > 0) {
+            confirmed = true;
+            confirmedVersion = state.version();
+            confirmedAt = provedAt;
             logger.atFine().log(
-                    "event=state-vouched peer=%s version=%d age_ms=%d", peer, state.version(), state.ageMillis());
+                    "event=state-confirmed peer=%s version=%d age_ms=%d", peer, state.version(), state.ageMillis());
         }
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/access/TeamAllowance.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/access/TeamAllowance.java
@@ -76,8 +76,8 @@
             admit(request);
             return;
         }
-        boolean waitsInVain = !searching && nextSearchAt - waitsUntil > 0;
-        if (waiting.size() >= MAX_WAITING || waitsInVain) {
+        boolean cannotWait = !searching && nextSearchAt - waitsUntil > 0;
+        if (waiting.size() >= MAX_WAITING || cannotWait) {
             admitOrLimit(request);
             return;
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -69,7 +69,7 @@
         this.context = new RunContext(timers, protocol, directory, settings, metrics);
         this.accessControl = accessControl;
         this.allowances = allowances;
-        this.proof = new SharedProof(timers, peers, this::version);
+        this.proof = new SharedProof(timers, peers, this::version, this::requiresKeys);
         this.earlyRequests = new WaitingRequests(context, this::refuseEarly);
         this.requestsInDoubt = new WaitingRequests(context, this::refuseInDoubt);
         this.keysInDoubt = new WaitingRequests(context, this::refuseKeyInDoubt);
@@ -121,6 +121,11 @@
         return table == null ? 0 : table.version();
     }
 
+    private boolean requiresKeys() {
+        RouteTable table = routes;
+        return table != null && table.access().required();
+    }
+
     /** Starts to share with other entries which requests have crashed endpoints. */
     public void shareCrashes(ObjectStore store) {
         context.directory().onUnplannedEnd(context.crashGuard()::recordEndpointEnded);
--- a/gateway/src/test/java/org/quetzalseam/gateway/access/SharedProofTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/access/SharedProofTest.java
@@ -21,11 +21,12 @@
     private static final long VERSION = 7;
     private static final long OWN_AGE_MILLIS = 60_000;
 
+    private volatile boolean needed = true;
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final Timers timers = new Timers(loop);
     private final Peers peers = new Peers(loop, timers);
-    private final SharedProof proof = new SharedProof(timers, peers, () -> VERSION);
+    private final SharedProof proof = new SharedProof(timers, peers, () -> VERSION, () -> needed);
 
     @AfterEach
     void stop() {
@@ -73,6 +74,12 @@
         assertThat(ageWith(new ProvedState(VERSION, 500))).isBetween(500L, 2_000L);
     }
 
+    @Test
+    void withoutTeamsNoOtherEntryIsAsked() throws InterruptedException {
+        needed = false;
+        assertThat(ageWith(new ProvedState(VERSION, 500))).isEqualTo(OWN_AGE_MILLIS);
+    }
+
     // Guards against a key being accepted that a newer version has taken away.
     @Test
     void theWordOfAnEntryWithAnotherVersionProvesNothing() throws InterruptedException {
