--- a/gateway/src/main/java/org/quetzalseam/gateway/access/AccessControl.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/access/AccessControl.java
@@ -18,6 +18,9 @@
     /** Part of the time for a revocation during which the state may be used unproved; the rest covers late timers and clock drift. */
     private static final double USED_REVOCATION_SHARE = 0.9;
 
+    /** The challenge in the refusal of a request without a key that is in force, as RFC 6750 defines it. */
+    public static final String CHALLENGE = "Bearer";
+
     private long maxAgeMillis;
 
     /** Creates an access control. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -22,6 +22,7 @@
 import org.quetzalseam.core.limits.RetryAllowance;
 import org.quetzalseam.core.routing.RouteRule;
 import org.quetzalseam.core.routing.ServiceRule;
+import org.quetzalseam.gateway.access.AccessControl;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.crash.CrashGuard;
 import org.quetzalseam.gateway.endpoint.Directory;
@@ -323,7 +324,7 @@
     void refuseUnidentified(Exchange exchange, String why) {
         metrics.requestRefused(why);
         HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
+        headers.set(HttpHeaderNames.WWW_AUTHENTICATE, AccessControl.CHALLENGE);
         exchange.answer(HttpResponseStatus.UNAUTHORIZED, why, headers);
     }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/TeamsTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TeamsTest.java
@@ -75,6 +75,27 @@
         assertThat(endpoint.requests()).isEmpty();
     }
 
+    private String askWithTrailer(String credentials, String trailer) {
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.write("POST /once/x HTTP/1.1\r\nHost: h\r\nx-id: r1\r\n" + credentials
+                    + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n" + trailer + "\r\n\r\n");
+            return caller.readAll();
+        }
+    }
+
+    @Test
+    void aKeyInATrailerIsNoCredential() {
+        assertThat(askWithTrailer("", KEY)).startsWith("HTTP/1.1 401");
+        assertThat(endpoint.requests()).isEmpty();
+    }
+
+    @Test
+    void aTeamInATrailerIsNotForwarded() {
+        assertThat(askWithTrailer(KEY + "\r\n", "X-Team: others")).endsWith("served");
+        assertThat(endpoint.requests().get(0).header("x-team")).isEqualTo("dealers");
+        assertThat(endpoint.requests().get(0).toString()).doesNotContain("others");
+    }
+
     @Test
     void aKeyInThePathIsNoCredential() {
         assertThat(entry.ask("/once/x?access_token=k-1", "r1")).startsWith("HTTP/1.1 401");
