An endpoint's build and the attempt that began a stream are read and logged

The registration's version was required and dropped, and Resumes was read nowhere, so no log line could tell whether a caller takes a stream up or at which build it runs. Both are facts of the member and of the request now; log lines endpoint-added, booked, stream-begun and stream-taken-up state them. No decision changes.

--- a/core/src/main/java/org/quetzalseam/core/fleet/Member.java
+++ b/core/src/main/java/org/quetzalseam/core/fleet/Member.java
@@ -1,5 +1,7 @@
 package org.quetzalseam.core.fleet;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * An endpoint as registered with the platform. Immutable.
  *
@@ -12,6 +14,7 @@
  * @param slots number of requests that it runs concurrently
  * @param draining whether it has announced that it shuts down
  * @param stage the part of a generation that it performs
+ * @param build the version of its software, or null if it is not known; what two builds write does not fit together
  */
 public record Member(
         String id,
@@ -22,15 +25,16 @@
         String zone,
         int slots,
         boolean draining,
-        Stage stage) {
+        Stage stage,
+        @Nullable String build) {
     /** Returns the incarnation of the endpoint that this registration describes. */
     public Incarnation incarnation() {
         return new Incarnation(id, startMillis);
     }
 
-    /** Returns the same endpoint after a restart at the given time, in Unix milliseconds. */
+    /** Returns the same endpoint after a restart at the given time, in Unix milliseconds; its build may have changed. */
     public Member restartedAt(long newStartMillis) {
-        return new Member(id, newStartMillis, service, host, port, zone, slots, draining, stage);
+        return new Member(id, newStartMillis, service, host, port, zone, slots, draining, stage, null);
     }
 
     /** Returns the address of the endpoint as {@code host:port}. */
--- a/core/src/test/java/org/quetzalseam/core/fleet/MemberTableTest.java
+++ b/core/src/test/java/org/quetzalseam/core/fleet/MemberTableTest.java
@@ -15,7 +15,7 @@
     }
 
     private static Member member(String id, long startMillis, boolean draining) {
-        return new Member(id, startMillis, "s", "10.0.0.1", 80, "z", 4, draining, Stage.WHOLE);
+        return new Member(id, startMillis, "s", "10.0.0.1", 80, "z", 4, draining, Stage.WHOLE, "v1");
     }
 
     @Test
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -107,8 +107,14 @@
 
     private Endpoint create(Member member) {
         logger.atInfo().log(
-                "event=endpoint-added endpoint=%s service=%s address=%s zone=%s stage=%s leaving=%s",
-                member.id(), member.service(), member.address(), member.zone(), member.stage(), member.draining());
+                "event=endpoint-added endpoint=%s service=%s build=%s address=%s zone=%s stage=%s leaving=%s",
+                member.id(),
+                member.service(),
+                member.build(),
+                member.address(),
+                member.zone(),
+                member.stage(),
+                member.draining());
         Endpoint endpoint = new Endpoint(connector, member, () -> onUnplannedEnd.run());
         endpoint.maxConnections(maxConnections.getOrDefault(member.service(), Integer.MAX_VALUE));
         return endpoint;
--- a/gateway/src/main/java/org/quetzalseam/gateway/protocol/RequestFacts.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/protocol/RequestFacts.java
@@ -10,15 +10,22 @@
  * @param callerTimeoutMillis how long the caller keeps waiting from now, or {@code Long.MAX_VALUE} if it does not state it
  * @param demand the size of a generation, or null if the request is not a generation
  * @param resumesAfter id of the last event that the caller has received, if it resumes a stream, else null
+ * @param begunBy id of the attempt that brought the first event, if the caller resumes a stream and states it, else null
  */
 public record RequestFacts(
         String id,
         long callerTimeoutMillis,
         @Nullable TokenDemand demand,
-        @Nullable String resumesAfter) {
+        @Nullable String resumesAfter,
+        @Nullable String begunBy) {
     /** Estimate for requests that state no size: the same for all of them. */
     private static final double NO_ESTIMATE = 1;
 
+    /** Returns whether the caller takes up a stream of which it has received events. */
+    public boolean takesStreamUp() {
+        return resumesAfter != null || begunBy != null;
+    }
+
     /** Returns the number of tokens of the prompt, 0 if the request is not a generation. */
     public int promptTokens() {
         TokenDemand size = demand;
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -58,6 +58,9 @@
     }
 
     void start() {
+        if (exchange.facts().takesStreamUp()) {
+            log.takenUp();
+        }
         exchange.onCallerDisconnected(this::callerDisconnected);
         exchange.onShutdown(this::entryStopping);
         exchange.onWritable(this::callerWritable);
@@ -191,6 +194,7 @@
             begunAt = context.now();
             mayHaveRun = true;
             outcome.recordAcceptance();
+            log.begun(engine);
             if (!exchange.begun()) {
                 exchange.begin(head);
             }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -28,13 +28,28 @@
         this.version = version;
     }
 
+    /** Logs that the caller takes up a stream that an earlier attempt began. */
+    void takenUp() {
+        logger.atInfo().log(
+                "event=stream-taken-up request=%s begun_by=%s after=%s service=%s",
+                exchange.facts().id(),
+                exchange.facts().begunBy(),
+                exchange.facts().resumesAfter(),
+                service);
+    }
+
+    /** Logs where a stream begins or goes on. */
+    void begun(Endpoint engine) {
+        step("stream-begun", engine, "build=" + engine.member().build());
+    }
+
     void firstEvent() {
         metrics.firstEvent(route.name(), exchange.ageMillis());
     }
 
     void booked(Endpoint engine, int tokens) {
         metrics.bookingWait(route.name(), exchange.ageMillis());
-        step("booked", engine, "tokens=" + tokens);
+        step("booked", engine, "build=" + engine.member().build() + " tokens=" + tokens);
     }
 
     void notBooked(BookingRequest request, int engines, long earlierAttemptsMillis, String why) {
--- a/gateway/src/test/java/org/quetzalseam/gateway/CrashingGenerationTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/CrashingGenerationTest.java
@@ -133,7 +133,8 @@
                         member.zone(),
                         member.slots(),
                         true,
-                        member.stage()));
+                        member.stage(),
+                        member.build()));
                 crashLastEngine();
             });
         }
--- a/gateway/src/test/java/org/quetzalseam/gateway/PlainCallTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/PlainCallTest.java
@@ -219,7 +219,8 @@
                         "a",
                         4,
                         true,
-                        Stage.WHOLE),
+                        Stage.WHOLE,
+                        draining.build()),
                 two.member("s", Stage.WHOLE));
         for (int i = 0; i < 6; i++) {
             assertThat(entry.ask("/once/x", "r" + i)).endsWith("second");
--- a/gateway/src/test/java/org/quetzalseam/gateway/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/ScriptedEndpoint.java
@@ -63,7 +63,12 @@
 
     /** Returns the registration of an incarnation that started at the given time. */
     Member member(String service, Stage stage, long startMillis) {
-        return new Member(id, startMillis, service, "127.0.0.1", server.port(), "a", 4, false, stage);
+        return member(service, stage, startMillis, "v1");
+    }
+
+    /** Returns the registration of an incarnation with a build. */
+    Member member(String service, Stage stage, long startMillis, String build) {
+        return new Member(id, startMillis, service, "127.0.0.1", server.port(), "a", 4, false, stage, build);
     }
 
     @Override
--- a/gateway/src/test/java/org/quetzalseam/gateway/stage/StageControllerTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/StageControllerTest.java
@@ -93,7 +93,7 @@
     }
 
     private static Member engine(String id, long startMillis, RawServer server) {
-        return new Member(id, startMillis, "s", "127.0.0.1", server.port(), "a", 4, false, Stage.DECODE);
+        return new Member(id, startMillis, "s", "127.0.0.1", server.port(), "a", 4, false, Stage.DECODE, "v1");
     }
 
     private void list(long startMillis) throws Exception {
