The rest of a stream runs only at the build that began it, within one response

What callers saw: one answer with events of two builds. A stream is bound to the incarnation and build of the endpoint whose answer's head was forwarded; bookings, prefill in place, the choice without bookings and each further attempt keep to it, and are served before requests that can run anywhere. With no endpoint of that build the stream ends at once: it holds no memory and no place in a queue.

StreamBindingTest, with booked engines, fails with the binding taken out.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.quetzalseam.core.fleet.Member;
 import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.http.Connector;
 
 /**
@@ -161,6 +162,14 @@
         return found;
     }
 
+    /** Returns whether an endpoint that accepts new work may go on with a stream. */
+    public boolean mayGoOn(StreamOrigin origin) {
+        return endpoints.values().stream()
+                .anyMatch(endpoint -> usable(endpoint)
+                        && endpoint.member().stage() != Stage.PREFILL
+                        && origin.allows(endpoint.member()));
+    }
+
     /** Returns all endpoints of a service, including those that are draining. */
     public List<Endpoint> all(String service) {
         return endpoints.values().stream()
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/BookingManager.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/BookingManager.java
@@ -22,8 +22,9 @@
  * Books decode memory at the engines of a service for this entry's generations. Used on the event loop only.
  *
  * <p>The engines' own bookings are the state that all entries share, without messages between the entries: a full engine
- * refuses. Requests that find no room are queued here and retried: first those that can still meet their objective, and
- * among them those with the lowest cost, because every answer is worth about the same and more of the cheap ones fit.
+ * refuses. Requests that find no room are queued here and retried: first streams that can go on at one build only, then
+ * those that can still meet their objective, and among them those with the lowest cost, because every answer is worth about
+ * the same and more of the cheap ones fit.
  */
 final class BookingManager {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -163,7 +164,8 @@
     private void checkQueue() {
         long now = context.now();
         List<BookingRequest> order = new ArrayList<>(waiting);
-        order.sort(Comparator.<BookingRequest, Boolean>comparing(request -> request.isLate(now))
+        order.sort(Comparator.<BookingRequest, Boolean>comparing(request -> !request.goesOn())
+                .thenComparing(request -> request.isLate(now))
                 .thenComparingDouble(BookingRequest::cost));
         for (BookingRequest request : order) {
             if (request.finished()) {
@@ -189,13 +191,15 @@
     }
 
     private void askBestEngine(BookingRequest request, long now) {
-        List<Endpoint> engines =
-                EngineExclusion.withoutExcluded(context.directory().usable(service, Stage.DECODE), now);
-        if (engines.isEmpty()) {
+        List<Endpoint> allowed = context.directory().usable(service, Stage.DECODE).stream()
+                .filter(request::mayRunAt)
+                .toList();
+        if (allowed.isEmpty()) {
             waiting.remove(request);
-            request.refuse("no decode engine");
+            request.refuse(request.goesOn() ? RunContext.NO_ENDPOINT_OF_BUILD : "no decode engine");
             return;
         }
+        List<Endpoint> engines = EngineExclusion.withoutExcluded(allowed, now);
         Optional<Endpoint> best = engines.stream()
                 .filter(candidate -> request.accepts(candidate) && mayHaveRoom(candidate, request, now))
                 .min(Comparator.<Endpoint, Boolean>comparing(
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/BookingRequest.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/BookingRequest.java
@@ -1,6 +1,7 @@
 package org.quetzalseam.gateway.route;
 
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.endpoint.Endpoint;
 
 /** A generation's request for decode memory, queued at a {@link BookingManager}. Used on the event loop only. */
@@ -20,6 +21,7 @@
     private final long inTimeUntil;
     private final long waitUntil;
     private final @Nullable Endpoint requiredEngine;
+    private final @Nullable StreamOrigin origin;
     private final Listener listener;
     private boolean inquiring;
     private int inquiries;
@@ -35,6 +37,7 @@
      * @param waitUntil monotonic time in nanoseconds at which the request is refused
      * @param requiredEngine the only acceptable engine, in which case the request is refused as soon as that engine has no
      *     room; null if any engine is acceptable
+     * @param origin where the stream began if it is to go on, or null if it may run anywhere
      * @param listener receives the result
      */
     BookingRequest(
@@ -44,6 +47,7 @@
             long inTimeUntil,
             long waitUntil,
             @Nullable Endpoint requiredEngine,
+            @Nullable StreamOrigin origin,
             Listener listener) {
         this.tokens = tokens;
         this.room = room;
@@ -51,6 +55,7 @@
         this.inTimeUntil = inTimeUntil;
         this.waitUntil = waitUntil;
         this.requiredEngine = requiredEngine;
+        this.origin = origin;
         this.listener = listener;
     }
 
@@ -79,6 +84,16 @@
         return requiredEngine == null || requiredEngine.equals(engine);
     }
 
+    /** Returns whether the stream may run at an engine. */
+    boolean mayRunAt(Endpoint engine) {
+        return origin == null || origin.allows(engine.member());
+    }
+
+    /** Returns whether the stream may run only at the build that began it. */
+    boolean goesOn() {
+        return origin != null;
+    }
+
     /** Returns whether the request is refused instead of waiting for room. */
     boolean refusedWhenFull() {
         return requiredEngine != null;
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationAdmission.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationAdmission.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.fleet.Stage;
 import org.quetzalseam.core.generation.TokenDemand;
+import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.endpoint.Endpoint;
 
 /**
@@ -33,6 +34,7 @@
     private final FirstEventDeadline deadline;
     private final long earlierAttemptsMillis;
     private final RunLog log;
+    private final @Nullable StreamOrigin origin;
     private final Listener listener;
     private final BookingManager bookings;
     private @Nullable PrefillRequest prefillRequest;
@@ -44,39 +46,44 @@
             FirstEventDeadline deadline,
             long earlierAttemptsMillis,
             RunLog log,
+            @Nullable StreamOrigin origin,
             Listener listener) {
         this.context = context;
         this.service = service;
         this.deadline = deadline;
         this.earlierAttemptsMillis = earlierAttemptsMillis;
         this.log = log;
+        this.origin = origin;
         this.listener = listener;
         this.bookings = context.bookings(service);
     }
 
     void start(TokenDemand demand) {
-        PrefillRequest newRequest = new PrefillRequest(demand.prompt(), deadline, log, new PrefillRequest.Listener() {
-            @Override
-            public void beginPrefill(Optional<Endpoint> prefillEngine) {
-                prefillRequest = null;
-                double firstEventMillis = prefillEngine
-                        .map(engine -> bookings.prefillEngines().firstEventMillis(engine, demand.prompt()))
-                        .orElse(0.0);
-                requestBooking(
-                        demand, Math.round(deadline.remaining().untilObjectiveMillis() - firstEventMillis), null);
-            }
+        PrefillRequest newRequest =
+                new PrefillRequest(demand.prompt(), deadline, log, origin, new PrefillRequest.Listener() {
+                    @Override
+                    public void beginPrefill(Optional<Endpoint> prefillEngine) {
+                        prefillRequest = null;
+                        double firstEventMillis = prefillEngine
+                                .map(engine -> bookings.prefillEngines().firstEventMillis(engine, demand.prompt()))
+                                .orElse(0.0);
+                        requestBooking(
+                                demand,
+                                Math.round(deadline.remaining().untilObjectiveMillis() - firstEventMillis),
+                                null);
+                    }
 
-            @Override
-            public void beginInPlace(Endpoint decodeEngine) {
-                requestBooking(demand, Math.round(deadline.remaining().untilObjectiveMillis()), decodeEngine);
-            }
+                    @Override
+                    public void beginInPlace(Endpoint decodeEngine) {
+                        requestBooking(demand, Math.round(deadline.remaining().untilObjectiveMillis()), decodeEngine);
+                    }
 
-            @Override
-            public void refused() {
-                prefillRequest = null;
-                listener.refused(PrefillRun.NOT_BEGUN_REASON);
-            }
-        });
+                    @Override
+                    public void refused() {
+                        prefillRequest = null;
+                        listener.refused(PrefillRun.NOT_BEGUN_REASON);
+                    }
+                });
         prefillRequest = newRequest;
         bookings.prefillScheduler().submit(newRequest);
     }
@@ -93,6 +100,7 @@
                 now + TimeUnit.MILLISECONDS.toNanos(inTimeMillis),
                 now + TimeUnit.MILLISECONDS.toNanos(waitMillis),
                 requiredEngine,
+                origin,
                 new BookingRequest.Listener() {
                     @Override
                     public void granted(Endpoint engine, String id) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -34,6 +34,7 @@
     private final StreamRelay relay;
     private final GenerationStatistics statistics;
     private final GenerationAttempts attempts;
+    private final StreamBinding binding;
     private final GenerationWork work = new GenerationWork();
     private @Nullable ScheduledCall deadlineTimer;
     private final long earlierAttemptsMillis;
@@ -51,6 +52,7 @@
         this.statistics = new GenerationStatistics(context, exchange, route, bookings, log);
         this.relay = new StreamRelay(exchange, log);
         this.attempts = new GenerationAttempts(context, route, service);
+        this.binding = new StreamBinding(context.directory());
         this.forwarded = new ForwardedRequest(exchange, context.protocol(), route);
         this.earlierAttemptsMillis = context.earlierWaits(route.name())
                 .estimateMillis(exchange.facts().callerTimeoutMillis());
@@ -58,9 +60,6 @@
     }
 
     void start() {
-        if (exchange.facts().takesStreamUp()) {
-            log.takenUp();
-        }
         exchange.onCallerDisconnected(this::callerDisconnected);
         exchange.onShutdown(this::entryStopping);
         exchange.onWritable(this::callerWritable);
@@ -72,6 +71,10 @@
         if (endIfQuarantined()) {
             return;
         }
+        if (!binding.canRun()) {
+            giveUp(RunContext.NO_ENDPOINT_OF_BUILD);
+            return;
+        }
         attempts.recordStarted();
         TokenDemand demand = exchange.facts().demand();
         if (demand == null) {
@@ -83,7 +86,13 @@
 
     private void bookMemory(TokenDemand demand) {
         GenerationAdmission newAdmission = new GenerationAdmission(
-                context, service, deadline, earlierAttemptsMillis, log, new GenerationAdmission.Listener() {
+                context,
+                service,
+                deadline,
+                earlierAttemptsMillis,
+                log,
+                binding.origin(),
+                new GenerationAdmission.Listener() {
                     @Override
                     public void booked(BookedMemory memory) {
                         memoryBooked(memory);
@@ -100,7 +109,7 @@
     }
 
     private void decodeUnbooked() {
-        UnbookedEngine.choose(context, service)
+        UnbookedEngine.choose(context, service, binding.origin())
                 .ifPresentOrElse(engine -> decode(engine, null, null, null), () -> giveUp("no endpoint"));
     }
 
@@ -195,6 +204,7 @@
             mayHaveRun = true;
             outcome.recordAcceptance();
             log.begun(engine);
+            binding.recordBegun(engine);
             if (!exchange.begun()) {
                 exchange.begin(head);
             }
@@ -340,22 +350,15 @@
         }
     }
 
-    /** Records a failure of the engine if the caller has waited for more than twice the objective without a first event. */
-    private void recordMissingFirstEvent() {
-        EndpointCall running = work.decodeCall();
-        BookedMemory booked = held.memory();
-        boolean overdue = exchange.ageMillis() > UNRESPONSIVE_OBJECTIVES * route.targetLatencyMillis();
-        if (running != null
-                && running.active()
-                && booked != null
-                && relay.pace().pieces() == 0
-                && overdue) {
-            booked.engine().health().recordFailure(context.now());
+    private void recordUnresponsiveEngine() {
+        boolean noEvent = relay.pace().pieces() == 0;
+        if (noEvent && exchange.ageMillis() > UNRESPONSIVE_OBJECTIVES * route.targetLatencyMillis()) {
+            work.recordUnresponsive(held.memory(), context.now());
         }
     }
 
     private void deadlinePassed() {
-        recordMissingFirstEvent();
+        recordUnresponsiveEngine();
         endUnfinished("timed-out", HttpResponseStatus.GATEWAY_TIMEOUT, "no answer in time");
     }
 
@@ -383,7 +386,7 @@
     }
 
     private void callerDisconnected() {
-        recordMissingFirstEvent();
+        recordUnresponsiveEngine();
         cancelWork();
         finish("caller-gone", 0);
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationWork.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationWork.java
@@ -41,6 +41,14 @@
         return call != null && call.active() && call.sent();
     }
 
+    /** Records a failure of the engine whose memory is booked, if it has been sent the request and has not ended it. */
+    void recordUnresponsive(@Nullable BookedMemory booked, long now) {
+        EndpointCall call = decodeCall;
+        if (call != null && call.active() && booked != null) {
+            booked.engine().health().recordFailure(now);
+        }
+    }
+
     /** Cancels what is under way. */
     void cancel() {
         GenerationAdmission currentAdmission = admission;
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRequest.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRequest.java
@@ -4,6 +4,7 @@
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.generation.PrefillPlanner;
 import org.quetzalseam.core.generation.PrefillQueue;
+import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.endpoint.Endpoint;
 
 /** A generation's request for the prefill of its prompt, which may have to be queued. Used on the event loop only. */
@@ -23,14 +24,21 @@
     private final int promptTokens;
     private final FirstEventDeadline deadline;
     private final RunLog log;
+    private final @Nullable StreamOrigin origin;
     private final Listener listener;
     private PrefillQueue<PrefillRequest>.@Nullable Position queuePosition;
     private boolean triedInPlace;
 
-    PrefillRequest(int promptTokens, FirstEventDeadline deadline, RunLog log, Listener listener) {
+    PrefillRequest(
+            int promptTokens,
+            FirstEventDeadline deadline,
+            RunLog log,
+            @Nullable StreamOrigin origin,
+            Listener listener) {
         this.promptTokens = promptTokens;
         this.deadline = deadline;
         this.log = log;
+        this.origin = origin;
         this.listener = listener;
     }
 
@@ -38,6 +46,11 @@
         return promptTokens;
     }
 
+    /** Returns whether the stream of the prompt may run at a decode engine. */
+    boolean mayRunAt(Endpoint decodeEngine) {
+        return origin == null || origin.allows(decodeEngine.member());
+    }
+
     PrefillPlanner.Deadline remaining() {
         return deadline.remaining();
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillScheduler.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillScheduler.java
@@ -135,7 +135,9 @@
         long now = context.now();
         double millisPerToken = engines.millisPerToken();
         Optional<Endpoint> engine = inPlace.selectEngine(
-                        context.directory().usable(service, Stage.DECODE),
+                        context.directory().usable(service, Stage.DECODE).stream()
+                                .filter(request::mayRunAt)
+                                .toList(),
                         candidate -> candidate.member().id(),
                         request.promptTokens(),
                         millisPerToken,
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -309,6 +309,9 @@
 
     private void run(Exchange exchange, RouteRule route, String service, RunLog log) {
         if (route.kind() == CallKind.STREAM) {
+            if (exchange.facts().takesStreamUp()) {
+                log.takenUp();
+            }
             new GenerationRun(context, exchange, route, service, log).start();
         } else {
             new ServiceRun(context, exchange, route, service, log).start();
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -42,6 +42,9 @@
     /** Reason given when a request is refused because endpoints crashed while they ran it. */
     static final String QUARANTINED = "endpoints have crashed while they ran this request";
 
+    /** Reason given when a stream is refused because it can go on only at a build that no endpoint has now. */
+    static final String NO_ENDPOINT_OF_BUILD = "no endpoint of the build that began the stream";
+
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final Timers timers;
