A stream that a caller takes up goes on at the build that began it, whichever entry it comes back to

Cause: an entry knew that a stream is taken up and after which event, but not where it began; that was known to the entry that had forwarded the first event, if it still ran.

Change: the entry that forwards the head of a stream's answer records service, incarnation and build under the attempt's id, and two other entries, chosen by rendezvous hashing of the id, keep a copy; another entry takes the place of one that does not answer. An entry at which a stream is taken up looks in its own record, asks the four likeliest entries, then the others. A stopping entry hands its records over. Without a record the stream goes on only if one build has served the service for as long as a stream lasts, by a list that is proved as recent as the request, and the process knows all that time; else it is refused with Retry-After. Two builds under one id allow none. The service of the record is kept too: a split route drew a new one for the rest of a stream.

--- a/core/src/main/java/org/quetzalseam/core/routing/RouteRule.java
+++ b/core/src/main/java/org/quetzalseam/core/routing/RouteRule.java
@@ -48,6 +48,20 @@
         return kind == CallKind.IDEMPOTENT || (kind == CallKind.STREAM && resumable);
     }
 
+    /** Returns the services that receive requests of the route. */
+    public List<String> services() {
+        return shares.stream()
+                .filter(share -> share.weight() > 0)
+                .map(ServiceShare::service)
+                .distinct()
+                .toList();
+    }
+
+    /** Returns whether a service receives requests of the route. */
+    public boolean leadsTo(String service) {
+        return services().contains(service);
+    }
+
     /** Returns the service for a request, given a uniformly distributed random number from 0 to 1. */
     public String serviceFor(double draw) {
         double total = shares.stream().mapToDouble(ServiceShare::weight).sum();
--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -72,7 +72,7 @@
         accessControl = new AccessControl(accessSettings);
         allowances = new TeamAllowances(timers, peers, accessSettings.bounds());
         router = new RequestRouter(timers, protocol, directory, settings, metrics, accessControl, allowances, peers);
-        peerServer = new PeerServer(loop, allowances, router::provedState);
+        peerServer = new PeerServer(loop, allowances, router::provedState, router.origins());
         callerServer = new CallerServer(loop, protocol, router::limits, router::route);
         operatorServer = new OperatorServer(loop, () -> router.ready() && !draining);
     }
@@ -119,6 +119,7 @@
         metrics.gauge("quetzalseam.desired.state.version", router::version);
         metrics.gauge("quetzalseam.memory.used.bytes", EntryProcess::memoryUsed);
         metrics.gauge("quetzalseam.loop.delay.ms", () -> loopDelayMillis);
+        metrics.gauge("quetzalseam.streams.recorded", router.origins()::size);
         timers.every(LOOP_DELAY_INTERVAL_MILLIS, this::measureLoopDelay);
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.quetzalseam.core.fleet.Member;
 import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.core.stream.BuildHistory;
 import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.http.Connector;
 
@@ -27,6 +28,7 @@
     private final Connector connector;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     private final Map<String, Integer> maxConnections = new HashMap<>();
+    private final BuildHistory buildHistory = new BuildHistory();
     private Runnable onUnplannedEnd = () -> {};
     private boolean loaded;
 
@@ -40,6 +42,11 @@
         onUnplannedEnd = call;
     }
 
+    /** Returns the builds that have served lately. */
+    public BuildHistory buildHistory() {
+        return buildHistory;
+    }
+
     /** Returns whether the endpoints have been listed since the start of the process. */
     public boolean loaded() {
         return loaded;
@@ -48,6 +55,7 @@
     /** Updates the directory to the given registrations and removes all endpoints that are not among them. */
     public void update(Collection<Member> members) {
         loaded = true;
+        buildHistory.update(members, System.nanoTime());
         Set<String> listed = new HashSet<>();
         for (Member member : members) {
             listed.add(member.id());
@@ -170,6 +178,17 @@
                         && origin.allows(endpoint.member()));
     }
 
+    /** Returns the builds of a service's endpoints that accept new work, sorted. */
+    public List<String> builds(String service) {
+        return endpoints.values().stream()
+                .filter(endpoint ->
+                        usable(endpoint) && endpoint.member().service().equals(service))
+                .map(endpoint -> String.valueOf(endpoint.member().build()))
+                .distinct()
+                .sorted()
+                .toList();
+    }
+
     /** Returns all endpoints of a service, including those that are draining. */
     public List<Endpoint> all(String service) {
         return endpoints.values().stream()
--- a/gateway/src/main/java/org/quetzalseam/gateway/operator/GatewayMetrics.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/operator/GatewayMetrics.java
@@ -129,6 +129,11 @@
         count("quetzalseam.keys.rejected", "entry", "all", "reason", reason);
     }
 
+    /** Counts a stream that a caller took up, by whether and why it may go on. */
+    public void streamTakenUp(String route, String outcome) {
+        count("quetzalseam.streams.taken.up", "route", route, "outcome", outcome);
+    }
+
     /** Counts a retry, by whether the retry budget allowed it. */
     public void retry(String service, boolean allowed) {
         count("quetzalseam.retries", "service", service, "allowed", Boolean.toString(allowed));
--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerCodec.java
@@ -11,17 +11,20 @@
 import io.netty.handler.codec.MessageToMessageDecoder;
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.quetzalseam.core.fleet.Incarnation;
+import org.quetzalseam.core.stream.StreamOrigin;
 
 /**
  * Encodes messages between entries as MessagePack arrays, each after its length in two bytes: the type, the number of the question
  * and the rest of the message's components.
  */
 final class PeerCodec {
-    /** Longest message, in bytes; the only long component is a team's name. */
+    /** Longest message, in bytes; the only long components are names and a caller's id of an attempt. */
     private static final int MAX_FRAME_BYTES = 4_096;
 
     private static final int LENGTH_BYTES = 2;
@@ -29,6 +32,11 @@
     private static final int GRANT = 2;
     private static final int ASK_STATE = 3;
     private static final int STATE = 4;
+    private static final int KEEP_ORIGIN = 5;
+    private static final int ORIGIN_KEPT = 6;
+    private static final int ASK_ORIGIN = 7;
+    private static final int ORIGIN = 8;
+    private static final int NO_ORIGIN = 9;
 
     private PeerCodec() {}
 
@@ -54,6 +62,20 @@
                 } else if (type == STATE && components == 4) {
                     long version = notNegative(unpacker.unpackLong());
                     out.add(new PeerMessage.State(id, version, notNegative(unpacker.unpackLong())));
+                } else if (type == KEEP_ORIGIN && components == 8) {
+                    String attempt = unpacker.unpackString();
+                    StreamOrigin origin = origin(unpacker);
+                    out.add(new PeerMessage.KeepOrigin(id, attempt, origin, notNegative(unpacker.unpackLong())));
+                } else if (type == ORIGIN_KEPT && components == 2) {
+                    out.add(new PeerMessage.OriginKept(id));
+                } else if (type == ASK_ORIGIN && components == 3) {
+                    out.add(new PeerMessage.AskOrigin(id, unpacker.unpackString()));
+                } else if (type == ORIGIN && components == 7) {
+                    StreamOrigin origin = origin(unpacker);
+                    PeerOrigin known = new PeerOrigin(origin, notNegative(unpacker.unpackLong()));
+                    out.add(new PeerMessage.Origin(id, Optional.of(known)));
+                } else if (type == NO_ORIGIN && components == 2) {
+                    out.add(new PeerMessage.Origin(id, Optional.empty()));
                 } else {
                     throw new CorruptedFrameException(
                             "expected a known type and its components, got type " + type + " with " + components);
@@ -63,6 +85,13 @@
             }
         }
 
+        private static StreamOrigin origin(MessageUnpacker unpacker) throws IOException {
+            String service = unpacker.unpackString();
+            Incarnation endpoint = new Incarnation(unpacker.unpackString(), unpacker.unpackLong());
+            String build = unpacker.unpackString();
+            return new StreamOrigin(service, endpoint, build.isEmpty() ? null : build);
+        }
+
         private static long notNegative(long number) {
             if (number < 0) {
                 throw new CorruptedFrameException("expected 0 or more, got " + number);
@@ -90,9 +119,38 @@
                 } else if (message instanceof PeerMessage.State state) {
                     packer.packArrayHeader(4).packInt(STATE).packLong(state.id());
                     packer.packLong(state.version()).packLong(state.ageMillis());
+                } else {
+                    encodeOrigins(message, packer);
                 }
             }
             out.setShort(start, out.writerIndex() - start - LENGTH_BYTES);
         }
+
+        private static void encodeOrigins(PeerMessage message, MessagePacker packer) throws IOException {
+            if (message instanceof PeerMessage.KeepOrigin keep) {
+                packer.packArrayHeader(8).packInt(KEEP_ORIGIN).packLong(keep.id());
+                packer.packString(keep.attempt());
+                pack(keep.origin(), packer).packLong(keep.keepMillis());
+            } else if (message instanceof PeerMessage.OriginKept kept) {
+                packer.packArrayHeader(2).packInt(ORIGIN_KEPT).packLong(kept.id());
+            } else if (message instanceof PeerMessage.AskOrigin ask) {
+                packer.packArrayHeader(3).packInt(ASK_ORIGIN).packLong(ask.id()).packString(ask.attempt());
+            } else if (message instanceof PeerMessage.Origin answer
+                    && answer.known().isPresent()) {
+                PeerOrigin known = answer.known().get();
+                packer.packArrayHeader(7).packInt(ORIGIN).packLong(answer.id());
+                pack(known.origin(), packer).packLong(known.ageMillis());
+            } else {
+                packer.packArrayHeader(2).packInt(NO_ORIGIN).packLong(message.id());
+            }
+        }
+
+        private static MessagePacker pack(StreamOrigin origin, MessagePacker packer) throws IOException {
+            String build = origin.build();
+            return packer.packString(origin.service())
+                    .packString(origin.endpoint().id())
+                    .packLong(origin.endpoint().startMillis())
+                    .packString(build == null ? "" : build);
+        }
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerLink.java
@@ -18,6 +18,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.runtime.ScheduledCall;
 import org.quetzalseam.gateway.runtime.Timers;
 
@@ -77,6 +78,23 @@
         });
     }
 
+    /** Asks the entry to keep a record; {@code answered} receives whether it does. */
+    void keepOrigin(String attempt, StreamOrigin origin, long keepMillis, Consumer<Boolean> answered) {
+        ask(
+                new PeerMessage.KeepOrigin(nextId++, attempt, origin, keepMillis),
+                answer -> answered.accept(answer.orElse(null) instanceof PeerMessage.OriginKept));
+    }
+
+    /** Asks where a stream began. */
+    void askOrigin(String attempt, Consumer<OriginAnswer> answered) {
+        ask(
+                new PeerMessage.AskOrigin(nextId++, attempt),
+                answer -> answered.accept(
+                        answer.orElse(null) instanceof PeerMessage.Origin origin
+                                ? new OriginAnswer(origin.known(), false)
+                                : OriginAnswer.SILENT));
+    }
+
     private void ask(PeerMessage ask, Consumer<Optional<PeerMessage>> answered) {
         ScheduledCall timeout = timers.after(ANSWER_TIMEOUT_MILLIS, () -> timedOut(ask.id()));
         pending.put(ask.id(), new PendingAsk(ask, answered, timeout));
--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerMessage.java
@@ -1,7 +1,18 @@
 package org.quetzalseam.gateway.peer;
 
+import java.util.Optional;
+import org.quetzalseam.core.stream.StreamOrigin;
+
 /** A message between two entries. */
-sealed interface PeerMessage permits PeerMessage.Ask, PeerMessage.Grant, PeerMessage.AskState, PeerMessage.State {
+sealed interface PeerMessage
+        permits PeerMessage.Ask,
+                PeerMessage.Grant,
+                PeerMessage.AskState,
+                PeerMessage.State,
+                PeerMessage.KeepOrigin,
+                PeerMessage.OriginKept,
+                PeerMessage.AskOrigin,
+                PeerMessage.Origin {
     /** Returns the number that the asking entry gave the question. */
     long id();
 
@@ -37,4 +48,37 @@
      * @param ageMillis how long ago, at the most, the store had no newer one, in milliseconds
      */
     record State(long id, long version, long ageMillis) implements PeerMessage {}
+
+    /**
+     * Asks to keep a record of where a stream began. Immutable.
+     *
+     * @param id number of the question
+     * @param attempt id of the caller's attempt that began the stream
+     * @param origin where it began
+     * @param keepMillis how long its caller may return, in milliseconds
+     */
+    record KeepOrigin(long id, String attempt, StreamOrigin origin, long keepMillis) implements PeerMessage {}
+
+    /**
+     * Confirms that a record is kept. Immutable.
+     *
+     * @param id number of the question
+     */
+    record OriginKept(long id) implements PeerMessage {}
+
+    /**
+     * Asks where a stream began. Immutable.
+     *
+     * @param id number of the question
+     * @param attempt id of the caller's attempt that began the stream
+     */
+    record AskOrigin(long id, String attempt) implements PeerMessage {}
+
+    /**
+     * States where a stream began. Immutable.
+     *
+     * @param id number of the question
+     * @param known what the answering entry knows, or empty
+     */
+    record Origin(long id, Optional<PeerOrigin> known) implements PeerMessage {}
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerServer.java
@@ -20,6 +20,7 @@
     private final EventLoop loop;
     private final Lender lender;
     private final Supplier<ProvedState> desiredState;
+    private final OriginKeeper origins;
 
     /** Gives units of allowances away. */
     public interface Lender {
@@ -33,11 +34,13 @@
      * @param loop the event loop that everything runs on
      * @param lender gives units away to entries that ask for these
      * @param desiredState states what this entry itself knows of the desired state from the store
+     * @param origins keeps records of where streams began
      */
-    public PeerServer(EventLoop loop, Lender lender, Supplier<ProvedState> desiredState) {
+    public PeerServer(EventLoop loop, Lender lender, Supplier<ProvedState> desiredState, OriginKeeper origins) {
         this.loop = loop;
         this.lender = lender;
         this.desiredState = desiredState;
+        this.origins = origins;
     }
 
     /** Starts to listen on an address. Blocks until the socket is bound, and returns the address with the port in use. */
@@ -68,6 +71,11 @@
             } else if (message instanceof PeerMessage.AskState ask) {
                 ProvedState known = desiredState.get();
                 ctx.writeAndFlush(new PeerMessage.State(ask.id(), known.version(), Math.max(0, known.ageMillis())));
+            } else if (message instanceof PeerMessage.KeepOrigin keep) {
+                origins.keep(keep.attempt(), keep.origin(), keep.keepMillis());
+                ctx.writeAndFlush(new PeerMessage.OriginKept(keep.id()));
+            } else if (message instanceof PeerMessage.AskOrigin ask) {
+                ctx.writeAndFlush(new PeerMessage.Origin(ask.id(), origins.known(ask.attempt())));
             }
         }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/Peers.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/Peers.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.runtime.Timers;
 
 /** The other entries of the site, as far as this one knows their addresses. Used on the event loop only. */
@@ -33,6 +34,11 @@
         addresses.forEach((name, address) -> links.computeIfAbsent(name, added -> new PeerLink(loop, timers, address)));
     }
 
+    /** Returns the names of all other entries that are known. */
+    public List<String> names() {
+        return List.copyOf(links.keySet());
+    }
+
     /** Returns the names of the entries that are worth asking. */
     public List<String> usable() {
         return links.entrySet().stream()
@@ -58,4 +64,25 @@
             link.askState(answered);
         }
     }
+
+    /** Asks an entry to keep a record of where a stream began; {@code answered} receives whether it does. */
+    public void keepOrigin(
+            String peer, String attempt, StreamOrigin origin, long keepMillis, Consumer<Boolean> answered) {
+        PeerLink link = links.get(peer);
+        if (link == null) {
+            answered.accept(false);
+        } else {
+            link.keepOrigin(attempt, origin, keepMillis, answered);
+        }
+    }
+
+    /** Asks an entry where a stream began. */
+    public void askOrigin(String peer, String attempt, Consumer<OriginAnswer> answered) {
+        PeerLink link = links.get(peer);
+        if (link == null) {
+            answered.accept(OriginAnswer.SILENT);
+        } else {
+            link.askOrigin(attempt, answered);
+        }
+    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -41,7 +41,8 @@
     private boolean mayHaveRun;
     private boolean finished;
 
-    GenerationRun(RunContext context, Exchange exchange, RouteRule route, String service, RunLog log) {
+    GenerationRun(
+            RunContext context, Exchange exchange, RouteRule route, String service, StreamBinding binding, RunLog log) {
         this.context = context;
         this.exchange = exchange;
         this.route = route;
@@ -52,7 +53,7 @@
         this.statistics = new GenerationStatistics(context, exchange, route, bookings, log);
         this.relay = new StreamRelay(exchange, log);
         this.attempts = new GenerationAttempts(context, route, service);
-        this.binding = new StreamBinding(context.directory());
+        this.binding = binding;
         this.forwarded = new ForwardedRequest(exchange, context.protocol(), route);
         this.earlierAttemptsMillis = context.earlierWaits(route.name())
                 .estimateMillis(exchange.facts().callerTimeoutMillis());
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -14,6 +14,7 @@
 import org.quetzalseam.core.routing.CallerLimits;
 import org.quetzalseam.core.routing.RouteRule;
 import org.quetzalseam.core.routing.RouteTable;
+import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.access.AccessControl;
 import org.quetzalseam.gateway.access.AccessDecision;
 import org.quetzalseam.gateway.access.SharedProof;
@@ -28,6 +29,7 @@
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.KindFreshness;
 import org.quetzalseam.gateway.store.ObjectStore;
+import org.quetzalseam.gateway.stream.SharedOrigins;
 
 /** Finds the route of each request and starts its run. Used on the event loop only. */
 public final class RequestRouter {
@@ -50,6 +52,8 @@
     private final AccessControl accessControl;
     private final TeamAllowances allowances;
     private final SharedProof proof;
+    private final SharedOrigins origins;
+    private final TakenUpStreams takenUpStreams;
     private final WaitingRequests earlyRequests;
     private final WaitingRequests requestsInDoubt;
     private final WaitingRequests keysInDoubt;
@@ -67,6 +71,8 @@
             TeamAllowances allowances,
             Peers peers) {
         this.context = new RunContext(timers, protocol, directory, settings, metrics);
+        this.origins = new SharedOrigins(timers, peers);
+        this.takenUpStreams = new TakenUpStreams(context, origins, directory.buildHistory());
         this.accessControl = accessControl;
         this.allowances = allowances;
         this.proof = new SharedProof(timers, peers, this::version, this::requiresKeys);
@@ -100,6 +106,16 @@
         proof.start(desiredState);
     }
 
+    /** Returns where streams began, as this entry and the others know it. */
+    public SharedOrigins origins() {
+        return origins;
+    }
+
+    /** Sets the source that states how current the known endpoints are. */
+    public void endpointKnowledge(KindFreshness endpoints) {
+        takenUpStreams.knowledge(endpoints);
+    }
+
     /** Applies settings that were read again. */
     public void update(EntrySettings settings) {
         context.settings(settings);
@@ -149,6 +165,7 @@
     /** Starts draining: from now on accepts only requests that can end within the grace period. */
     public void startDraining(GracePeriod period) {
         context.startDraining(period);
+        origins.handOver();
         earlyRequests.refuseAll();
         requestsInDoubt.refuseAll();
         keysInDoubt.refuseAll();
@@ -298,21 +315,33 @@
     }
 
     private void startAdmitted(Exchange exchange, RouteRule route, long version) {
-        String service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
+        if (route.kind() == CallKind.STREAM && exchange.facts().takesStreamUp()) {
+            takenUpStreams.locate(
+                    exchange, route, origin -> startAt(exchange, route, origin.service(), origin, version));
+        } else {
+            startAt(
+                    exchange,
+                    route,
+                    route.serviceFor(ThreadLocalRandom.current().nextDouble()),
+                    null,
+                    version);
+        }
+    }
+
+    private void startAt(
+            Exchange exchange, RouteRule route, String service, @Nullable StreamOrigin origin, long version) {
         context.retries(service).recordRequest(context.now());
         RunLog log = new RunLog(context.metrics(), exchange, route, service, version);
-        context.crashGuard().admit(exchange, () -> run(exchange, route, service, log), () -> {
+        context.crashGuard().admit(exchange, () -> run(exchange, route, service, origin, log), () -> {
             log.ended("refused", HttpResponseStatus.SERVICE_UNAVAILABLE.code(), 0);
             context.refuseQuarantined(exchange);
         });
     }
 
-    private void run(Exchange exchange, RouteRule route, String service, RunLog log) {
+    private void run(Exchange exchange, RouteRule route, String service, @Nullable StreamOrigin origin, RunLog log) {
         if (route.kind() == CallKind.STREAM) {
-            if (exchange.facts().takesStreamUp()) {
-                log.takenUp();
-            }
-            new GenerationRun(context, exchange, route, service, log).start();
+            StreamBinding binding = new StreamBinding(context.directory(), origins, exchange, route, origin);
+            new GenerationRun(context, exchange, route, service, binding, log).start();
         } else {
             new ServiceRun(context, exchange, route, service, log).start();
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -28,16 +28,6 @@
         this.version = version;
     }
 
-    /** Logs that the caller takes up a stream that an earlier attempt began. */
-    void takenUp() {
-        logger.atInfo().log(
-                "event=stream-taken-up request=%s begun_by=%s after=%s service=%s",
-                exchange.facts().id(),
-                exchange.facts().begunBy(),
-                exchange.facts().resumesAfter(),
-                service);
-    }
-
     /** Logs where a stream begins or goes on. */
     void begun(Endpoint engine) {
         step("stream-begun", engine, "build=" + engine.member().build());
--- /dev/null
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/TakenUpStreams.java
@@ -0,0 +1,137 @@
+package org.quetzalseam.gateway.route;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.routing.RouteRule;
+import org.quetzalseam.core.stream.BuildHistory;
+import org.quetzalseam.core.stream.StreamOrigin;
+import org.quetzalseam.gateway.caller.Exchange;
+import org.quetzalseam.gateway.store.KindFreshness;
+import org.quetzalseam.gateway.stream.OriginFinding;
+import org.quetzalseam.gateway.stream.SharedOrigins;
+
+/**
+ * Decides where streams go on that callers take up. A stream goes on at the service and build that began it, as the entries' records
+ * state. Without a record, it goes on only if one build has served the service for as long as a stream may last, by a list of
+ * the endpoints that is proved to be as recent as the request; else the caller is refused and may begin anew. Used on the event loop
+ * only.
+ */
+final class TakenUpStreams {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Reason given when no entry knows where a stream began. */
+    private static final String NO_RECORD = "it isn't known now which build began the stream";
+    /** Reason given when the route no longer leads to the service that began a stream. */
+    private static final String OTHER_SERVICE = "the route no longer leads to the service that began the stream";
+    /** Retry-after time of these refusals, in milliseconds: by then an entry that did not answer may do so. */
+    private static final long RETRY_AFTER_MILLIS = 500;
+    /** Shortest time for which builds are remembered, in milliseconds. */
+    private static final long MIN_WINDOW_MILLIS = 10_000;
+    /** Multiple of a route's timeout in that time: a stream may break off at its end and be taken up for as long again. */
+    private static final long WINDOW_TIMEOUTS = 2;
+
+    private final RunContext context;
+    private final SharedOrigins origins;
+    private final BuildHistory builds;
+    private @Nullable KindFreshness endpoints;
+
+    TakenUpStreams(RunContext context, SharedOrigins origins, BuildHistory builds) {
+        this.context = context;
+        this.origins = origins;
+        this.builds = builds;
+    }
+
+    /** Sets the source that states how current the known endpoints are. */
+    void knowledge(KindFreshness knownEndpoints) {
+        endpoints = knownEndpoints;
+    }
+
+    /** Calls {@code goOn} with where the stream may go on, or refuses the request. */
+    void locate(Exchange exchange, RouteRule route, Consumer<StreamOrigin> goOn) {
+        String begunBy = exchange.facts().begunBy();
+        if (begunBy == null) {
+            locateWithoutRecord(exchange, route, OriginFinding.NOT_ASKED, goOn);
+            return;
+        }
+        origins.find(begunBy, finding -> {
+            if (!exchange.ended()) {
+                located(exchange, route, finding, goOn);
+            }
+        });
+    }
+
+    private void located(Exchange exchange, RouteRule route, OriginFinding finding, Consumer<StreamOrigin> goOn) {
+        Optional<StreamOrigin> origin = finding.origin();
+        if (origin.isEmpty()) {
+            locateWithoutRecord(exchange, route, finding, goOn);
+        } else if (route.leadsTo(origin.get().service())) {
+            goOn(exchange, route, "record", finding, origin.get(), goOn);
+        } else {
+            refuse(exchange, route, OTHER_SERVICE, finding);
+        }
+    }
+
+    private void locateWithoutRecord(
+            Exchange exchange, RouteRule route, OriginFinding finding, Consumer<StreamOrigin> goOn) {
+        KindFreshness known = endpoints;
+        List<String> services = route.services();
+        if (known == null || services.size() != 1) {
+            refuse(exchange, route, NO_RECORD, finding);
+            return;
+        }
+        known.refresh(() -> {
+            if (exchange.ended()) {
+                return;
+            }
+            Optional<String> only = known.ageMillis() <= exchange.ageMillis()
+                    ? builds.onlyBuild(services.get(0), windowNanos(route), context.now())
+                    : Optional.empty();
+            only.ifPresentOrElse(
+                    build -> goOn(
+                            exchange, route, "only-build", finding, StreamOrigin.atBuild(services.get(0), build), goOn),
+                    () -> refuse(exchange, route, NO_RECORD, finding));
+        });
+    }
+
+    private static long windowNanos(RouteRule route) {
+        return TimeUnit.MILLISECONDS.toNanos(Math.max(MIN_WINDOW_MILLIS, WINDOW_TIMEOUTS * route.timeoutMillis()));
+    }
+
+    private void goOn(
+            Exchange exchange,
+            RouteRule route,
+            String by,
+            OriginFinding finding,
+            StreamOrigin origin,
+            Consumer<StreamOrigin> goOn) {
+        log(exchange, route, by, finding);
+        goOn.accept(origin);
+    }
+
+    private void refuse(Exchange exchange, RouteRule route, String why, OriginFinding finding) {
+        log(exchange, route, "refused", finding);
+        context.refuse(exchange, why, RETRY_AFTER_MILLIS);
+    }
+
+    private void log(Exchange exchange, RouteRule route, String outcome, OriginFinding finding) {
+        context.metrics().streamTakenUp(route.name(), outcome);
+        KindFreshness known = endpoints;
+        logger.atInfo().log(
+                "event=stream-taken-up request=%s begun_by=%s after=%s route=%s outcome=%s %s builds=%s"
+                        + " list_age_ms=%d age_ms=%d",
+                exchange.facts().id(),
+                exchange.facts().begunBy(),
+                exchange.facts().resumesAfter(),
+                route.name(),
+                outcome,
+                finding.describe(),
+                route.services().stream()
+                        .flatMap(service -> context.directory().builds(service).stream())
+                        .toList(),
+                known == null ? 0 : known.ageMillis(),
+                exchange.ageMillis());
+    }
+}
--- a/gateway/src/test/java/org/quetzalseam/gateway/access/SharedProofTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/access/SharedProofTest.java
@@ -16,6 +16,7 @@
 import org.quetzalseam.gateway.peer.ProvedState;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.KindFreshness;
+import org.quetzalseam.gateway.stream.SharedOrigins;
 
 class SharedProofTest {
     private static final long VERSION = 7;
@@ -58,7 +59,8 @@
 
     /** Returns the age of the proof after another entry, which states the given knowledge, could be asked. */
     private long ageWith(ProvedState stated) throws InterruptedException {
-        InetSocketAddress address = new PeerServer(loop, (team, units) -> 0, () -> stated)
+        InetSocketAddress address = new PeerServer(
+                        loop, (team, units) -> 0, () -> stated, new SharedOrigins(timers, peers))
                 .start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         loop.submit(() -> {
                     peers.update(Map.of("other", address));
--- a/gateway/src/test/java/org/quetzalseam/gateway/peer/PeersTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/peer/PeersTest.java
@@ -10,12 +10,16 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.fleet.Incarnation;
+import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.runtime.Timers;
 
 class PeersTest {
@@ -26,6 +30,19 @@
     private final Peers peers = new Peers(loop, new Timers(loop));
     private final AtomicLong stock = new AtomicLong(100);
 
+    private final Map<String, StreamOrigin> kept = new HashMap<>();
+    private final OriginKeeper keeper = new OriginKeeper() {
+        @Override
+        public void keep(String attempt, StreamOrigin origin, long keepMillis) {
+            kept.put(attempt, origin);
+        }
+
+        @Override
+        public Optional<PeerOrigin> known(String attempt) {
+            return Optional.ofNullable(kept.get(attempt)).map(origin -> new PeerOrigin(origin, 3));
+        }
+    };
+
     @AfterEach
     void stop() {
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
@@ -39,7 +56,8 @@
                             stock.addAndGet(-lent);
                             return team.equals("dealers") ? lent : 0;
                         },
-                        () -> new ProvedState(7, 40))
+                        () -> new ProvedState(7, 40),
+                        keeper)
                 .start(ANY);
     }
 
@@ -70,6 +88,36 @@
         assertThat(stated.join()).isEqualTo(new ProvedState(7, 40));
     }
 
+    @Test
+    void anEntryKeepsAndStatesWhereAStreamBegan() {
+        know(lender());
+        StreamOrigin origin = new StreamOrigin("s", new Incarnation("i-1", 5), "v1");
+        StreamOrigin ofUnknownBuild = new StreamOrigin("s", new Incarnation("i-2", 0), null);
+        assertThat(keep("a", origin)).isTrue();
+        assertThat(keep("b", ofUnknownBuild)).isTrue();
+        assertThat(origin("a").origin()).contains(new PeerOrigin(origin, 3));
+        assertThat(origin("b").origin()).contains(new PeerOrigin(ofUnknownBuild, 3));
+        assertThat(origin("c")).isEqualTo(new OriginAnswer(Optional.empty(), false));
+    }
+
+    @Test
+    void anEntryThatIsNotKnownIsSilent() {
+        assertThat(keep("a", StreamOrigin.atBuild("s", "v1"))).isFalse();
+        assertThat(origin("a").silent()).isTrue();
+    }
+
+    private boolean keep(String attempt, StreamOrigin origin) {
+        CompletableFuture<Boolean> answered = new CompletableFuture<>();
+        loop.execute(() -> peers.keepOrigin("other", attempt, origin, 1_000, answered::complete));
+        return answered.join();
+    }
+
+    private OriginAnswer origin(String attempt) {
+        CompletableFuture<OriginAnswer> answered = new CompletableFuture<>();
+        loop.execute(() -> peers.askOrigin("other", attempt, answered::complete));
+        return answered.join();
+    }
+
     // Guards against a request waiting for an entry whose machine is gone or has fallen silent.
     @Test
     void anEntryThatIsSilentOrGoneLendsNothingAndIsNotAskedForAWhile() throws IOException {
