A stream goes on though its caller does not name the attempt that began it, while one build is seen

Older callers send Last-Event-Id alone. They go on as long as the entry has seen no second build; with two they are refused, as no record can be found for them.

--- a/core/src/main/java/org/quetzalseam/core/stream/BuildHistory.java
+++ b/core/src/main/java/org/quetzalseam/core/stream/BuildHistory.java
@@ -57,13 +57,23 @@
         if (!completeFromStart && now - completeSince < window) {
             return Optional.empty();
         }
-        present.forEach(listed -> stamp(listed, now));
+        Set<String> builds = listed(service, window, now);
+        return builds.size() == 1 && !builds.contains(UNKNOWN_BUILD)
+                ? Optional.of(builds.iterator().next())
+                : Optional.empty();
+    }
+
+    /** Returns the builds that this process has seen to serve a service in the given time, in nanoseconds; there may be others. */
+    public Set<String> builds(String service, long window, long now) {
+        Set<String> builds = new HashSet<>(listed(service, window, now));
+        builds.remove(UNKNOWN_BUILD);
+        return builds;
+    }
+
+    private Set<String> listed(String service, long window, long now) {
+        present.forEach(there -> stamp(there, now));
         Map<String, Long> builds = lastListed.getOrDefault(service, new HashMap<>());
         builds.values().removeIf(at -> now - at > window);
-        return builds.size() == 1
-                ? builds.keySet().stream()
-                        .filter(build -> !build.equals(UNKNOWN_BUILD))
-                        .findFirst()
-                : Optional.empty();
+        return builds.keySet();
     }
 }
--- a/core/src/test/java/org/quetzalseam/core/stream/BuildHistoryTest.java
+++ b/core/src/test/java/org/quetzalseam/core/stream/BuildHistoryTest.java
@@ -54,6 +54,15 @@
         assertThat(history.onlyBuild("s", WINDOW, 1_100)).contains("v1");
     }
 
+    @Test
+    void theBuildsSeenAreStatedThoughNotAllTheTimeIsKnown() {
+        history.recordList(0, false);
+        history.update(List.of(member("v1"), member("v2"), member(null)), 0);
+        history.update(List.of(member("v2")), 50);
+        assertThat(history.builds("s", WINDOW, 60)).containsExactlyInAnyOrder("v1", "v2");
+        assertThat(history.builds("s", WINDOW, 151)).containsExactly("v2");
+    }
+
     @Test
     void anUnknownBuildIsNotTheOnlyOne() {
         history.recordList(0, true);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/TakenUpStreams.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/TakenUpStreams.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -17,13 +18,17 @@
 /**
  * Decides where streams go on that callers take up. A stream goes on at the service and build that began it, as the entries' records
  * state. Without a record, it goes on only if one build has served the service for as long as a stream may last, by a list of
- * the endpoints that is proved to be as recent as the request; else the caller is refused and may begin anew. Used on the event loop
- * only.
+ * the endpoints that is proved to be as recent as the request; else the caller is refused and may begin anew.
+ *
+ * <p>Older callers do not name the attempt that began their stream, so that no record can be found. They go on as long as this entry
+ * has seen no second build. Used on the event loop only.
  */
 final class TakenUpStreams {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Reason given when no entry knows where a stream began. */
     private static final String NO_RECORD = "it isn't known now which build began the stream";
+    /** Reason given when a caller does not name the attempt that began its stream, and there are several builds. */
+    private static final String NOT_NAMED = "the request does not name the attempt that began the stream";
     /** Reason given when the route no longer leads to the service that began a stream. */
     private static final String OTHER_SERVICE = "the route no longer leads to the service that began the stream";
     /** Retry-after time of these refusals, in milliseconds: by then an entry that did not answer may do so. */
@@ -53,7 +58,7 @@
     void locate(Exchange exchange, RouteRule route, Consumer<StreamOrigin> goOn) {
         String begunBy = exchange.facts().begunBy();
         if (begunBy == null) {
-            locateWithoutRecord(exchange, route, OriginFinding.NOT_ASKED, goOn);
+            locateUnnamed(exchange, route, goOn);
             return;
         }
         origins.find(begunBy, finding -> {
@@ -63,6 +68,19 @@
         });
     }
 
+    private void locateUnnamed(Exchange exchange, RouteRule route, Consumer<StreamOrigin> goOn) {
+        List<String> services = route.services();
+        Set<String> seen =
+                services.size() == 1 ? builds.builds(services.get(0), windowNanos(route), context.now()) : Set.of();
+        if (seen.size() == 1) {
+            StreamOrigin origin =
+                    StreamOrigin.atBuild(services.get(0), seen.iterator().next());
+            goOn(exchange, route, "not-named", OriginFinding.NOT_ASKED, origin, goOn);
+        } else {
+            refuse(exchange, route, NOT_NAMED, OriginFinding.NOT_ASKED);
+        }
+    }
+
     private void located(Exchange exchange, RouteRule route, OriginFinding finding, Consumer<StreamOrigin> goOn) {
         Optional<StreamOrigin> origin = finding.origin();
         if (origin.isEmpty()) {
