--- a/core/src/main/java/org/quetzalseam/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/quetzalseam/core/stream/StreamOrigins.java
@@ -12,7 +12,7 @@
  */
 public final class StreamOrigins {
     /** Maximum number of streams: some 200 bytes each, so 4 MB. */
-    static final int MAX_STREAMS = 20_000;
+    public static final int MAX_STREAMS = 20_000;
 
     private final Map<String, Known> streams = new LinkedHashMap<>();
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryRegistry.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryRegistry.java
@@ -37,6 +37,8 @@
      * differ by less.
      */
     private static final long FIRST_COUNT_DELAY_MILLIS = 1_000;
+    /** Delay before the first list is requested again, in milliseconds: without it, this entry can ask no other one. */
+    private static final long FIRST_LIST_RETRY_MILLIS = 500;
     /**
      * Number of entries for which the time between two counts grows by one interval: a name takes some 150 bytes of a list, so
      * counting reads at most 0.6 KB a second, however many entries there are.
@@ -54,6 +56,7 @@
     private final JsonNode registration;
     private final EntryListener listener;
     private boolean registered;
+    private boolean listed;
     private @Nullable EntryCount lastCount;
     private int ticksUntilCount;
     private long era;
@@ -147,7 +150,12 @@
 
     private void countFromRecentList() {
         long askedAt = timers.elapsed();
-        store.listRecent(KIND, page -> handlePage(page, askedAt), EntryRegistry::countFailed);
+        store.listRecent(KIND, page -> handlePage(page, askedAt), failure -> {
+            countFailed(failure);
+            if (!listed) {
+                timers.after(FIRST_LIST_RETRY_MILLIS, this::countFromRecentList);
+            }
+        });
     }
 
     private static void countFailed(StoreFailure failure) {
@@ -165,6 +173,7 @@
     }
 
     private void handlePage(ObjectPage page, long askedAt) {
+        listed = true;
         updateEra(page.position().era());
         Set<String> names = page.objects().stream().map(StoredObject::name).collect(Collectors.toSet());
         if (names.add(self)) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerLink.java
@@ -35,6 +35,7 @@
     private final EventLoop loop;
     private final Timers timers;
     private final InetSocketAddress address;
+    private final Runnable onLost;
     private final Map<Long, PendingAsk> pending = new HashMap<>();
     private @Nullable Channel channel;
     private boolean connecting;
@@ -44,10 +45,12 @@
 
     private record PendingAsk(PeerMessage ask, Consumer<Optional<PeerMessage>> answered, ScheduledCall timeout) {}
 
-    PeerLink(EventLoop loop, Timers timers, InetSocketAddress address) {
+    /** Creates a link; {@code onLost} runs whenever its connection has ended or the entry has not answered. */
+    PeerLink(EventLoop loop, Timers timers, InetSocketAddress address, Runnable onLost) {
         this.loop = loop;
         this.timers = timers;
         this.address = address;
+        this.onLost = onLost;
     }
 
     InetSocketAddress address() {
@@ -163,6 +166,7 @@
             waiting.timeout().cancel();
             waiting.answered().accept(Optional.empty());
         });
+        onLost.run();
     }
 
     private final class AnswerHandler extends SimpleChannelInboundHandler<PeerMessage> {
--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/Peers.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/Peers.java
@@ -15,6 +15,9 @@
     private final EventLoop loop;
     private final Timers timers;
     private final Map<String, PeerLink> links = new HashMap<>();
+    private boolean listed;
+    private Runnable onListed = () -> {};
+    private Consumer<String> onLost = peer -> {};
 
     /** Creates a view without other entries. */
     public Peers(EventLoop loop, Timers timers) {
@@ -24,6 +27,7 @@
 
     /** Replaces the addresses of the other entries, by their names. */
     public void update(Map<String, InetSocketAddress> addresses) {
+        listed = true;
         List.copyOf(links.keySet()).forEach(name -> {
             PeerLink link = links.get(name);
             if (link != null && !link.address().equals(addresses.get(name))) {
@@ -31,7 +35,24 @@
                 link.failAll();
             }
         });
-        addresses.forEach((name, address) -> links.computeIfAbsent(name, added -> new PeerLink(loop, timers, address)));
+        addresses.forEach((name, address) ->
+                links.computeIfAbsent(name, added -> new PeerLink(loop, timers, address, () -> onLost.accept(added))));
+        onListed.run();
+    }
+
+    /** Sets the callback that runs after each list of the entries. */
+    public void onListed(Runnable call) {
+        onListed = call;
+    }
+
+    /** Sets the callback that receives the name of an entry whose connection has ended, or that did not answer. */
+    public void onLost(Consumer<String> call) {
+        onLost = call;
+    }
+
+    /** Returns whether the other entries have been listed since the start of the process. */
+    public boolean listed() {
+        return listed;
     }
 
     /** Returns the names of all other entries that are known. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/StreamBinding.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/StreamBinding.java
@@ -17,8 +17,8 @@
 final class StreamBinding {
     /** How long a record outlasts the time at which its caller gives up, in milliseconds: clocks and messages are not exact. */
     private static final long RECORD_MARGIN_MILLIS = 1_000;
-    /** Longest time for which a record is kept, as a multiple of the route's timeout; callers need not state how long they wait. */
-    private static final long MAX_RECORD_TIMEOUTS = 2;
+    /** Longest time for which a record is kept, in milliseconds, whatever the caller states; also if it states nothing. */
+    private static final long MAX_RECORD_MILLIS = 60_000;
 
     private final Directory directory;
     private final SharedOrigins origins;
@@ -67,7 +67,6 @@
 
     private long keepMillis(RequestFacts facts) {
         long callerLeftMillis = facts.callerTimeoutMillis() - exchange.ageMillis();
-        return Math.max(0, Math.min(callerLeftMillis, MAX_RECORD_TIMEOUTS * route.timeoutMillis()))
-                + RECORD_MARGIN_MILLIS;
+        return Math.max(0, Math.min(callerLeftMillis, MAX_RECORD_MILLIS)) + RECORD_MARGIN_MILLIS;
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/OriginSearch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/OriginSearch.java
@@ -9,7 +9,7 @@
 /** Asks other entries where a stream began: the likely ones first, then the others. Used on the event loop only. */
 final class OriginSearch {
     /** Entries asked first: those that keep a record, and two more, because lists of the entries may differ. */
-    private static final int ASKED_FIRST = SharedOrigins.COPIES + 2;
+    private static final int ASKED_FIRST = OriginCopies.COPIES + 2;
     /** Entries asked in all, so that a search costs the same at any size of the site. */
     private static final int ASKED_AT_MOST = 32;
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/SharedOrigins.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/SharedOrigins.java
@@ -1,10 +1,11 @@
 package org.quetzalseam.gateway.stream;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.quetzalseam.core.placement.Rendezvous;
 import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.core.stream.StreamOrigins;
 import org.quetzalseam.gateway.peer.OriginKeeper;
@@ -14,23 +15,27 @@
 
 /**
  * Where streams began, for callers that take them up at any entry. The entry that forwards the head of a stream's answer knows, and
- * tells some others, chosen by rendezvous hashing of the attempt's id, so that the record outlasts a restart of any of them. An entry
+ * tells some others, chosen by rendezvous hashing of the attempt's id, so that the record outlasts the end of any of them. An entry
  * that does not know asks the likely ones first, then the others. Used on the event loop only.
  */
 public final class SharedOrigins implements OriginKeeper {
-    /** Number of other entries that keep a record: it is lost only if three entries end before its caller returns. */
-    static final int COPIES = 2;
-    /** Entries that may be tried for one copy: each that does not answer takes the time of an answer. */
-    private static final int MAX_TRIES_PER_COPY = 3;
+    /** Interval between two checks whether the entries have been listed, in milliseconds. */
+    private static final long LIST_CHECK_MILLIS = 50;
+    /** Number of these checks: a list takes some answers of the store. */
+    private static final int MAX_LIST_CHECKS = 10;
 
     private final Timers timers;
     private final Peers peers;
     private final StreamOrigins origins = new StreamOrigins();
+    /** Copies of the records that this entry made, oldest first. */
+    private final Map<String, OriginCopies> copies = new LinkedHashMap<>();
 
     /** Creates an empty record. */
     public SharedOrigins(Timers timers, Peers peers) {
         this.timers = timers;
         this.peers = peers;
+        peers.onListed(this::retryCopies);
+        peers.onLost(this::replaceCopies);
     }
 
     /**
@@ -42,58 +47,35 @@
      */
     public void record(String attempt, StreamOrigin origin, long keepMillis) {
         keep(attempt, origin, keepMillis);
-        copy(attempt, origin, keepMillis);
+        copy(attempt, origin, timers.now() + TimeUnit.MILLISECONDS.toNanos(keepMillis));
     }
 
-    private void copy(String attempt, StreamOrigin origin, long keepMillis) {
-        List<String> ranked = ranked(attempt, peers.usable());
-        Copies copies = new Copies(attempt, origin, timers.now(), keepMillis, ranked);
-        for (int i = 0; i < COPIES; i++) {
-            copies.sendNext(MAX_TRIES_PER_COPY);
-        }
-    }
-
-    private static List<String> ranked(String attempt, List<String> names) {
-        return Rendezvous.subset(names, Rendezvous.hash(attempt), names.size());
+    private void copy(String attempt, StreamOrigin origin, long keptUntil) {
+        OriginCopies made = new OriginCopies(timers, peers, attempt, origin, keptUntil);
+        copies.remove(attempt);
+        copies.put(attempt, made);
+        forgetExpired();
+        made.complete();
     }
 
-    /** Sends one record to the entries in their order until enough of them have it. */
-    private final class Copies {
-        private final String attempt;
-        private final StreamOrigin origin;
-        private final long startedAt;
-        private final long keepMillis;
-        private final List<String> ranked;
-        private int next;
-
-        Copies(String attempt, StreamOrigin origin, long startedAt, long keepMillis, List<String> ranked) {
-            this.attempt = attempt;
-            this.origin = origin;
-            this.startedAt = startedAt;
-            this.keepMillis = keepMillis;
-            this.ranked = ranked;
-        }
-
-        void sendNext(int triesLeft) {
-            if (next < ranked.size() && triesLeft > 0) {
-                send(ranked.get(next++), triesLeft, true);
+    private void forgetExpired() {
+        long now = timers.now();
+        while (!copies.isEmpty()) {
+            Map.Entry<String, OriginCopies> oldest =
+                    copies.entrySet().iterator().next();
+            if (copies.size() <= StreamOrigins.MAX_STREAMS && !oldest.getValue().expired(now)) {
+                return;
             }
+            copies.remove(oldest.getKey());
         }
+    }
 
-        /** A connection may have become unresponsive though its entry works, so the first failure is repeated on a new one. */
-        private void send(String peer, int triesLeft, boolean mayRepeat) {
-            long millisLeft = keepMillis - TimeUnit.NANOSECONDS.toMillis(timers.now() - startedAt);
-            peers.keepOrigin(peer, attempt, origin, Math.max(0, millisLeft), kept -> {
-                if (kept) {
-                    return;
-                }
-                if (mayRepeat) {
-                    send(peer, triesLeft, false);
-                } else {
-                    sendNext(triesLeft - 1);
-                }
-            });
-        }
+    private void retryCopies() {
+        List.copyOf(copies.values()).forEach(OriginCopies::retry);
+    }
+
+    private void replaceCopies(String lostPeer) {
+        List.copyOf(copies.values()).forEach(made -> made.replace(lostPeer));
     }
 
     @Override
@@ -117,16 +99,21 @@
             found.accept(OriginFinding.known(own.get(), "itself", 0));
             return;
         }
-        new OriginSearch(peers, attempt, ranked(attempt, peers.names()), found).start();
+        searchOnceListed(attempt, MAX_LIST_CHECKS, found);
     }
 
-    /** Tells other entries of all streams that may be taken up, because this one stops. */
+    /** A process that has just started waits for its first list of the entries, because it knows nothing itself. */
+    private void searchOnceListed(String attempt, int checksLeft, Consumer<OriginFinding> found) {
+        if (peers.listed() || checksLeft == 0) {
+            new OriginSearch(peers, attempt, OriginCopies.ranked(attempt, peers.names()), found).start();
+        } else {
+            timers.after(LIST_CHECK_MILLIS, () -> searchOnceListed(attempt, checksLeft - 1, found));
+        }
+    }
+
+    /** Has other entries keep all records that this one has, because it stops. */
     public void handOver() {
-        long now = timers.now();
-        origins.forEach(
-                now,
-                (attempt, known) ->
-                        copy(attempt, known.origin(), TimeUnit.NANOSECONDS.toMillis(known.keptUntil() - now)));
+        origins.forEach(timers.now(), (attempt, known) -> copy(attempt, known.origin(), known.keptUntil()));
     }
 
     /** Returns the number of streams recorded. */
