Without a record, a minute of builds counts, and a list asked for before the request arrived is asked for again

A route's timeout may have been longer when a stream began, so builds are remembered for a minute at least.

--- a/gateway/src/main/java/org/quetzalseam/gateway/route/TakenUpStreams.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/TakenUpStreams.java
@@ -33,8 +33,8 @@
     private static final String OTHER_SERVICE = "the route no longer leads to the service that began the stream";
     /** Retry-after time of these refusals, in milliseconds: by then an entry that did not answer may do so. */
     private static final long RETRY_AFTER_MILLIS = 500;
-    /** Shortest time for which builds are remembered, in milliseconds. */
-    private static final long MIN_WINDOW_MILLIS = 10_000;
+    /** Shortest time for which builds are remembered, in milliseconds: a timeout may have been longer when a stream began. */
+    private static final long MIN_WINDOW_MILLIS = 60_000;
     /** Multiple of a route's timeout in that time: a stream may break off at its end and be taken up for as long again. */
     private static final long WINDOW_TIMEOUTS = 2;
 
@@ -100,11 +100,8 @@
             refuse(exchange, route, NO_RECORD, finding);
             return;
         }
-        known.refresh(() -> {
-            if (exchange.ended()) {
-                return;
-            }
-            Optional<String> only = known.ageMillis() <= exchange.ageMillis()
+        refresh(known, exchange, () -> {
+            Optional<String> only = provedSince(known, exchange)
                     ? builds.onlyBuild(services.get(0), windowNanos(route), context.now())
                     : Optional.empty();
             only.ifPresentOrElse(
@@ -114,6 +111,26 @@
         });
     }
 
+    /** Asks for the newest list; once more if the answer is to a question from before the request arrived. */
+    private static void refresh(KindFreshness known, Exchange exchange, Runnable refreshed) {
+        Runnable unlessEnded = () -> {
+            if (!exchange.ended()) {
+                refreshed.run();
+            }
+        };
+        known.refresh(() -> {
+            if (provedSince(known, exchange)) {
+                unlessEnded.run();
+            } else {
+                known.refresh(unlessEnded);
+            }
+        });
+    }
+
+    private static boolean provedSince(KindFreshness known, Exchange exchange) {
+        return known.ageMillis() <= exchange.ageMillis();
+    }
+
     private static long windowNanos(RouteRule route) {
         return TimeUnit.MILLISECONDS.toNanos(Math.max(MIN_WINDOW_MILLIS, WINDOW_TIMEOUTS * route.timeoutMillis()));
     }
