A starting entry asks for its first list of the others again after half a second

An entry whose store did not answer when it started knew the others only at the next count, up to 5 s later, and could ask none of them where a stream began. Directory.mayGoOn is hasEndpointFor.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -171,7 +171,7 @@
     }
 
     /** Returns whether an endpoint that accepts new work may go on with a stream. */
-    public boolean mayGoOn(StreamOrigin origin) {
+    public boolean hasEndpointFor(StreamOrigin origin) {
         return endpoints.values().stream()
                 .anyMatch(endpoint -> usable(endpoint)
                         && endpoint.member().stage() != Stage.PREFILL
--- a/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryRegistry.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryRegistry.java
@@ -57,6 +57,7 @@
     private final EntryListener listener;
     private boolean registered;
     private boolean listed;
+    private boolean retryPending;
     private @Nullable EntryCount lastCount;
     private int ticksUntilCount;
     private long era;
@@ -134,7 +135,7 @@
             markRegistered();
             countFromRecentList();
         } else {
-            countFailed(failure);
+            retryFirstList(failure, this::register);
         }
     }
 
@@ -145,17 +146,28 @@
 
     private void countFromNewestList() {
         long askedAt = timers.elapsed();
-        store.list(KIND, null, page -> handlePage(page, askedAt), EntryRegistry::countFailed);
+        store.list(
+                KIND,
+                null,
+                page -> handlePage(page, askedAt),
+                failure -> retryFirstList(failure, this::countFromNewestList));
     }
 
     private void countFromRecentList() {
         long askedAt = timers.elapsed();
-        store.listRecent(KIND, page -> handlePage(page, askedAt), failure -> {
-            countFailed(failure);
-            if (!listed) {
-                timers.after(FIRST_LIST_RETRY_MILLIS, this::countFromRecentList);
-            }
-        });
+        store.listRecent(
+                KIND, page -> handlePage(page, askedAt), failure -> retryFirstList(failure, this::countFromRecentList));
+    }
+
+    private void retryFirstList(StoreFailure failure, Runnable call) {
+        countFailed(failure);
+        if (!listed && !retryPending) {
+            retryPending = true;
+            timers.after(FIRST_LIST_RETRY_MILLIS, () -> {
+                retryPending = false;
+                call.run();
+            });
+        }
     }
 
     private static void countFailed(StoreFailure failure) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/StreamBinding.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/StreamBinding.java
@@ -50,7 +50,7 @@
     /** Returns whether there is an endpoint now that may run the stream, or the rest of it. */
     boolean canRun() {
         StreamOrigin began = origin;
-        return began == null || directory.mayGoOn(began);
+        return began == null || directory.hasEndpointFor(began);
     }
 
     /** Records that the answer of an endpoint has begun; the record of a stream that is taken up is renewed. */
--- a/gateway/src/test/java/org/quetzalseam/gateway/entry/EntryRegistryTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/entry/EntryRegistryTest.java
@@ -100,6 +100,18 @@
         assertThat(counted).containsExactly(3);
     }
 
+    // Guards against an entry knowing no other one for seconds because the store did not answer when it started.
+    @Test
+    void anEntryListsTheOthersSoonAfterTheStoreAnswersForTheFirstTime() {
+        others(2);
+        store.declining(true);
+        start();
+        passSeconds(2);
+        store.declining(false);
+        passSeconds(2);
+        assertThat(counted).containsExactly(3);
+    }
+
     @Test
     void aNameCountsWhateverAnotherWriterHasPutUnderIt() {
         store.put("quetzalseam-entries", "self", JsonNodeFactory.instance.nullNode());
