--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -113,8 +113,8 @@
     }
 
     /**
-     * Logs that a connection was lost while an endpoint may have run the request on it: which request it was, how long its call
-     * had been sent and had begun to be answered, and how many other calls of this entry the endpoint still has.
+     * Logs that a connection was lost while an endpoint may have run the request on it: which request it was, which
+     * parts of its prompt others may hold too, how long its call had been sent and had begun to be answered, and how many other calls of this entry the endpoint still has.
      *
      * @param sentAt when the call was sent, in monotonic nanoseconds
      * @param begunAt when its answer began, or 0 if it had not begun
@@ -126,9 +126,10 @@
                 endpoint,
                 String.format(
                         Locale.ROOT,
-                        "call=%s fingerprint=%s caller=%08x sent_ms=%d begun_ms=%d others=%d",
+                        "call=%s fingerprint=%s parts=%s caller=%08x sent_ms=%d begun_ms=%d others=%d",
                         call,
                         exchange.fingerprint(),
+                        String.join(",", exchange.facts().sharedParts()),
                         exchange.callerHost().hashCode(),
                         TimeUnit.NANOSECONDS.toMillis(now - sentAt),
                         begunAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(now - begunAt),
--- a/gateway/src/test/java/org/quetzalseam/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestProtocol.java
@@ -30,7 +30,12 @@
         TokenDemand demand = tokens == null ? null : new TokenDemand(Integer.parseInt(tokens), 500, 200);
         long waitMillis = Long.parseLong(headers.get("x-patience", "5000"));
         return new RequestFacts(
-                headers.get("x-id", ""), waitMillis, demand, headers.get("x-resume"), headers.get("x-begun-by"));
+                headers.get("x-id", ""),
+                waitMillis,
+                demand,
+                headers.get("x-resume"),
+                headers.get("x-begun-by"),
+                headers.getAll("x-part"));
     }
 
     @Override
--- a/gateway/src/test/java/org/quetzalseam/gateway/caller/CallerServerTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/caller/CallerServerTest.java
@@ -43,7 +43,7 @@
         return (Protocol) Proxy.newProxyInstance(
                 CallerServerTest.class.getClassLoader(),
                 new Class<?>[] {Protocol.class},
-                (self, method, arguments) -> new RequestFacts("", Long.MAX_VALUE, null, null, null));
+                (self, method, arguments) -> new RequestFacts("", Long.MAX_VALUE, null, null, null, List.of()));
     }
 
     /** Accepts a request that does not end by itself; the shutdown callback of every second one throws. */
