Parts of prompts that crash endpoints are quarantined, whatever else the requests hold

What callers saw: streams break off or are refused for half a minute, because requests with one part crash each engine that answers them, at any entry.

Cause: the guard counts crashes of whole requests. No two of these are alike, so each new one starts at no crash, however many engines have ended.

The ledger counts the crashes of each part beside those of each request. Innocent parts are at hand too, the first one at every crash. A run that ends dismisses the crashes of its parts; a part that nothing has ended with is a suspect at five crashes, unless the prompts lost with it also held one; a part that runs have ended with needs ten at which no suspect was at hand. All else is as for requests: reports, two probes, refused on arrival and before decode. A fingerprint takes the parts in, and a request whose crashes a suspect part explains is none itself.

Tried first: explaining by crashes alone.

--- a/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -16,7 +17,8 @@
  *
  * <p>A crash also loses requests that did not cause it. Those end at another endpoint sooner or later, which dismisses all
  * crashes known until then and shortly after; the request that causes the crashes never ends. A request with
- * {@link #SUSPECT_CRASHES} crashes that nothing dismisses is a suspect, unless others with more crashes explain all of its own.
+ * {@link #SUSPECT_CRASHES} crashes that nothing dismisses is a suspect, unless others with more crashes explain all of its own,
+ * or parts of prompts that are taken for the cause of crashes explain most of these.
  * The crashes of a suspect count longer than others, because its caller may send it again at long intervals.
  */
 public final class CrashLedger {
@@ -41,10 +43,11 @@
     private final long keepNanos;
     private final long suspectKeepNanos;
     private final Map<String, Long> recentEnds = new LinkedHashMap<>();
-    private final Map<String, Reporter> reporters = new HashMap<>();
+    private final Map<String, ReportedFacts> reporters = new HashMap<>();
     /** The requests that had enough crashes when the ledger last changed; some of these may no longer count. */
     private final Set<String> candidates = new HashSet<>();
 
+    private final PartLedger parts;
     private boolean anyLost;
     private long lastLostAt;
 
@@ -59,12 +62,26 @@
         this.self = self;
         this.keepNanos = keepNanos;
         this.suspectKeepNanos = suspectKeepNanos;
+        this.parts = new PartLedger(own(), reporters, keepNanos, suspectKeepNanos);
+    }
+
+    /** Returns what is known of the parts of prompts. */
+    public PartLedger parts() {
+        return parts;
     }
 
     /** Records that a request was lost when an incarnation of an endpoint crashed. */
     public void recordLost(String request, String incarnation, long now) {
-        noteLost(own().lost.add(new Fact(request, incarnation), now), now);
-        judge(request, now);
+        recordLost(new Fact(request, incarnation), now);
+    }
+
+    /** Records that a request, whose parts may be known, was lost when an incarnation of an endpoint crashed. */
+    public void recordLost(Fact lost, long now) {
+        noteLost(own().lost.add(lost, now), now);
+        if (!lost.parts().isEmpty()) {
+            parts.judge(now);
+        }
+        judge(lost.request(), now);
     }
 
     private void noteLost(boolean added, long now) {
@@ -107,28 +124,40 @@
     /** Replaces what is known of other entries by their newest reports, by the names of the entries. */
     public void learn(Map<String, CrashReport> reports, long now) {
         reports.forEach((reporter, report) -> {
-            Reporter known = reporter(reporter);
+            ReportedFacts known = reporter(reporter);
             noteLost(known.lost.replace(report.lost(), now), now);
             known.ended.replace(report.ended(), now);
             known.probes.replace(report.probes(), now);
             known.sentProbes.replace(report.sentProbes(), now);
+            known.endedParts.replace(report.endedParts(), now);
         });
         judgeAll(now);
     }
 
+    /** Adds what another entry has told directly of lost requests and of ends; its next report may not have it yet. */
+    public void hear(String reporter, CrashReport news, long now) {
+        ReportedFacts known = reporter(reporter);
+        news.lost().forEach(fact -> noteLost(known.lost.addTold(fact, now), now));
+        news.ended().forEach(fact -> known.ended.addTold(fact, now));
+        news.endedParts().forEach(fact -> known.endedParts.addTold(fact, now));
+        judgeAll(now);
+    }
+
     /** Adds what an earlier process of this entry reported. */
     public void inherit(CrashReport report, long now) {
-        Reporter own = own();
+        ReportedFacts own = own();
         report.lost().forEach(fact -> noteLost(own.lost.add(fact, now), now));
         report.ended().forEach(fact -> own.ended.add(fact, now));
         report.probes().forEach(fact -> own.probes.add(fact, now));
         report.sentProbes().forEach(fact -> own.sentProbes.add(fact, now));
+        report.endedParts().forEach(fact -> own.endedParts.add(fact, now));
         judgeAll(now);
     }
 
     private void judgeAll(long now) {
         Set<String> requests = new HashSet<>(candidates);
         reporters.values().forEach(reporter -> reporter.lost.addRequests(requests));
+        parts.judge(now);
         requests.forEach(request -> judge(request, now));
     }
 
@@ -148,12 +177,17 @@
 
     /** Returns the report of this entry, without what has expired. */
     public CrashReport ownReport(long now) {
-        Reporter own = own();
+        ReportedFacts own = own();
         return new CrashReport(
-                own.lost.dropExpired(this::crashKeepNanos, now),
-                own.ended.dropExpired(request -> suspectKeepNanos, now),
-                own.probes.dropExpired(request -> UNSENT_CLAIM_NANOS, now),
-                own.sentProbes.dropExpired(request -> keepNanos, now));
+                own.lost.dropExpired(this::lossKeepNanos, now),
+                own.ended.dropExpired(fact -> suspectKeepNanos, now),
+                own.probes.dropExpired(fact -> UNSENT_CLAIM_NANOS, now),
+                own.sentProbes.dropExpired(fact -> keepNanos, now),
+                own.endedParts.dropExpired(fact -> suspectKeepNanos, now));
+    }
+
+    private long lossKeepNanos(Fact lost) {
+        return Math.max(crashKeepNanos(lost.request()), parts.keepNanos(lost.parts()));
     }
 
     private long crashKeepNanos(String request) {
@@ -173,7 +207,7 @@
             return false;
         }
         Set<String> crashes = crashes(request, now);
-        return crashes.size() >= SUSPECT_CRASHES && !explained(crashes, now);
+        return parts.unexplained(crashes) >= SUSPECT_CRASHES && !explained(crashes, now);
     }
 
     /** Returns whether each of the crashes is also one of a request that has more crashes than there are. */
@@ -201,6 +235,12 @@
         candidates.removeIf(candidate -> crashes(candidate, now).size() < SUSPECT_CRASHES);
     }
 
+    /** Forgets the suspects, and the suspect parts, whose crashes no longer count. */
+    public void dropAllExpired(long now) {
+        dropExpired(now);
+        parts.judge(now);
+    }
+
     /** Returns whether there may be a suspect; if not, no request needs to be looked up. */
     public boolean mayHaveSuspects() {
         return !candidates.isEmpty();
@@ -249,24 +289,21 @@
         return candidates.isEmpty() && (!anyLost || now - lastLostAt > keepNanos);
     }
 
-    private Reporter own() {
+    private ReportedFacts own() {
         return reporter(self);
     }
 
-    private Reporter reporter(String name) {
-        return reporters.computeIfAbsent(name, added -> new Reporter());
+    private ReportedFacts reporter(String name) {
+        return reporters.computeIfAbsent(name, added -> new ReportedFacts(this::holdsSuspectPart));
     }
 
-    private Set<String> subjects(String request, Function<Reporter, FactTable> sort, long countsNanos, long now) {
+    private boolean holdsSuspectPart(List<String> lostParts) {
+        return parts.holdsSuspect(lostParts);
+    }
+
+    private Set<String> subjects(String request, Function<ReportedFacts, FactTable> sort, long countsNanos, long now) {
         Set<String> found = new TreeSet<>();
         reporters.values().forEach(reporter -> sort.apply(reporter).addSubjects(request, countsNanos, now, found));
         return found;
     }
-
-    private static final class Reporter {
-        private final FactTable lost = new FactTable();
-        private final FactTable ended = new FactTable();
-        private final FactTable probes = new FactTable();
-        private final FactTable sentProbes = new FactTable();
-    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
@@ -87,7 +87,7 @@
     public String fingerprint() {
         String known = fingerprint;
         if (known == null) {
-            known = RequestFingerprint.of(request, body);
+            known = RequestFingerprint.of(request, facts.sharedParts(), body);
             fingerprint = known;
         }
         return known;
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/RequestFingerprint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/RequestFingerprint.java
@@ -9,10 +9,11 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.List;
 
 /**
  * Computes a digest that is the same for each repetition of a request, whatever its id: over host, method, path with query,
- * the caller's credentials and the body. Two callers without credentials that send the same request are not told apart.
+ * the caller's credentials, the parts of the prompt that other requests may hold too, and the body. Two callers without credentials that send the same request are not told apart.
  */
 final class RequestFingerprint {
     /** Length of a fingerprint in bytes; two of a million requests share one with a probability below 10^-26. */
@@ -20,13 +21,14 @@
 
     private RequestFingerprint() {}
 
-    static String of(HttpRequest request, ByteBuf body) {
+    static String of(HttpRequest request, List<String> sharedParts, ByteBuf body) {
         MessageDigest digest = sha256();
         HttpHeaders headers = request.headers();
         update(digest, withoutPort(headers.get(HttpHeaderNames.HOST, "")));
         update(digest, request.method().name());
         update(digest, request.uri());
         update(digest, headers.get(HttpHeaderNames.AUTHORIZATION, ""));
+        sharedParts.forEach(part -> update(digest, part));
         for (ByteBuffer part : body.nioBuffers()) {
             digest.update(part);
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReportObject.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReportObject.java
@@ -15,8 +15,10 @@
     private static final String ENDED = "ended";
     private static final String PROBES = "probes";
     private static final String SENT_PROBES = "sent-probes";
+    private static final String ENDED_PARTS = "ended-parts";
     private static final String REQUEST = "request";
     private static final String SUBJECT = "subject";
+    private static final String PARTS = "parts";
 
     private CrashReportObject() {}
 
@@ -26,11 +28,17 @@
         write(json.putArray(ENDED), report.ended());
         write(json.putArray(PROBES), report.probes());
         write(json.putArray(SENT_PROBES), report.sentProbes());
+        write(json.putArray(ENDED_PARTS), report.endedParts());
         return json;
     }
 
     private static void write(ArrayNode array, List<Fact> facts) {
-        facts.forEach(fact -> array.addObject().put(REQUEST, fact.request()).put(SUBJECT, fact.subject()));
+        for (Fact fact : facts) {
+            ObjectNode json = array.addObject().put(REQUEST, fact.request()).put(SUBJECT, fact.subject());
+            if (!fact.parts().isEmpty()) {
+                fact.parts().forEach(json.putArray(PARTS)::add);
+            }
+        }
     }
 
     /**
@@ -40,14 +48,23 @@
      */
     static CrashReport of(JsonNode spec) {
         ObjectFields fields = new ObjectFields("crashes", spec);
-        // An entry of an earlier version does not report which probes it sent.
-        List<Fact> sentProbes = fields.hasValue(SENT_PROBES) ? read(fields, SENT_PROBES) : List.of();
-        return new CrashReport(read(fields, LOST), read(fields, ENDED), read(fields, PROBES), sentProbes);
+        return new CrashReport(
+                read(fields, LOST),
+                read(fields, ENDED),
+                read(fields, PROBES),
+                readIfPresent(fields, SENT_PROBES),
+                readIfPresent(fields, ENDED_PARTS));
+    }
+
+    /** Entries of earlier versions do not report facts of each sort. */
+    private static List<Fact> readIfPresent(ObjectFields fields, String name) {
+        return fields.hasValue(name) ? read(fields, name) : List.of();
     }
 
     private static List<Fact> read(ObjectFields fields, String name) {
         return fields.list(name).stream()
-                .map(fact -> new Fact(fact.nonBlankText(REQUEST), fact.nonBlankText(SUBJECT)))
+                .map(fact ->
+                        new Fact(fact.nonBlankText(REQUEST), fact.nonBlankText(SUBJECT), fact.nonBlankTexts(PARTS)))
                 .toList();
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -223,7 +223,7 @@
                 return;
             }
             attempts.recordRun();
-            context.crashGuard().recordEnded(exchange);
+            context.crashGuard().recordEnded(exchange, true);
             engine.health().recordSuccess(context.now(), engine.health().responseMillis());
             statistics.recordAnswered(relay.events().eventCount());
             finish("answered", HttpResponseStatus.OK.code());
@@ -257,7 +257,7 @@
             return;
         }
         attempts.recordRun();
-        context.crashGuard().recordEnded(exchange);
+        context.crashGuard().recordEnded(exchange, false);
         mayHaveRun = true;
         engine.health().recordFailure(context.now());
         if (exchange.begun() || !facts.signed()) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -152,7 +153,12 @@
         }
         runs++;
         mayHaveRun = true;
-        context.crashGuard().recordEnded(exchange);
+        context.crashGuard()
+                .recordEnded(
+                        exchange,
+                        facts.signed()
+                                && HttpStatusClass.SUCCESS.contains(
+                                        answer.status().code()));
         if (!facts.signed()) {
             body.release();
             endpoint.health().recordFailure(context.now());
