A prompt is not prefilled when its request has become quarantined meanwhile

A request that waits for memory, or for its turn at the prefill engines, was checked at its start and before decode only: its prompt went to a prefill engine, and its memory was held, though no engine may answer it any more. PrefillRun asks the guard before each sending. aPromptThatWaitsForMemoryIsNotPrefilledAfterTheFifthCrash failed before.

--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -157,6 +157,11 @@
                         startAttempt();
                     }
 
+                    @Override
+                    public void quarantined() {
+                        endIfQuarantined();
+                    }
+
                     @Override
                     public void failed(String why) {
                         giveUp(why);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
@@ -48,6 +48,9 @@
         /** Called when the engines no longer have time for the prompt and nothing has been sent. */
         void notBegun();
 
+        /** Called when the request must not be sent to an engine, because engines have crashed. */
+        void quarantined();
+
         /** Called when the prompt could not be prefilled. */
         void failed(String why);
     }
@@ -92,6 +95,10 @@
      * engine.
      */
     void start(Endpoint decodeEngine) {
+        if (context.crashGuard().quarantines(exchange)) {
+            listener.quarantined();
+            return;
+        }
         Optional<Endpoint> chosen =
                 engines.best(promptTokens, triedEngines, decodeEngine.member().zone());
         if (chosen.isEmpty()) {
