Entries tell each other of crashes directly, besides reporting them in the store

The store remains what restarted entries read, and where probes are claimed.

Weighed: the store alone, read more often after a crash (calls are priced, and none of it helps while the store is away); asking others at each arrival (a round trip a request).

--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -72,7 +72,7 @@
         accessControl = new AccessControl(accessSettings);
         allowances = new TeamAllowances(timers, peers, accessSettings.bounds());
         router = new RequestRouter(timers, protocol, directory, settings, metrics, accessControl, allowances, peers);
-        peerServer = new PeerServer(loop, allowances, router::provedState, router.origins());
+        peerServer = new PeerServer(loop, allowances, router::provedState, router.origins(), router.crashListener());
         callerServer = new CallerServer(loop, protocol, router::limits, router::route);
         operatorServer = new OperatorServer(loop, () -> router.ready() && !draining);
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -5,10 +5,13 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.crash.CrashLedger;
+import org.quetzalseam.core.crash.CrashReport;
 import org.quetzalseam.core.crash.CrashReport.Fact;
 import org.quetzalseam.core.crash.ProbeAllowance;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Endpoint;
+import org.quetzalseam.gateway.peer.CrashListener;
+import org.quetzalseam.gateway.peer.Peers;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectStore;
 
@@ -21,7 +24,7 @@
  * so is a part that five have in common: requests with it are refused, except for a few probes that all entries share. A probe
  * that ends clears the suspect.
  */
-public final class CrashGuard {
+public final class CrashGuard implements CrashListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** How long a crash or a probe counts, in nanoseconds. */
     private static final long KEEP_NANOS = ProbeAllowance.PROBE_KEEP_NANOS;
@@ -41,20 +44,27 @@
     private final String self;
     private final CrashLedger ledger;
     private final Suspects suspects;
+    private final CrashNews news;
     private @Nullable CrashReports reports;
     private @Nullable ReportSchedule schedule;
     private boolean loaded = true;
 
-    /** Creates a guard that knows of no crash, and shares what it learns with no other entry before {@link #start}. */
-    public CrashGuard(Timers timers, String self) {
+    /**
+     * Creates a guard that knows of no crash.
+     *
+     * @param self name of this entry
+     * @param peers the entries that are told of crashes directly
+     */
+    public CrashGuard(Timers timers, String self, Peers peers) {
         this.timers = timers;
         this.self = self;
         this.ledger = new CrashLedger(self, KEEP_NANOS, SUSPECT_KEEP_NANOS);
         this.suspects = new Suspects(timers, ledger);
+        this.news = new CrashNews(timers, peers, self, ledger);
     }
 
     /**
-     * Starts to share reports with the other entries.
+     * Starts to share reports with the other entries through the store.
      *
      * @param store the platform's store
      * @param firstStart whether the entire site starts for the first time, so that there are no reports yet
@@ -247,6 +257,17 @@
         }
     }
 
+    /** Takes in what another entry tells of crashes. */
+    @Override
+    public void heard(String reporter, CrashReport told) {
+        ledger.hear(reporter, told, timers.now());
+        news.tellSoon();
+        ReportSchedule planned = schedule;
+        if (planned != null) {
+            planned.reportIfOutdated();
+        }
+    }
+
     /** Records that an endpoint has ended unplanned: other entries may report what it ran. */
     public void recordEndpointEnded() {
         readSoon();
@@ -262,6 +283,7 @@
 
     /** Writes the report of this entry soon. */
     void reportSoon(boolean urgent) {
+        news.tellSoon();
         ReportSchedule planned = schedule;
         if (planned != null) {
             planned.reportSoon(urgent);
--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerCodec.java
@@ -24,8 +24,8 @@
  * and the rest of the message's components.
  */
 final class PeerCodec {
-    /** Longest message, in bytes; the only long components are names and a caller's id of an attempt. */
-    private static final int MAX_FRAME_BYTES = 4_096;
+    /** Longest message, in bytes; the longest ones tell of crashes, with all parts of the prompts that were lost. */
+    private static final int MAX_FRAME_BYTES = 16_384;
 
     private static final int LENGTH_BYTES = 2;
     private static final int ASK = 1;
@@ -37,6 +37,8 @@
     private static final int ASK_ORIGIN = 7;
     private static final int ORIGIN = 8;
     private static final int NO_ORIGIN = 9;
+    private static final int TELL_CRASHES = 10;
+    private static final int CRASHES_HEARD = 11;
 
     private PeerCodec() {}
 
@@ -76,6 +78,11 @@
                     out.add(new PeerMessage.Origin(id, Optional.of(known)));
                 } else if (type == NO_ORIGIN && components == 2) {
                     out.add(new PeerMessage.Origin(id, Optional.empty()));
+                } else if (type == TELL_CRASHES && components == 6) {
+                    String reporter = unpacker.unpackString();
+                    out.add(new PeerMessage.TellCrashes(id, reporter, CrashNewsCodec.unpack(unpacker)));
+                } else if (type == CRASHES_HEARD && components == 2) {
+                    out.add(new PeerMessage.CrashesHeard(id));
                 } else {
                     throw new CorruptedFrameException(
                             "expected a known type and its components, got type " + type + " with " + components);
@@ -119,6 +126,12 @@
                 } else if (message instanceof PeerMessage.State state) {
                     packer.packArrayHeader(4).packInt(STATE).packLong(state.id());
                     packer.packLong(state.version()).packLong(state.ageMillis());
+                } else if (message instanceof PeerMessage.TellCrashes tell) {
+                    packer.packArrayHeader(6).packInt(TELL_CRASHES).packLong(tell.id());
+                    packer.packString(tell.reporter());
+                    CrashNewsCodec.pack(tell.news(), packer);
+                } else if (message instanceof PeerMessage.CrashesHeard heard) {
+                    packer.packArrayHeader(2).packInt(CRASHES_HEARD).packLong(heard.id());
                 } else {
                     encodeOrigins(message, packer);
                 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerLink.java
@@ -18,6 +18,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.crash.CrashReport;
 import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.runtime.ScheduledCall;
 import org.quetzalseam.gateway.runtime.Timers;
@@ -98,6 +99,11 @@
                                 : OriginAnswer.SILENT));
     }
 
+    /** Tells the entry what has been learnt of crashes. */
+    void tellCrashes(String reporter, CrashReport news) {
+        ask(new PeerMessage.TellCrashes(nextId++, reporter, news), answer -> {});
+    }
+
     private void ask(PeerMessage ask, Consumer<Optional<PeerMessage>> answered) {
         ScheduledCall timeout = timers.after(ANSWER_TIMEOUT_MILLIS, () -> timedOut(ask.id()));
         pending.put(ask.id(), new PendingAsk(ask, answered, timeout));
--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.quetzalseam.gateway.peer;
 
 import java.util.Optional;
+import org.quetzalseam.core.crash.CrashReport;
 import org.quetzalseam.core.stream.StreamOrigin;
 
 /** A message between two entries. */
@@ -12,7 +13,9 @@
                 PeerMessage.KeepOrigin,
                 PeerMessage.OriginKept,
                 PeerMessage.AskOrigin,
-                PeerMessage.Origin {
+                PeerMessage.Origin,
+                PeerMessage.TellCrashes,
+                PeerMessage.CrashesHeard {
     /** Returns the number that the asking entry gave the question. */
     long id();
 
@@ -81,4 +84,20 @@
      * @param known what the answering entry knows, or empty
      */
     record Origin(long id, Optional<PeerOrigin> known) implements PeerMessage {}
+
+    /**
+     * Tells what an entry has learnt of crashes. Immutable.
+     *
+     * @param id number of the question
+     * @param reporter name of the entry
+     * @param news lost requests, ended requests and ended parts; no claims
+     */
+    record TellCrashes(long id, String reporter, CrashReport news) implements PeerMessage {}
+
+    /**
+     * Confirms that what was told of crashes has been taken in.
+     *
+     * @param id number of the question
+     */
+    record CrashesHeard(long id) implements PeerMessage {}
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerServer.java
@@ -21,6 +21,7 @@
     private final Lender lender;
     private final Supplier<ProvedState> desiredState;
     private final OriginKeeper origins;
+    private final CrashListener crashes;
 
     /** Gives units of allowances away. */
     public interface Lender {
@@ -35,12 +36,19 @@
      * @param lender gives units away to entries that ask for these
      * @param desiredState states what this entry itself knows of the desired state from the store
      * @param origins keeps records of where streams began
+     * @param crashes receives what other entries tell of crashes
      */
-    public PeerServer(EventLoop loop, Lender lender, Supplier<ProvedState> desiredState, OriginKeeper origins) {
+    public PeerServer(
+            EventLoop loop,
+            Lender lender,
+            Supplier<ProvedState> desiredState,
+            OriginKeeper origins,
+            CrashListener crashes) {
         this.loop = loop;
         this.lender = lender;
         this.desiredState = desiredState;
         this.origins = origins;
+        this.crashes = crashes;
     }
 
     /** Starts to listen on an address. Blocks until the socket is bound, and returns the address with the port in use. */
@@ -76,6 +84,9 @@
                 ctx.writeAndFlush(new PeerMessage.OriginKept(keep.id()));
             } else if (message instanceof PeerMessage.AskOrigin ask) {
                 ctx.writeAndFlush(new PeerMessage.Origin(ask.id(), origins.known(ask.attempt())));
+            } else if (message instanceof PeerMessage.TellCrashes tell) {
+                crashes.heard(tell.reporter(), tell.news());
+                ctx.writeAndFlush(new PeerMessage.CrashesHeard(tell.id()));
             }
         }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/Peers.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/Peers.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import org.quetzalseam.core.crash.CrashReport;
 import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.runtime.Timers;
 
@@ -106,4 +107,9 @@
             link.askOrigin(attempt, answered);
         }
     }
+
+    /** Tells all entries that are worth asking what this one has learnt of crashes. */
+    public void tellCrashes(String reporter, CrashReport news) {
+        links.values().stream().filter(PeerLink::usable).forEach(link -> link.tellCrashes(reporter, news));
+    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -23,6 +23,7 @@
 import org.quetzalseam.gateway.endpoint.Directory;
 import org.quetzalseam.gateway.entry.EntryCount;
 import org.quetzalseam.gateway.operator.GatewayMetrics;
+import org.quetzalseam.gateway.peer.CrashListener;
 import org.quetzalseam.gateway.peer.Peers;
 import org.quetzalseam.gateway.peer.ProvedState;
 import org.quetzalseam.gateway.protocol.Protocol;
@@ -70,7 +71,7 @@
             AccessControl accessControl,
             TeamAllowances allowances,
             Peers peers) {
-        this.context = new RunContext(timers, protocol, directory, settings, metrics);
+        this.context = new RunContext(timers, protocol, directory, settings, metrics, peers);
         this.origins = new SharedOrigins(timers, peers);
         this.takenUpStreams = new TakenUpStreams(context, origins, directory.buildHistory());
         this.accessControl = accessControl;
@@ -142,6 +143,11 @@
         return table != null && table.access().required();
     }
 
+    /** Returns what receives the crashes that other entries tell of. */
+    public CrashListener crashListener() {
+        return context.crashGuard();
+    }
+
     /** Starts to share with other entries which requests have crashed endpoints. */
     public void shareCrashes(ObjectStore store) {
         context.directory().onUnplannedEnd(context.crashGuard()::recordEndpointEnded);
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -30,6 +30,7 @@
 import org.quetzalseam.gateway.entry.EntryCount;
 import org.quetzalseam.gateway.http.CallFailure;
 import org.quetzalseam.gateway.operator.GatewayMetrics;
+import org.quetzalseam.gateway.peer.Peers;
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.runtime.ScheduledCall;
 import org.quetzalseam.gateway.runtime.Timers;
@@ -64,13 +65,19 @@
     private final Map<String, AnswerTimeModel> answerTimes = new HashMap<>();
     private final Map<String, BookingManager> bookings = new HashMap<>();
 
-    RunContext(Timers timers, Protocol protocol, Directory directory, EntrySettings settings, GatewayMetrics metrics) {
+    RunContext(
+            Timers timers,
+            Protocol protocol,
+            Directory directory,
+            EntrySettings settings,
+            GatewayMetrics metrics,
+            Peers peers) {
         this.timers = timers;
         this.protocol = protocol;
         this.directory = directory;
         this.settings = settings;
         this.metrics = metrics;
-        this.crashGuard = new CrashGuard(timers, settings.name());
+        this.crashGuard = new CrashGuard(timers, settings.name(), peers);
         this.createdAt = timers.now();
     }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/access/SharedProofTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/access/SharedProofTest.java
@@ -60,7 +60,11 @@
     /** Returns the age of the proof after another entry, which states the given knowledge, could be asked. */
     private long ageWith(ProvedState stated) throws InterruptedException {
         InetSocketAddress address = new PeerServer(
-                        loop, (team, units) -> 0, () -> stated, new SharedOrigins(timers, peers))
+                        loop,
+                        (team, units) -> 0,
+                        () -> stated,
+                        new SharedOrigins(timers, peers),
+                        (reporter, news) -> {})
                 .start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         loop.submit(() -> {
                     peers.update(Map.of("other", address));
--- a/gateway/src/test/java/org/quetzalseam/gateway/peer/PeersTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/peer/PeersTest.java
@@ -10,7 +10,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -18,6 +20,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.crash.CrashReport;
+import org.quetzalseam.core.crash.CrashReport.Fact;
 import org.quetzalseam.core.fleet.Incarnation;
 import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.runtime.Timers;
@@ -31,6 +35,7 @@
     private final AtomicLong stock = new AtomicLong(100);
 
     private final Map<String, StreamOrigin> kept = new HashMap<>();
+    private final CompletableFuture<Heard> heard = new CompletableFuture<>();
     private final OriginKeeper keeper = new OriginKeeper() {
         @Override
         public void keep(String attempt, StreamOrigin origin, long keepMillis) {
@@ -43,6 +48,8 @@
         }
     };
 
+    private record Heard(String reporter, CrashReport news) {}
+
     @AfterEach
     void stop() {
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
@@ -57,7 +64,8 @@
                             return team.equals("dealers") ? lent : 0;
                         },
                         () -> new ProvedState(7, 40),
-                        keeper)
+                        keeper,
+                        (reporter, news) -> heard.complete(new Heard(reporter, news)))
                 .start(ANY);
     }
 
@@ -100,6 +108,18 @@
         assertThat(origin("c")).isEqualTo(new OriginAnswer(Optional.empty(), false));
     }
 
+    @Test
+    void anEntryHearsWhatAnotherTellsOfCrashesWithTheLongestParts() throws Exception {
+        List<String> longest = Collections.nCopies(64, "f".repeat(64));
+        List<Fact> lost = Collections.nCopies(3, new Fact("fingerprint", "i-1@5", longest));
+        CrashReport news = new CrashReport(
+                lost, List.of(new Fact("r", "i-2")), List.of(), List.of(), List.of(new Fact("5a", "i-3")));
+        know(lender());
+        loop.submit(() -> peers.tellCrashes("entry-1", news)).syncUninterruptibly();
+        assertThat(heard.get().reporter()).isEqualTo("entry-1");
+        assertThat(heard.get().news()).isEqualTo(news);
+    }
+
     @Test
     void anEntryThatIsNotKnownIsSilent() {
         assertThat(keep("a", StreamOrigin.atBuild("s", "v1"))).isFalse();
