A stream that states no end and breaks off is neither complete nor proof that its parts are sound

An answer may come with neither a length nor chunks and end with its connection. Such an answer that ends between two events can't be told from a complete one: it is delivered, but dismisses no crashes of the parts of its prompt, for plain calls too.

--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -236,7 +236,8 @@
     /**
      * Records that an endpoint has run a request to its end, so that the request has not caused the crashes known of it.
      *
-     * @param succeeded whether the endpoint wrote a whole answer of success; another answer shows nothing of the prompt's parts
+     * @param succeeded whether the endpoint wrote what is known to be a whole answer of success; another answer shows nothing of the
+     *     prompt's parts
      */
     public void recordEnded(Exchange exchange, boolean succeeded) {
         long now = timers.now();
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -211,9 +211,7 @@
             outcome.recordAcceptance();
             log.begun(engine);
             binding.recordBegun(engine);
-            if (!exchange.begun()) {
-                exchange.begin(head);
-            }
+            relay.begin(head);
         }
 
         @Override
@@ -223,12 +221,13 @@
 
         @Override
         public void streamEnded() {
-            if (relay.events().hasIncompleteEvent()) {
-                failed(new CallFailure(CallFailure.Kind.MALFORMED, "the stream ends within an event"));
+            CallFailure incomplete = relay.incompleteEnd();
+            if (incomplete != null) {
+                failed(incomplete);
                 return;
             }
             attempts.recordRun();
-            context.crashGuard().recordEnded(exchange, true);
+            context.crashGuard().recordEnded(exchange, relay.framed());
             engine.health().recordSuccess(context.now(), engine.health().responseMillis());
             statistics.recordAnswered(relay.events().eventCount());
             finish("answered", HttpResponseStatus.OK.code());
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -153,12 +153,7 @@
         }
         runs++;
         mayHaveRun = true;
-        context.crashGuard()
-                .recordEnded(
-                        exchange,
-                        facts.signed()
-                                && HttpStatusClass.SUCCESS.contains(
-                                        answer.status().code()));
+        context.crashGuard().recordEnded(exchange, isWholeSuccess(answer, facts));
         if (!facts.signed()) {
             body.release();
             endpoint.health().recordFailure(context.now());
@@ -185,6 +180,13 @@
         exchange.answer(answer, body);
     }
 
+    /** Returns whether an answer is known to be whole and a success: one that ends with its connection may have been cut short. */
+    private static boolean isWholeSuccess(HttpResponse answer, ReplyFacts facts) {
+        return facts.signed()
+                && HttpStatusClass.SUCCESS.contains(answer.status().code())
+                && ReplyFraming.statesItsEnd(answer);
+    }
+
     private void rejected(Endpoint endpoint, int status) {
         rejections++;
         log.rejected(endpoint, status, context.describeBudget(service));
--- a/gateway/src/test/java/org/quetzalseam/gateway/CrashingPartGenerationTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/CrashingPartGenerationTest.java
@@ -204,6 +204,23 @@
         assertThat(ask(FIRST_PART, CRASHING_PART)).startsWith("HTTP/1.1 503").contains(QUARANTINED);
     }
 
+    // Guards against a part being cleared by the answer of an engine that it crashed, because an answer that ends with
+    // its
+    // connection may look complete.
+    @Test
+    void aStreamThatEndsWithItsConnectionDoesNotClearAPart() {
+        crashEngines(SUSPECT_CRASHES - 1, FIRST_PART, CRASHING_PART);
+        use(engine((request, connection) -> {
+            connection.write("HTTP/1.1 200 OK\r\nx-id: " + request.header("x-id")
+                    + "\r\nx-signature: s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n");
+            connection.finish();
+        }));
+        assertThat(ask(FIRST_PART, CRASHING_PART)).startsWith("HTTP/1.1 200");
+        crashEngines(1, FIRST_PART, CRASHING_PART);
+        use(engine(CrashingPartGenerationTest::decode));
+        assertThat(ask(FIRST_PART, CRASHING_PART)).startsWith("HTTP/1.1 503").contains(QUARANTINED);
+    }
+
     // Guards against a part being refused on and on after a probe with it has ended well.
     @Test
     void aProbeThatEndsClearsThePart() {
