A refusal for a part of the prompt says so, and parts are counted apart from requests

The refusal read 'endpoints have crashed while they ran this request', which is not true of a request that was never sent: it holds a part that others were lost with. The metric quetzalseam.parts.suspected counts parts, quetzalseam.requests.suspected whole requests only, as before.

--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -112,9 +112,19 @@
         return loaded;
     }
 
-    /** Returns the number of requests and of parts that are quarantined. */
-    public int suspects() {
-        return suspects.size();
+    /** Returns the number of requests that are quarantined. */
+    public int suspectRequests() {
+        return suspects.size() - suspectParts();
+    }
+
+    /** Returns the number of parts of prompts that are quarantined. */
+    public int suspectParts() {
+        return ledger.parts().suspects().size();
+    }
+
+    /** Returns whether a request is quarantined for a part of its prompt. */
+    public boolean suspectsPart(Exchange exchange) {
+        return ledger.parts().holdsSuspect(exchange.facts().sharedParts());
     }
 
     /**
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -151,7 +151,8 @@
     /** Starts to share with other entries which requests have crashed endpoints. */
     public void shareCrashes(ObjectStore store) {
         context.directory().onUnplannedEnd(context.crashGuard()::recordEndpointEnded);
-        context.metrics().gauge("quetzalseam.requests.suspected", context.crashGuard()::suspects);
+        context.metrics().gauge("quetzalseam.requests.suspected", context.crashGuard()::suspectRequests);
+        context.metrics().gauge("quetzalseam.parts.suspected", context.crashGuard()::suspectParts);
         context.crashGuard().start(store, context.settings().firstStart(), this::routeEarlyRequests);
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -43,6 +43,9 @@
     /** Reason given when a request is refused because endpoints crashed while they ran it. */
     static final String QUARANTINED = "endpoints have crashed while they ran this request";
 
+    private static final String PART_QUARANTINED =
+            "endpoints have crashed while they ran requests with a part of this prompt";
+
     /** Reason given when a stream is refused because it can go on only at a build that no endpoint has now. */
     static final String NO_ENDPOINT_OF_BUILD = "no endpoint of the build that began the stream";
 
@@ -311,13 +314,16 @@
         }
     }
 
-    /** Refuses a request that is quarantined because endpoints crashed while they ran it. It has not run this time. */
+    /**
+     * Refuses a request that is quarantined because endpoints crashed while they ran it, or others with a part of its prompt. It has
+     * not run this time.
+     */
     void refuseQuarantined(Exchange exchange) {
         long retryAfterMillis = crashGuard.retryAfterMillis(exchange);
         logger.atInfo().log(
                 "event=quarantine-refused request=%s retry_after_ms=%d age_ms=%d %s",
                 exchange.facts().id(), retryAfterMillis, exchange.ageMillis(), crashGuard.describe(exchange));
-        refuse(exchange, QUARANTINED, retryAfterMillis);
+        refuse(exchange, crashGuard.suspectsPart(exchange) ? PART_QUARANTINED : QUARANTINED, retryAfterMillis);
     }
 
     private static double random() {
--- a/gateway/src/test/java/org/quetzalseam/gateway/CrashingPartGenerationTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/CrashingPartGenerationTest.java
@@ -18,7 +18,8 @@
 
 /** Tests one entry, without a store, whose decode engines end when they answer prompts that hold a certain part. */
 class CrashingPartGenerationTest {
-    private static final String QUARANTINED = "endpoints have crashed";
+    private static final String QUARANTINED =
+            "endpoints have crashed while they ran requests with a part of this prompt";
     private static final int SUSPECT_CRASHES = 5;
     /** Time in which an entry has learnt that a lost connection was a crash, in milliseconds. */
     private static final long CHECK_MILLIS = 100;
