--- a/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
@@ -238,7 +238,7 @@
     /** Forgets the suspects, and the suspect parts, whose crashes no longer count. */
     public void dropAllExpired(long now) {
         dropExpired(now);
-        parts.judge(now);
+        parts.dropExpired(now);
     }
 
     /** Returns whether there may be a suspect; if not, no request needs to be looked up. */
--- a/core/src/main/java/org/quetzalseam/core/crash/CrashReport.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashReport.java
@@ -39,7 +39,7 @@
     /**
      * One fact about a request, or about a part of prompts. Immutable.
      *
-     * @param request the fingerprint of the request, or what {@link PartLedger#key} returns of a part
+     * @param request the fingerprint of the request; of an ended part the part, and of a claim for one its {@link PartLedger#key}
      * @param subject the incarnation that crashed, or the id of the claim
      * @param parts of a lost request, the parts of its prompt that other requests may hold too, in order; else empty
      */
--- a/core/src/main/java/org/quetzalseam/core/crash/FactTable.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/FactTable.java
@@ -15,7 +15,7 @@
 
 /**
  * Facts of one sort that one entry reported, by request, with the time at which this process learnt of each. Bounded: when it is
- * full, the request that has gone longest without a new fact is forgotten. Not thread-safe. Times are monotonic nanoseconds; a
+ * full, the request that has gone longest without a new fact is forgotten, one that is to be kept longest last. Not thread-safe. Times are monotonic nanoseconds; a
  * fact expires when its age exceeds the time for which its request's facts count.
  */
 final class FactTable {
--- a/core/src/main/java/org/quetzalseam/core/crash/PartLedger.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/PartLedger.java
@@ -83,7 +83,7 @@
         return key.substring(KEY_PREFIX.length());
     }
 
-    /** Sets the callback that runs whenever other parts are suspects than before. */
+    /** Sets the callback that runs whenever facts have made other parts suspects than before. */
     public void onChange(Runnable call) {
         onChange = call;
     }
@@ -127,7 +127,7 @@
         return any;
     }
 
-    /** Judges all parts anew, because facts were added or have expired. */
+    /** Judges all parts anew, because facts were added. */
     void judge(long now) {
         evidence = gather(now);
         if (dismiss(evidence.keySet(), now)) {
@@ -140,6 +140,12 @@
         }
     }
 
+    /** Forgets the suspects whose crashes no longer count. */
+    void dropExpired(long now) {
+        evidence = gather(now);
+        suspects = choose(now);
+    }
+
     private Map<String, PartEvidence> gather(long now) {
         Map<String, PartEvidence> found = new HashMap<>();
         Map<String, Set<String>> dismissed = new HashMap<>();
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -114,7 +114,7 @@
 
     /** Returns the number of requests that are quarantined. */
     public int suspectRequests() {
-        return suspects.size() - suspectParts();
+        return suspects.requests();
     }
 
     /** Returns the number of parts of prompts that are quarantined. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/Suspects.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/Suspects.java
@@ -39,8 +39,10 @@
         reportsAgeNanos = nanos;
     }
 
-    int size() {
-        return known.size();
+    /** Returns the number of requests among the suspects. */
+    int requests() {
+        return (int)
+                known.keySet().stream().filter(key -> !PartLedger.isKey(key)).count();
     }
 
     /** Returns the keys for which a request is suspected, none if it may run. */
