--- a/gateway/src/test/java/org/quetzalseam/gateway/CrashingPartGenerationTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/CrashingPartGenerationTest.java
@@ -7,8 +7,12 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,8 +25,10 @@
     private static final String QUARANTINED =
             "endpoints have crashed while they ran requests with a part of this prompt";
     private static final int SUSPECT_CRASHES = 5;
-    /** Time in which an entry has learnt that a lost connection was a crash, in milliseconds. */
+    /** Time in which an entry has taken in what a test did, in milliseconds. */
     private static final long CHECK_MILLIS = 100;
+    /** Limit for the entry to learn that a lost connection was a crash, in seconds. */
+    private static final long CRASH_COUNTED_SECONDS = 5;
     /** More than the time from the fifth crash to the first probe, in milliseconds. */
     private static final long FIRST_PROBE_MILLIS = 400;
 
@@ -32,15 +38,33 @@
 
     private final TestEntry entry = new TestEntry();
     private final List<ScriptedEndpoint> engines = new ArrayList<>();
+    private final Logger guardLogger = Logger.getLogger("org.quetzalseam.gateway.crash.CrashGuard");
+    private final Semaphore crashesCounted = new Semaphore(0);
+    private final Handler counter = new Handler() {
+        @Override
+        public void publish(LogRecord line) {
+            if (line.getMessage().contains("event=crash-counted")) {
+                crashesCounted.release();
+            }
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void close() {}
+    };
     private int paths;
 
     @BeforeEach
     void start() {
+        guardLogger.addHandler(counter);
         entry.updateRoutes(5_000);
     }
 
     @AfterEach
     void stop() {
+        guardLogger.removeHandler(counter);
         entry.close();
         engines.forEach(ScriptedEndpoint::close);
     }
@@ -97,7 +121,17 @@
             });
             use(engine);
             ask(headers);
-            pause(CHECK_MILLIS);
+            awaitCrashCounted();
+        }
+    }
+
+    private void awaitCrashCounted() {
+        try {
+            assertThat(crashesCounted.tryAcquire(CRASH_COUNTED_SECONDS, TimeUnit.SECONDS))
+                    .as("the crash is counted")
+                    .isTrue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
