A request is no suspect if a part of other prompts was at hand at each of its crashes

A part had crashed three engines in a second, too few to suspect the part; the request was lost in all three, and its probes found no decode memory, so that nothing cleared it.

A part that it does not hold, with which no run has ended, and which was at hand at all its crashes explains them now, suspect or not: that it becomes one takes two crashes more. Its own parts and parts that runs have ended with excuse nothing, and one crash without the part makes the request a suspect again. The ledger's test failed before (the request was a suspect at three crashes).

--- a/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/CrashLedger.java
@@ -18,7 +18,7 @@
  * <p>A crash also loses requests that did not cause it. Those end at another endpoint sooner or later, which dismisses all
  * crashes known until then and shortly after; the request that causes the crashes never ends. A request with
  * {@link #SUSPECT_CRASHES} crashes that nothing dismisses is a suspect, unless others with more crashes explain all of its own,
- * or parts of prompts that are taken for the cause of crashes explain most of these.
+ * or parts of other prompts explain these.
  * The crashes of a suspect count longer than others, because its caller may send it again at long intervals.
  */
 public final class CrashLedger {
@@ -207,7 +207,17 @@
             return false;
         }
         Set<String> crashes = crashes(request, now);
-        return parts.unexplained(crashes) >= SUSPECT_CRASHES && !explained(crashes, now);
+        return crashes.size() >= SUSPECT_CRASHES
+                && parts.unexplained(crashes, heldParts(request), now) >= SUSPECT_CRASHES
+                && !explained(crashes, now);
+    }
+
+    private List<String> heldParts(String request) {
+        return reporters.values().stream()
+                .map(reporter -> reporter.lost.parts(request))
+                .filter(held -> !held.isEmpty())
+                .findFirst()
+                .orElse(List.of());
     }
 
     /** Returns whether each of the crashes is also one of a request that has more crashes than there are. */
--- a/core/src/main/java/org/quetzalseam/core/crash/FactTable.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/FactTable.java
@@ -130,6 +130,12 @@
         });
     }
 
+    /** Returns the parts of a request's prompt, none if they or the request are not known. */
+    List<String> parts(String request) {
+        Known facts = known.get(request);
+        return facts == null ? List.of() : facts.parts;
+    }
+
     /** Adds what a request's facts name, without the expired ones. */
     void addSubjects(String request, long keepNanos, long now, Set<String> found) {
         Known facts = known.get(request);
--- a/core/src/main/java/org/quetzalseam/core/crash/PartLedger.java
+++ b/core/src/main/java/org/quetzalseam/core/crash/PartLedger.java
@@ -252,10 +252,17 @@
         return !suspects.isEmpty() && parts.stream().anyMatch(suspects::containsKey);
     }
 
-    /** Returns the number of crashes that no suspect explains. */
-    int unexplained(Set<String> crashes) {
+    /**
+     * Returns the number of crashes of a lost request that are its own: no suspect was at hand at them, nor a part of other prompts that
+     * was at hand at all of the request's crashes and that no run has ended with.
+     */
+    int unexplained(Set<String> crashes, List<String> heldParts, long now) {
         Set<String> left = new HashSet<>(crashes);
         suspects.values().forEach(left::removeAll);
-        return left.size();
+        boolean excused = evidence.entrySet().stream()
+                .filter(part -> !heldParts.contains(part.getKey()))
+                .filter(part -> part.getValue().crashes().containsAll(crashes))
+                .anyMatch(part -> !hasEnded(part.getKey(), now));
+        return excused ? 0 : left.size();
     }
 }
--- a/core/src/test/java/org/quetzalseam/core/crash/PartLedgerTest.java
+++ b/core/src/test/java/org/quetzalseam/core/crash/PartLedgerTest.java
@@ -135,6 +135,36 @@
         assertThat(ledger.isSuspect("unlucky", 0)).isTrue();
     }
 
+    // Guards against a request that many callers send being refused because a part of other prompts crashed three
+    // endpoints that
+    // ran it, too few to suspect the part.
+    @Test
+    void aRequestIsNoSuspectIfAnotherPromptsPartThatNothingHasEndedWithWasAtHandAtEachOfItsCrashes() {
+        for (int i = 0; i < 3; i++) {
+            lose(0, "i-" + i, "first", "bad");
+            ledger.recordLost(new Fact("popular", "i-" + i, List.of("first", "fine")), 0);
+        }
+        assertThat(parts.suspects()).isEmpty();
+        assertThat(ledger.isSuspect("popular", 0)).isFalse();
+        ledger.recordLost(new Fact("popular", "i-3", List.of("first", "fine")), 0);
+        assertThat(ledger.isSuspect("popular", 0))
+                .as("one crash without the part")
+                .isTrue();
+    }
+
+    // Guards against a request that crashes endpoints being excused by what it holds itself, or by a part that runs end
+    // with.
+    @Test
+    void aRequestIsASuspectThoughItsOwnPartsAndOnesThatRunsEndWithWereAtHandAtItsCrashes() {
+        parts.recordEnded(List.of("sound"), 0);
+        long later = PartLedger.RECENT_END_NANOS + 1;
+        for (int i = 0; i < 3; i++) {
+            lose(later, "i-" + i, "sound");
+            ledger.recordLost(new Fact("culprit", "i-" + i, List.of("own")), later);
+        }
+        assertThat(ledger.isSuspect("culprit", later)).isTrue();
+    }
+
     @Test
     void aRunThatEndsAtAnotherEntryClearsThePart() {
         for (int i = 0; i < 5; i++) {
