A stopping entry claims no probe, and withdraws the claim of one that it has not sent

An entry that was stopping had claimed its probe, refused what came next, and ended; the claim counts for 20 s. An entry that is killed still leaves its claim for 20 s.

--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashGuard.java
@@ -48,6 +48,7 @@
     private @Nullable CrashReports reports;
     private @Nullable ReportSchedule schedule;
     private boolean loaded = true;
+    private boolean stopping;
 
     /**
      * Creates a guard that knows of no crash.
@@ -90,6 +91,29 @@
         });
     }
 
+    /** Claims no probes from now on, and withdraws the claims with which none is under way, because this entry stops. */
+    public void startDraining() {
+        stopping = true;
+        suspects.forEachKnown((key, suspect) -> {
+            if (!suspect.probeUnderWay()) {
+                withdrawClaim(key, suspect);
+            }
+        });
+    }
+
+    boolean stopping() {
+        return stopping;
+    }
+
+    /** Gives up the claim of a probe with which nothing has been sent. */
+    void withdrawClaim(String key, Suspect suspect) {
+        String probe = suspect.withdrawClaim();
+        if (probe != null) {
+            ledger.withdrawProbe(key, probe);
+            reportSoon(true);
+        }
+    }
+
     Timers timers() {
         return timers;
     }
@@ -145,7 +169,7 @@
             return;
         }
         // A request that is suspected for more than one reason shows nothing of any of them.
-        if (keys.size() > 1 || suspects.otherPartIsLikelier(exchange) || !suspect.ask(timers.now())) {
+        if (stopping || keys.size() > 1 || suspects.otherPartIsLikelier(exchange) || !suspect.ask(timers.now())) {
             refuse.run();
             return;
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/ProbeRequest.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/ProbeRequest.java
@@ -65,6 +65,9 @@
         }
         if (exchange.ended()) {
             suspect.stopAsking();
+        } else if (guard.stopping()) {
+            withdrawClaim();
+            refuseNow();
         } else if (!reportsKnown) {
             refuseFor(STORE_RETRY_NANOS);
         } else if (!suspects.isSuspect(key)) {
@@ -91,6 +94,11 @@
     }
 
     private void decideClaim(CrashReports shared, boolean written) {
+        if (guard.stopping()) {
+            withdrawClaim();
+            refuseNow();
+            return;
+        }
         if (!written) {
             refuseFor(STORE_RETRY_NANOS);
             return;
@@ -106,11 +114,7 @@
     }
 
     private void withdrawClaim() {
-        String probe = suspect.withdrawClaim();
-        if (probe != null) {
-            ledger.withdrawProbe(key, probe);
-            guard.reportSoon(false);
-        }
+        guard.withdrawClaim(key, suspect);
     }
 
     private void runAsProbe() {
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/Suspect.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/Suspect.java
@@ -50,15 +50,19 @@
 
     /** Begins to ask for a probe. Returns false if it is too early, or another exchange asks for one or is one. */
     boolean ask(long now) {
-        Exchange probe = allowed;
-        boolean busy = asking || (probe != null && !probe.ended());
-        if (busy || waitNanos(now) > 0) {
+        if (probeUnderWay() || waitNanos(now) > 0) {
             return false;
         }
         asking = true;
         return true;
     }
 
+    /** Returns whether an exchange asks for a probe, or has been allowed one and may still be sent. */
+    boolean probeUnderWay() {
+        Exchange probe = allowed;
+        return asking || (probe != null && !probe.ended());
+    }
+
     void stopAsking() {
         asking = false;
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/Suspects.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/Suspects.java
@@ -89,6 +89,11 @@
         keys.stream().filter(known::containsKey).forEach(key -> call.accept(key, known.get(key)));
     }
 
+    /** Passes on each suspect whose state this entry has. */
+    void forEachKnown(BiConsumer<String, Suspect> call) {
+        Map.copyOf(known).forEach(call);
+    }
+
     /**
      * Returns whether a crash of this request as a probe would rather be the fault of another part: one with as many crashes, which
      * the suspect explains although runs have ended with the suspect.
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -172,6 +172,7 @@
     /** Starts draining: from now on accepts only requests that can end within the grace period. */
     public void startDraining(GracePeriod period) {
         context.startDraining(period);
+        context.crashGuard().startDraining();
         origins.handOver();
         earlyRequests.refuseAll();
         requestsInDoubt.refuseAll();
