--- a/gateway/src/test/java/org/quetzalseam/gateway/CrashingPartGenerationTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/CrashingPartGenerationTest.java
@@ -117,7 +117,7 @@
             ScriptedEndpoint engine = engine((request, connection) -> {});
             engine.script((request, connection) -> {
                 if (request.path().startsWith("/control/")) {
-                    connection.answer(request, "booking");
+                    connection.reject(request);
                     return;
                 }
                 connection.beginStream(request);
@@ -204,6 +204,27 @@
         assertThat(fullEngine.runs()).isEmpty();
     }
 
+    // Guards against a decode engine prefilling a prompt itself that no engine may answer any more.
+    @Test
+    void aPromptThatWaitsForMemoryIsNotPrefilledByADecodeEngineAfterTheFifthCrash() {
+        AtomicBoolean full = new AtomicBoolean(true);
+        ScriptedEndpoint engine = engine((request, connection) -> {
+            if (request.path().startsWith("/control/") && full.get()) {
+                connection.reject(request);
+            } else {
+                decode(request, connection);
+            }
+        });
+        use(engine);
+        CompletableFuture<String> waiting = CompletableFuture.supplyAsync(() -> ask(TOKENS, FIRST_PART, CRASHING_PART));
+        pause(CHECK_MILLIS);
+        crashEngines(SUSPECT_CRASHES, FIRST_PART, CRASHING_PART);
+        full.set(false);
+        use(engine);
+        assertThat(waiting.join()).startsWith("HTTP/1.1 503").contains(QUARANTINED);
+        assertThat(engine.runs()).isEmpty();
+    }
+
     // Guards against a prompt being decoded whose prefill was under way at the fifth crash.
     @Test
     void aPromptThatIsPrefilledAtTheFifthCrashIsNotDecoded() throws InterruptedException {
