--- a/cli/src/main/java/org/quetzalseam/cli/BenchCommand.java
+++ b/cli/src/main/java/org/quetzalseam/cli/BenchCommand.java
@@ -75,7 +75,8 @@
     @Option(
             names = "--crash",
             description =
-                    "Repeat a completion that crashes each engine that decodes it; then crash engines without one.")
+                    "Repeat a completion that crashes each engine that decodes it; send completions with a part that does; then crash"
+                            + " engines without one.")
     private boolean crash;
 
     @Option(
@@ -141,8 +142,8 @@
 
     private int crashRuns() {
         boolean good = true;
-        for (boolean control : new boolean[] {false, true}) {
-            CrashRun.Result result = new CrashRun(deployment, seeds.get(0), seconds, control).run();
+        for (CrashRun.Cause cause : CrashRun.Cause.values()) {
+            CrashRun.Result result = new CrashRun(deployment, seeds.get(0), seconds, cause).run();
             result.print(out());
             out().flush();
             good &= result.good();
--- a/cli/src/main/java/org/quetzalseam/cli/fault/CrashRun.java
+++ b/cli/src/main/java/org/quetzalseam/cli/fault/CrashRun.java
@@ -24,13 +24,12 @@
 
 /**
  * Sends traffic to a site whose decode engines crash again and again: because of one completion that callers repeat at all
- * entries, or, as a control, without any such request.
+ * entries, because of what completions have in common that are never alike, or, as a control, without any such request.
  */
 public final class CrashRun {
     private static final double LOAD = 0.25;
     private static final double SPEED = 8;
-    private static final int SUSPECT_CRASHES = 3;
-    /** Crashes that one completion may cause later than {@link #NOTICE} after its third one. */
+    /** Crashes that a cause may have later than {@link #NOTICE} after those that make it a suspect. */
     private static final int MAX_LATE_CRASHES = 3;
 
     private static final Duration NOTICE = Duration.ofSeconds(3);
@@ -42,48 +41,67 @@
 
     private final long seed;
     private final double seconds;
-    private final boolean control;
+    private final Cause cause;
     private final Site site;
     private final Caller caller = new Caller();
     private volatile boolean finished;
     private volatile int crashesInNotice;
 
+    /** Why engines crash. */
+    public enum Cause {
+        /** One completion, which is repeated. */
+        COMPLETION("one completion", 3),
+        /** A part of prompts that differ otherwise. */
+        PART("a part of prompts", 5),
+        /** Nothing that requests hold. */
+        NONE("control", 3);
+
+        private final String label;
+        private final int suspectCrashes;
+
+        Cause(String label, int suspectCrashes) {
+            this.label = label;
+            this.suspectCrashes = suspectCrashes;
+        }
+    }
+
     /**
      * What came of the crashes. Immutable.
      *
      * @param crashes number of crashes of decode engines
-     * @param lateCrashes those later than three seconds after the third one
+     * @param lateCrashes those later than three seconds after as many as make their cause a suspect
      * @param sent number of other requests
      * @param answered number of these that were answered
      * @param quarantined number of these that were refused as the cause of crashes
-     * @param control whether there was no completion that caused the crashes
+     * @param cause why engines crashed
      */
-    public record Result(int crashes, int lateCrashes, int sent, int answered, int quarantined, boolean control) {
-        /** Returns whether the completion crashed few engines and no other request was taken for it. */
+    public record Result(int crashes, int lateCrashes, int sent, int answered, int quarantined, Cause cause) {
+        /** Returns whether the cause crashed few engines and no other request was taken for it. */
         public boolean good() {
-            return (control || lateCrashes <= MAX_LATE_CRASHES) && quarantined == 0;
+            return (cause == Cause.NONE || lateCrashes <= MAX_LATE_CRASHES) && quarantined == 0;
         }
 
         /** Prints the result. */
         public void print(PrintWriter out) {
             out.printf(
                     Locale.ROOT,
-                    "%s: %d crashes, %d of them later than %d s after the third; of %d other requests %d answered, %d quarantined%n",
-                    control ? "control" : "one completion",
+                    "%s: %d crashes, %d of them later than %d s after number %d; of %d other requests %d answered, %d quarantined%n",
+                    cause.label,
                     crashes,
                     lateCrashes,
                     NOTICE.toSeconds(),
+                    cause.suspectCrashes,
                     sent,
                     answered,
                     quarantined);
         }
     }
 
-    /** Creates a run on a bundled deployment; with {@code control} the crashes have no cause among the requests. */
-    public CrashRun(String deployment, long seed, double seconds, boolean control) {
+    /** Creates a run on a bundled deployment. */
+    public CrashRun(String deployment, long seed, double seconds, Cause cause) {
         this.seed = seed;
         this.seconds = seconds;
-        this.control = control;
+        this.cause = cause;
         this.site =
                 new Site(Deployment.bundled(deployment), SiteOptions.defaults().withSpeed(SPEED));
     }
@@ -97,7 +115,7 @@
                     .map(kind -> kind.faster(SPEED))
                     .toList();
             List<PlannedRequest> schedule = Schedule.draw(traffic, LOAD, seconds, seed);
-            threads.execute(control ? this::crashAtRandom : () -> repeatCrashingCompletion(traffic));
+            threads.execute(cause == Cause.NONE ? this::crashAtRandom : () -> sendCrashingCompletions(traffic));
             threads.execute(this::awaitNotice);
             List<Sample> samples = new LoadRun(site, "crashrun" + seed, 0).run(schedule, seed);
             finished = true;
@@ -113,7 +131,7 @@
         int crashes = crashes();
         return new Result(
                 crashes,
-                Math.max(0, crashes - Math.max(crashesInNotice, SUSPECT_CRASHES)),
+                Math.max(0, crashes - Math.max(crashesInNotice, cause.suspectCrashes)),
                 samples.size(),
                 (int) samples.stream()
                         .filter(sample -> sample.outcome() == CallerOutcome.ANSWERED)
@@ -121,7 +139,7 @@
                 (int) samples.stream()
                         .filter(sample -> sample.code().equals(QUARANTINED))
                         .count(),
-                control);
+                cause);
     }
 
     private List<EndpointVm> decoders() {
@@ -136,25 +154,28 @@
                 .sum();
     }
 
-    /** Notes how many crashes there were until shortly after the third one. */
+    /** Notes how many crashes there were until shortly after those that make their cause a suspect. */
     private void awaitNotice() {
-        while (!finished && crashes() < SUSPECT_CRASHES) {
+        while (!finished && crashes() < cause.suspectCrashes) {
             Wait.sleep(Duration.ofMillis(20));
         }
         Wait.sleep(NOTICE);
         crashesInNotice = crashes();
     }
 
-    private void repeatCrashingCompletion(List<Traffic> traffic) {
+    private void sendCrashingCompletions(List<Traffic> traffic) {
         Traffic kind = traffic.stream()
                 .filter(candidate -> candidate.route().kind() == Route.Kind.MODEL)
                 .findFirst()
                 .orElseThrow();
-        PlannedRequest crashing = new PlannedRequest(0, 0, kind, kind.owners().get(0), 50, 5);
-        decoders().forEach(vm -> vm.backend().engine().crashOn(RUN_ID + "-0 ", RESTART_TIME.toMillis()));
+        boolean alike = cause == Cause.COMPLETION;
+        String crashing = alike ? RUN_ID + "-0 " : RUN_ID + "-";
+        decoders().forEach(vm -> vm.backend().engine().crashOn(crashing, RESTART_TIME.toMillis()));
         for (int i = 0; !finished; i++) {
             String entry = site.entries().get(i % site.entries().size()).url();
-            caller.send(crashing, entry, System.nanoTime(), RUN_ID, -1);
+            PlannedRequest planned =
+                    new PlannedRequest(alike ? 0 : i, 0, kind, kind.owners().get(0), 50, 5);
+            caller.send(planned, entry, System.nanoTime(), RUN_ID, -1);
             Wait.sleep(REPEAT_INTERVAL);
         }
     }
