An endpoint's kept connections have a class of their own

One difference in behaviour: a control connection that is polled in place of the wanted one is kept again, instead of being neither idle nor used. RestartedEndpointTest, PlainCallTest, StageControllerTest and GenerationTest passed.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -9,8 +9,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -40,13 +38,6 @@
  */
 public final class Endpoint {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /**
-     * How much earlier than the endpoint this entry gives up an idle connection, in nanoseconds, so that no request is sent while
-     * the endpoint closes the connection.
-     */
-    private static final long IDLE_TIMEOUT_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-    /** How long an idle connection is kept when the endpoint does not state its idle timeout, in nanoseconds. */
-    private static final long DEFAULT_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
     /** Maximum number of control connections; when all are in use, further control calls fail as not connected. */
     private static final int MAX_CONTROL_CONNECTIONS = 8;
 
@@ -62,17 +53,15 @@
     private final EndpointHealth health = new EndpointHealth();
     private final RejectionBackoff workRejections = new RejectionBackoff(0);
     private final RejectionBackoff cacheRejections = new RejectionBackoff(1);
-    private final Deque<HttpConnection> idleConnections = new ArrayDeque<>();
-    private final Deque<HttpConnection> idleControlConnections = new ArrayDeque<>();
     private final IdleLimit idleLimit = new IdleLimit();
+    private final KeptConnections connections = new KeptConnections(idleLimit);
+    private final KeptConnections controlConnections = new KeptConnections(idleLimit);
     private final PeerDisconnects peerDisconnects = new PeerDisconnects();
     private final Set<EndpointCall> callsInFlight = new HashSet<>();
     private final Misdirection misdirection = new Misdirection();
     private final CrashCheck crashCheck;
     private Member member;
     private int maxConnections = Integer.MAX_VALUE;
-    private int openConnections;
-    private int openControlConnections;
     private int outstanding;
     private boolean ended;
 
@@ -146,7 +135,7 @@
 
     /** Returns whether one more request can be sent without exceeding the maximum number of connections. */
     public boolean hasFreeConnection() {
-        return !idleConnections.isEmpty() || openConnections + openControlConnections < maxConnections;
+        return connections.hasIdle() || connections.open() + controlConnections.open() < maxConnections;
     }
 
     /**
@@ -167,7 +156,7 @@
             timers.soon(() -> failRestarted(call));
             return call;
         }
-        HttpConnection reused = pollUsable(idleConnections);
+        HttpConnection reused = connections.poll();
         if (reused != null) {
             call.begin(reused);
             return call;
@@ -186,12 +175,12 @@
 
     /** Opens a connection and begins the call on it; without a call, keeps it for later ones. */
     private void openConnection(@Nullable EndpointCall call) {
-        openConnections++;
+        connections.recordOpening();
         connector.connect(
                 address,
                 this::connectionIdle,
                 this::connectionClosed,
-                new ConnectOutcome(call, this::connectionIdle, () -> openConnections--));
+                new ConnectOutcome(call, this::connectionIdle, connections::recordNotOpened));
     }
 
     /** Receives the outcome of opening a connection. */
@@ -252,12 +241,7 @@
     public boolean sendControlAfter(
             EndpointCall earlier, FullHttpRequest request, long limitMillis, ReplyListener replies) {
         HttpConnection earlierConnection = earlier.connection();
-        if (ended || earlierConnection == null || !idleControlConnections.remove(earlierConnection)) {
-            request.release();
-            return false;
-        }
-        idleControlConnections.addFirst(earlierConnection);
-        if (pollUsable(idleControlConnections) != earlierConnection) {
+        if (ended || earlierConnection == null || !controlConnections.poll(earlierConnection)) {
             request.release();
             return false;
         }
@@ -285,36 +269,36 @@
             failRestarted(call);
             return call;
         }
-        HttpConnection reused = pollUsable(idleControlConnections);
+        HttpConnection reused = controlConnections.poll();
         if (reused != null) {
             call.begin(reused);
             return call;
         }
-        if (openControlConnections >= MAX_CONTROL_CONNECTIONS) {
+        if (controlConnections.open() >= MAX_CONTROL_CONNECTIONS) {
             call.failUnsent(new CallFailure(CallFailure.Kind.NOT_CONNECTED, "all control connections are in use"));
             return call;
         }
-        openControlConnections++;
+        controlConnections.recordOpening();
         connector.connect(
                 address,
                 this::controlConnectionIdle,
                 this::controlConnectionClosed,
-                new ConnectOutcome(call, this::controlConnectionIdle, () -> openControlConnections--));
+                new ConnectOutcome(call, this::controlConnectionIdle, controlConnections::recordNotOpened));
         return call;
     }
 
     private void connectionClosed(HttpConnection connection) {
-        openConnections--;
-        recordClosed(connection, idleConnections);
+        connections.recordClosed(connection);
+        learnFrom(connection);
     }
 
     private void controlConnectionClosed(HttpConnection connection) {
-        openControlConnections--;
-        recordClosed(connection, idleControlConnections);
+        controlConnections.recordClosed(connection);
+        learnFrom(connection);
     }
 
-    private void recordClosed(HttpConnection connection, Deque<HttpConnection> idle) {
-        idle.remove(connection);
+    /** Takes note of how a connection was closed. */
+    private void learnFrom(HttpConnection connection) {
         if (connection.closedByPeer()) {
             peerDisconnects.record(System.nanoTime());
         }
@@ -327,43 +311,19 @@
     }
 
     private void connectionIdle(HttpConnection connection) {
-        keepIdle(connection, idleConnections);
+        keepIdle(connection, connections);
     }
 
     private void controlConnectionIdle(HttpConnection connection) {
-        keepIdle(connection, idleControlConnections);
+        keepIdle(connection, controlConnections);
     }
 
-    private void keepIdle(HttpConnection connection, Deque<HttpConnection> idle) {
+    private void keepIdle(HttpConnection connection, KeptConnections kept) {
         if (ended) {
             connection.abort();
         } else {
-            idle.addFirst(connection);
-        }
-    }
-
-    private @Nullable HttpConnection pollUsable(Deque<HttpConnection> connections) {
-        long now = System.nanoTime();
-        long limitNanos = idleLimit.limitNanos(now);
-        while (true) {
-            HttpConnection connection = connections.pollFirst();
-            if (connection == null) {
-                return null;
-            }
-            long idleNanos = now - connection.idleSince();
-            if (connection.open() && idleNanos < Math.min(limitNanos, maxIdleNanos(connection))) {
-                return connection;
-            }
-            connection.abort();
-        }
-    }
-
-    private static long maxIdleNanos(HttpConnection connection) {
-        long timeoutNanos = connection.peerIdleTimeoutNanos();
-        if (timeoutNanos == Long.MAX_VALUE) {
-            return DEFAULT_IDLE_NANOS;
+            kept.keep(connection);
         }
-        return Math.max(timeoutNanos - IDLE_TIMEOUT_MARGIN_NANOS, timeoutNanos / 2);
     }
 
     private void requestEnded(EndpointCall call) {
@@ -402,10 +362,8 @@
 
     /** Closes idle connections; calls in flight continue. */
     void close() {
-        List.copyOf(idleConnections).forEach(HttpConnection::abort);
-        List.copyOf(idleControlConnections).forEach(HttpConnection::abort);
-        idleConnections.clear();
-        idleControlConnections.clear();
+        connections.closeIdle();
+        controlConnections.closeIdle();
     }
 
     /** Returns an empty request body. */
