Entries on all pages of the store's list are counted

What callers saw: nothing yet; at a site whose entries do not fit on one page of a list each entry counted the first page only (and, if its own name was on a later one, itself). Equal parts of retry budgets, connections and teams' allowances then add up to more than the whole, and entries know no addresses of those on later pages. Found with the tests of limits: their store has pages of 3, and two entries decided for one endpoint because their lists differed. The platform's pages hold about 500 objects.

The new test failed without the change: 4 counted of 11.

--- a/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryRegistry.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryRegistry.java
@@ -146,17 +146,18 @@
 
     private void countFromNewestList() {
         long askedAt = timers.elapsed();
-        store.list(
-                KIND,
-                null,
+        EntryPages.readAll(
+                (after, done, failed) -> store.list(KIND, after, done, failed),
                 page -> handlePage(page, askedAt),
                 failure -> retryFirstList(failure, this::countFromNewestList));
     }
 
     private void countFromRecentList() {
         long askedAt = timers.elapsed();
-        store.listRecent(
-                KIND, page -> handlePage(page, askedAt), failure -> retryFirstList(failure, this::countFromRecentList));
+        EntryPages.readAll(
+                (after, done, failed) -> store.listRecent(KIND, after, done, failed),
+                page -> handlePage(page, askedAt),
+                failure -> retryFirstList(failure, this::countFromRecentList));
     }
 
     private void retryFirstList(StoreFailure failure, Runnable call) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectStore.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectStore.java
@@ -10,8 +10,8 @@
     /** Lists a page of a kind, beginning after a name, or at the first object where the name is null. */
     void list(String kind, @Nullable String after, Consumer<ObjectPage> done, Consumer<StoreFailure> failed);
 
-    /** Lists the first page of a kind from a state that may be some seconds old, which costs the platform less. */
-    void listRecent(String kind, Consumer<ObjectPage> done, Consumer<StoreFailure> failed);
+    /** Lists a page in the same way, from a state that may be some seconds old, which costs the platform less. */
+    void listRecent(String kind, @Nullable String after, Consumer<ObjectPage> done, Consumer<StoreFailure> failed);
 
     /** Waits for changes of a kind since a position, for at most the given time. */
     void watch(
--- a/gateway/src/test/java/org/quetzalseam/gateway/entry/EntryRegistryTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/entry/EntryRegistryTest.java
@@ -81,6 +81,22 @@
         assertThat(ranks).containsExactly(3);
     }
 
+    // Guards against shares of budgets that add up to more than the whole at a site whose entries do not fit on one
+    // page.
+    @Test
+    void entriesOnAllPagesOfTheListAreCounted() {
+        store.pageSize(3);
+        others(9);
+        store.put("quetzalseam-entries", "the-last", JsonNodeFactory.instance.objectNode());
+        start();
+        passSeconds(1);
+        assertThat(counted).containsExactly(11);
+        assertThat(ranks).containsExactly(9);
+        store.put("quetzalseam-entries", "and-one-more", JsonNodeFactory.instance.objectNode());
+        passSeconds(10);
+        assertThat(counted).containsExactly(11, 12);
+    }
+
     @Test
     void countingCostsALargeSiteNoMoreASecondThanASmallOne() {
         others(399);
--- a/gateway/src/test/java/org/quetzalseam/gateway/stage/LeaseOverRestoresTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/LeaseOverRestoresTest.java
@@ -226,7 +226,8 @@
         }
 
         @Override
-        public void listRecent(String kind, Consumer<ObjectPage> done, Consumer<StoreFailure> failed) {
+        public void listRecent(
+                String kind, @Nullable String after, Consumer<ObjectPage> done, Consumer<StoreFailure> failed) {
             throw new UnsupportedOperationException();
         }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -354,7 +354,8 @@
         }
 
         @Override
-        public void listRecent(String kind, Consumer<ObjectPage> done, Consumer<StoreFailure> failure) {
+        public void listRecent(
+                String kind, @Nullable String after, Consumer<ObjectPage> done, Consumer<StoreFailure> failure) {
             throw new UnsupportedOperationException();
         }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -20,6 +21,7 @@
     private boolean losingAnswers;
     private @Nullable StoredObject recentObject;
     private @Nullable List<StoredObject> recentList;
+    private int pageSize = Integer.MAX_VALUE;
 
     /** Sets whether calls are declined. */
     public void declining(boolean declining) {
@@ -41,6 +43,11 @@
         recentList = objects;
     }
 
+    /** Sets the number of objects in a page of a list. */
+    public void pageSize(int objects) {
+        pageSize = objects;
+    }
+
     /** Returns how often a kind has been listed. */
     public int lists() {
         return lists;
@@ -130,19 +137,22 @@
         }
         List<StoredObject> found = new ArrayList<>();
         objects.forEach((path, object) -> {
-            if (path.startsWith(kind + "/")) {
+            if (path.startsWith(kind + "/") && (after == null || object.name().compareTo(after) > 0)) {
                 found.add(object);
             }
         });
+        found.sort(Comparator.comparing(StoredObject::name));
         shown = now();
-        done.accept(new ObjectPage(found, false, now()));
+        boolean more = found.size() > pageSize;
+        done.accept(new ObjectPage(more ? found.subList(0, pageSize) : found, more, now()));
     }
 
     @Override
-    public void listRecent(String kind, Consumer<ObjectPage> done, Consumer<StoreFailure> failed) {
+    public void listRecent(
+            String kind, @Nullable String after, Consumer<ObjectPage> done, Consumer<StoreFailure> failed) {
         List<StoredObject> old = recentList;
         if (old == null) {
-            list(kind, null, done, failed);
+            list(kind, after, done, failed);
         } else {
             done.accept(new ObjectPage(old, false, now()));
         }
