Bytes without end are closed at once, and replies that are kept share one bound

What callers saw: a request at an endpoint that sends bytes without end got 504 at the end of its time; the beginning of an answer in place of a stream, longer than 1 MB, was delivered as if it were whole. Cause: the receiver of a reply had a bound but no means to end the call, so that the connection read on for nobody; interim heads and replies to other requests had no bound; and each bound was on one reply, none on all.

The connection keeps the bounds now: the length that a receiver accepts, stated or counted; 16 heads and 1 MB before the reply; 16 MB for all replies that are kept until they are complete, a sixth of the heap as deployed. Beyond them it closes at once, and the reply fails. This holds for endpoints' answers, control calls and the store's answers alike.

Its bound on the bytes that the endpoint had written is replaced by one on what the process keeps, at most 16 MB and nothing at the end: the operating system's buffers, some 8 MB a connection, decided the former.

--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -127,6 +127,7 @@
         metrics.gauge("quetzalseam.loop.delay.ms", () -> loopDelayMillis);
         metrics.gauge("quetzalseam.streams.recorded", router.origins()::size);
         metrics.gauge("quetzalseam.endpoints.limited", directory::limitedEndpoints);
+        metrics.gauge("quetzalseam.replies.kept.bytes", connector::keptReplyBytes);
         timers.every(LOOP_DELAY_INTERVAL_MILLIS, this::measureLoopDelay);
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/EndpointCall.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/EndpointCall.java
@@ -125,6 +125,11 @@
         replies.head(head);
     }
 
+    @Override
+    public long maxBodyBytes() {
+        return replies.maxBodyBytes();
+    }
+
     @Override
     public void body(ByteBuf part) {
         replies.body(part);
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/Connector.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/Connector.java
@@ -29,8 +29,12 @@
             .setMaxHeaderSize(MAX_HEAD_BYTES)
             .setMaxChunkSize(MAX_CHUNK_BYTES);
 
+    /** Most memory for all replies that are kept until they are complete, in bytes: a sixth of the heap as deployed. */
+    public static final long MAX_REPLY_MEMORY = 16 * 1024 * 1024;
+
     private final EventLoop loop;
     private final String idHeader;
+    private final ReplyMemory memory = new ReplyMemory(MAX_REPLY_MEMORY);
 
     /**
      * Creates a connector.
@@ -48,6 +52,11 @@
         return loop;
     }
 
+    /** Returns how many bytes of replies are kept until the replies are complete. */
+    public long keptReplyBytes() {
+        return memory.used();
+    }
+
     /** Receives the outcome of an attempt to connect. */
     public interface ConnectListener {
         /** Called when the connection is open. */
@@ -70,7 +79,7 @@
             Consumer<HttpConnection> onIdle,
             Consumer<HttpConnection> onClosed,
             ConnectListener listener) {
-        HttpConnection connection = new HttpConnection(idHeader, onIdle, onClosed);
+        HttpConnection connection = new HttpConnection(idHeader, memory, onIdle, onClosed);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
@@ -34,6 +34,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final String idHeader;
+    private final ReplyBounds bounds;
     private final Consumer<HttpConnection> onIdle;
     private final Consumer<HttpConnection> onClosed;
     private @Nullable Channel channel;
@@ -56,11 +57,14 @@
      * Creates a handler for a new channel.
      *
      * @param idHeader the header in which a reply repeats the request's id
+     * @param memory bounds the replies of all connections
      * @param onIdle called when the connection can carry another exchange
      * @param onClosed called once, when the connection has closed
      */
-    HttpConnection(String idHeader, Consumer<HttpConnection> onIdle, Consumer<HttpConnection> onClosed) {
+    HttpConnection(
+            String idHeader, ReplyMemory memory, Consumer<HttpConnection> onIdle, Consumer<HttpConnection> onClosed) {
         this.idHeader = idHeader;
+        this.bounds = new ReplyBounds(memory);
         this.onIdle = onIdle;
         this.onClosed = onClosed;
     }
@@ -91,6 +95,7 @@
             throw new IllegalStateException("an exchange is in progress");
         }
         listener = replies;
+        bounds.begin();
         requestId = id;
         head = null;
         skipping = false;
@@ -157,6 +162,7 @@
 
     private void close() {
         closing = true;
+        bounds.end();
         channel().close();
     }
 
@@ -192,6 +198,7 @@
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informational || isForAnotherRequest(response)) {
             skipping = true;
+            failIf(bounds.skipHead());
             return;
         }
         if (response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
@@ -201,7 +208,17 @@
         head = response;
         reusable = HttpUtil.isKeepAlive(response) && isFramed(response);
         readIdleTimeout(response);
-        listener.head(response);
+        ReplyListener current = listener;
+        current.head(response);
+        if (listener == current) {
+            failIf(bounds.head(response, current.maxBodyBytes()));
+        }
+    }
+
+    private void failIf(@Nullable String problem) {
+        if (problem != null) {
+            fail(Kind.MALFORMED, problem);
+        }
     }
 
     private boolean isForAnotherRequest(HttpResponse response) {
@@ -241,8 +258,17 @@
     private void receiveContent(HttpContent content) {
         ReplyListener current = listener;
         if (skipping || current == null || head == null) {
+            String problem =
+                    current == null ? null : bounds.skipBody(content.content().readableBytes());
             content.release();
             skipping = skipping && !(content instanceof LastHttpContent);
+            failIf(problem);
+            return;
+        }
+        String problem = bounds.body(content.content().readableBytes());
+        if (problem != null) {
+            content.release();
+            fail(Kind.MALFORMED, problem);
             return;
         }
         if (content.content().isReadable()) {
@@ -257,6 +283,7 @@
 
     private void complete(ReplyListener current) {
         listener = null;
+        bounds.end();
         awaitingRelease = true;
         idleSince = System.nanoTime();
         if (!reusable) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/ReplyCollector.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/ReplyCollector.java
@@ -40,13 +40,13 @@
         head = response;
     }
 
+    @Override
+    public long maxBodyBytes() {
+        return maxBytes;
+    }
+
     @Override
     public void body(ByteBuf part) {
-        if (!ended && collected.readableBytes() + part.readableBytes() > maxBytes) {
-            part.release();
-            failed(new CallFailure(CallFailure.Kind.MALFORMED, "the body is longer than " + maxBytes + " bytes"));
-            return;
-        }
         collected.writeBytes(part);
         part.release();
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/ReplyListener.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/ReplyListener.java
@@ -10,6 +10,14 @@
     /** Receives the status and the headers. */
     void head(HttpResponse head);
 
+    /**
+     * Returns the longest body that is accepted, in bytes. A longer one is not kept: the connection is closed and the reply fails.
+     * Asked after the head.
+     */
+    default long maxBodyBytes() {
+        return Long.MAX_VALUE;
+    }
+
     /** Receives a part of the body. The listener owns the buffer and releases it. */
     void body(ByteBuf part);
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/DecodeReply.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/DecodeReply.java
@@ -11,6 +11,7 @@
 
 /** Receives a decode engine's reply: a stream of events, or a complete answer that is not a stream. */
 final class DecodeReply implements ReplyListener {
+    /** Longest answer in place of a stream, in bytes; a stream has no such limit, as it is not kept. */
     private static final int MAX_ANSWER_BYTES = 1024 * 1024;
 
     /** Receives the parsed reply. */
@@ -52,15 +53,18 @@
         }
     }
 
+    @Override
+    public long maxBodyBytes() {
+        return streaming ? Long.MAX_VALUE : MAX_ANSWER_BYTES;
+    }
+
     @Override
     public void body(ByteBuf piece) {
         if (streaming) {
             listener.piece(piece);
             return;
         }
-        if (bufferedBody.readableBytes() + piece.readableBytes() <= MAX_ANSWER_BYTES) {
-            bufferedBody.writeBytes(piece);
-        }
+        bufferedBody.writeBytes(piece);
         piece.release();
     }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/EndlessReplyTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/EndlessReplyTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.gateway.http.Connector;
 import org.quetzalseam.standins.raw.RawRequest;
 
 /** Tests endpoints that send bytes without end, until the entry closes the connection. */
@@ -27,10 +28,11 @@
     private static final long MAX_BYTES = 16L * 1024 * 1024;
     /** Most bytes of a reply that may be taken if nothing of it is an answer. */
     private static final long MAX_SKIPPED_BYTES = 8L * 1024 * 1024;
-    /** Most bytes of all replies that may be taken together, the operating system's buffers included. */
-    private static final long MAX_BYTES_TOGETHER = 56L * 1024 * 1024;
 
     private static final int TOGETHER = 12;
+    /** Connections that an endpoint accepts; an entry that does not know how many entries there are uses a small part. */
+    private static final int MAX_CONNECTIONS = 1_000;
+
     private static final String FILLING = "x".repeat(16_000);
     private static final String CHUNK = Integer.toHexString(FILLING.length()) + "\r\n" + FILLING + "\r\n";
 
@@ -65,7 +67,7 @@
 
     @BeforeEach
     void start() {
-        entry.updateRoutes(TIMEOUT_MILLIS);
+        entry.updateRoutes(TIMEOUT_MILLIS, MAX_CONNECTIONS);
     }
 
     @AfterEach
@@ -136,6 +138,13 @@
     @Test
     void answersWithoutEndAreBoundedAllTogether() {
         use(Stage.WHOLE, (request, connection) -> answerEndlessly(request, connection, Form.BODY_IN_CHUNKS));
+        AtomicLong mostKept = new AtomicLong();
+        entry.process()
+                .timers()
+                .every(
+                        1,
+                        () -> mostKept.accumulateAndGet(
+                                entry.process().connector().keptReplyBytes(), Math::max));
         List<CompletableFuture<String>> answers = new ArrayList<>();
         for (int i = 0; i < TOGETHER; i++) {
             String id = "r" + i;
@@ -145,7 +154,12 @@
         awaitClosed(TOGETHER);
         assertThat(closed).as("connections closed").hasValue(TOGETHER);
         assertThat(lastMillis).as("time until the last was closed").hasValueLessThan(CLOSED_MILLIS);
-        assertThat(written).as("bytes taken").hasValueLessThan(MAX_BYTES_TOGETHER);
+        assertThat(mostKept).as("bytes kept").hasValueLessThanOrEqualTo(Connector.MAX_REPLY_MEMORY);
+        CompletableFuture<Long> keptAtLast = new CompletableFuture<>();
+        entry.process()
+                .timers()
+                .soon(() -> keptAtLast.complete(entry.process().connector().keptReplyBytes()));
+        assertThat(keptAtLast.join()).as("bytes kept at the end").isZero();
     }
 
     // Guards against one event that is kept until it ends.
