Limited engines and entries that are all new use what a limit allows

(1) A prefill or decode engine that states a limit got no request while others had room, so that nobody learnt that it states none any more, and it stayed idle for good. It is tried now when it is the best, as plain endpoints are; a prompt or a booking that gets no permit goes to another at once. (2) Entries whose names have just been added decline to decide for all others; if all entries are new, nobody decided, and limited endpoints were not used for 20 s. If all that are asked decline, each entry uses its part of half the limit; so does an entry that knows no addresses, new or not, with its part of the whole. An entry that is new declines questions of others instead of passing them on: they ask the next one themselves.

--- a/core/src/main/java/org/quetzalseam/core/limits/EndpointPermits.java
+++ b/core/src/main/java/org/quetzalseam/core/limits/EndpointPermits.java
@@ -90,7 +90,7 @@
 
     /** Asks for this entry's own requests. */
     public void ask(PermitAsk ask, Consumer<PermitAnswer> answered) {
-        if (!listed || (peers.names().isEmpty() && !newcomer)) {
+        if (!listed || peers.names().isEmpty()) {
             answered.accept(issue(ask, 1.0 / entries, phaseOfOwnPart(ask)));
             return;
         }
@@ -114,12 +114,12 @@
 
     /** Answers the question of another entry. */
     public void answer(PermitAsk ask, Consumer<PermitAnswer> answered) {
-        if (!ask.relayed()) {
-            new Search(ask.relay(), answered).askNext();
-        } else if (newcomer || !decides) {
+        if (newcomer || !decides) {
             answered.accept(new PermitAnswer(Permit.declined(), ask.known()));
-        } else {
+        } else if (ask.relayed()) {
             answered.accept(issue(ask, shareBefore(order(ask)), 0));
+        } else {
+            new Search(ask.relay(), answered).askNext();
         }
     }
 
@@ -159,7 +159,7 @@
 
         void askNext() {
             if (next == order.size()) {
-                answered.accept(new PermitAnswer(Permit.refused(NOBODY_RETRY_NANOS), ask.known()));
+                answered.accept(nobodyDecides());
                 return;
             }
             String candidate = order.get(next++);
@@ -175,6 +175,16 @@
             }
         }
 
+        /**
+         * Answers if no entry decides: if all that were asked are as new as this one, each uses a part of the limit, and all together
+         * no more than one that decides in place of another.
+         */
+        private PermitAnswer nobodyDecides() {
+            return unreachableNanos.isEmpty()
+                    ? issue(ask, PermitIssuers.SUBSTITUTE_SHARE / entries, phaseOfOwnPart(ask))
+                    : new PermitAnswer(Permit.refused(NOBODY_RETRY_NANOS), ask.known());
+        }
+
         private void receive(String candidate, Optional<PermitAnswer> answer) {
             if (answer.isEmpty()) {
                 unreachableNanos.add(peers.unreachableNanos(candidate));
--- a/core/src/test/java/org/quetzalseam/core/limits/PermitSimulation.java
+++ b/core/src/test/java/org/quetzalseam/core/limits/PermitSimulation.java
@@ -106,6 +106,11 @@
         return added;
     }
 
+    /** Makes all entries so new that others may not know them yet. */
+    void allNew() {
+        entries.forEach(entry -> entry.permits.newcomer(true));
+    }
+
     /** Sends requests at random times, at a rate for all entries; a part of them comes to the first entry. */
     void demand(double perSecond, double crowdedShare) {
         after((long) (-Math.log(1 - random.nextDouble()) / perSecond * SECOND), () -> {
--- a/core/src/test/java/org/quetzalseam/core/limits/PermitSimulationTest.java
+++ b/core/src/test/java/org/quetzalseam/core/limits/PermitSimulationTest.java
@@ -117,4 +117,11 @@
             }
         });
     }
+
+    // Guards against a limit that is not used at all because no entry is known to all others.
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 4, 40})
+    void aLimitIsUsedThoughAllEntriesAreNew(int entries) {
+        assertBorne(entries, 0, 0.4, simulation -> simulation.allNew());
+    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/BookingManager.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/BookingManager.java
@@ -208,7 +208,11 @@
         List<Endpoint> withRoom = engines.stream()
                 .filter(candidate -> request.accepts(candidate) && mayHaveRoom(candidate, request, now))
                 .toList();
-        Optional<Endpoint> best = leastBooked(withRoom, now, false).or(() -> leastBooked(withRoom, now, true));
+        Optional<Endpoint> best = withRoom.stream()
+                .min(Comparator.<Endpoint, Boolean>comparing(
+                                candidate -> candidate.health().isSuspect(now))
+                        .thenComparingInt(candidate -> bookedTokens.getOrDefault(candidate, 0))
+                        .thenComparing(candidate -> ThreadLocalRandom.current().nextInt()));
         if (best.isEmpty() && request.refusedWhenFull()) {
             waiting.remove(request);
             request.refuse(null);
@@ -222,17 +226,6 @@
         });
     }
 
-    /** Returns the engine with the least booked memory, among those that state a limit or among the others. */
-    private Optional<Endpoint> leastBooked(List<Endpoint> engines, long now, boolean limited) {
-        return engines.stream()
-                .filter(engine -> engine.limits().limited() == limited
-                        && (!limited || engine.limits().backoff().mayAsk(now)))
-                .min(Comparator.<Endpoint, Boolean>comparing(
-                                engine -> engine.health().isSuspect(now))
-                        .thenComparingInt(engine -> bookedTokens.getOrDefault(engine, 0))
-                        .thenComparing(engine -> ThreadLocalRandom.current().nextInt()));
-    }
-
     /** Asks an engine that states a limit, if both the booking and the generation may be sent to it now. */
     private void askWithPermit(BookingRequest request, Endpoint engine) {
         request.inquiring(true);
@@ -248,6 +241,7 @@
             @Override
             public void refused(long retryAfterMillis) {
                 request.inquiring(false);
+                context.timers().soon(BookingManager.this::checkQueue);
             }
         });
     }
@@ -256,6 +250,9 @@
         if (inquiries.getOrDefault(engine, 0) >= MAX_INQUIRIES_PER_ENGINE || !engine.hasFreeConnection()) {
             return false;
         }
+        if (engine.limits().limited() && !engine.limits().backoff().mayAsk(now)) {
+            return false;
+        }
         Refusal refusal = refusals.get(engine);
         long pauseNanos = request.isLate(now) ? LATE_RETRY_PAUSE_NANOS : RETRY_PAUSE_NANOS;
         return refusal == null || now - refusal.at() > pauseNanos || request.tokens() < refusal.tokens();
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/EngineExclusion.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/EngineExclusion.java
@@ -17,10 +17,12 @@
         return 2 * remaining.size() >= engines.size() ? remaining : engines;
     }
 
-    /** Returns the engines that state no limit, or all engines if all state one. */
-    static List<Endpoint> withoutLimited(List<Endpoint> engines) {
-        List<Endpoint> unlimited =
-                engines.stream().filter(engine -> !engine.limits().limited()).toList();
-        return unlimited.isEmpty() ? engines : unlimited;
+    /** Returns the engines that state no limit or may be asked again whether they have room, or all engines if there are none. */
+    static List<Endpoint> withoutLimited(List<Endpoint> engines, long now) {
+        List<Endpoint> remaining = engines.stream()
+                .filter(engine ->
+                        !engine.limits().limited() || engine.limits().backoff().mayAsk(now))
+                .toList();
+        return remaining.isEmpty() ? engines : remaining;
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillEngines.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillEngines.java
@@ -34,9 +34,16 @@
     }
 
     private List<Endpoint> usable() {
+        long now = context.now();
         List<Endpoint> engines =
-                EngineExclusion.withoutLimited(context.directory().usable(service, Stage.PREFILL));
-        return EngineExclusion.withoutExcluded(engines, context.now());
+                EngineExclusion.withoutLimited(context.directory().usable(service, Stage.PREFILL), now);
+        return EngineExclusion.withoutExcluded(engines, now);
+    }
+
+    /** Returns whether all engines state limits, so that a prompt has to wait for its turn. */
+    boolean allLimited() {
+        return context.directory().usable(service, Stage.PREFILL).stream()
+                .allMatch(engine -> engine.limits().limited());
     }
 
     /** Returns the engine that is predicted to finish prefilling a prompt first; among equals, one in the zone. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
@@ -122,9 +122,9 @@
         }
     }
 
-    /** Sends the prompt to an engine that states a limit once this is allowed; all prefill engines are limited then. */
+    /** Sends the prompt to an engine that states a limit once this is allowed, or to another one that states none. */
     private void askToSend(Endpoint engine, Endpoint decodeEngine) {
-        long waitMillis = LimitWait.maxMillis(exchange, deadline.route(), forwarded);
+        long waitMillis = engines.allLimited() ? LimitWait.maxMillis(exchange, deadline.route(), forwarded) : 0;
         permit = context.endpointLimits().ask(engine, 1, waitMillis, new EndpointLimits.Listener() {
             @Override
             public void granted() {
@@ -133,8 +133,12 @@
 
             @Override
             public void refused(long retryAfterMillis) {
-                log.prefillNotAllowed(engine, context.endpointLimits().describe(engine));
-                listener.failed(RunContext.ALL_LIMITED);
+                if (engines.allLimited()) {
+                    log.prefillNotAllowed(engine, context.endpointLimits().describe(engine));
+                    listener.failed(RunContext.ALL_LIMITED);
+                } else {
+                    start(decodeEngine);
+                }
             }
         });
     }
