--- a/gateway/src/test/java/org/quetzalseam/gateway/LimitedEngineTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/LimitedEngineTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -151,6 +152,24 @@
         other.endpoint.close();
     }
 
+    // Guards against a limit that a process stated before it ended being held against the next one under its id.
+    @Test
+    void anEndpointThatStartsAgainUnderItsIdBeginsWithoutALimit() {
+        entry.updateEndpoints(decode.endpoint.member("s", Stage.WHOLE, 1_000));
+        entry.ask("/once/x", "r1");
+        assertThat(limitedEndpoints()).isEqualTo(1);
+        entry.updateEndpoints(decode.endpoint.member("s", Stage.WHOLE, 2_000));
+        assertThat(limitedEndpoints()).isZero();
+    }
+
+    private long limitedEndpoints() {
+        CompletableFuture<Long> limited = new CompletableFuture<>();
+        entry.process()
+                .timers()
+                .soon(() -> limited.complete(entry.process().directory().limitedEndpoints()));
+        return limited.join();
+    }
+
     // Guards against generations that wait for a limited engine though another one has room.
     @Test
     void generationsGoToTheEngineThatStatesNoLimit() throws InterruptedException {
