--- a/review/standin/Engine.java
+++ b/review/standin/Engine.java
@@ -28,6 +28,7 @@
     private volatile double slowness = 1;
     private volatile int running;
     private volatile long drainingSince;
+    private volatile boolean stateLength = true;
     private int sequence;
     private int orders;
 
@@ -53,6 +54,24 @@
         store.put("servers", id, Site.registration("llm", server.address(), state, stage, ++sequence));
     }
 
+    /** Has its streams end with their channels, without a length. */
+    Engine withoutLength() {
+        stateLength = false;
+        return this;
+    }
+
+    /** Crashes: resets all channels and refuses new ones. Its entry in the store stays until it lapses. */
+    void crash() throws IOException {
+        server.close();
+        server.resetAll();
+        record.add("%s crashes", id);
+    }
+
+    /** Removes its entry from the store, as the store does after some time without a sign of life. */
+    void lapse() {
+        store.delete("servers", id);
+    }
+
     /** Reports to the store that it is draining; it serves on. */
     void drain() {
         state = "draining";
@@ -94,7 +113,7 @@
         } else {
             streaming.add(socket);
             try {
-                stream(head, echo, out);
+                stream(head, echo, out, socket);
             } finally {
                 streaming.remove(socket);
             }
@@ -139,21 +158,29 @@
         out.write(Http.answer(200, body, echo, "Content-Type: application/json"));
     }
 
-    private void stream(Http.Head head, String echo, OutputStream out) throws IOException {
+    private void stream(Http.Head head, String echo, OutputStream out, Socket socket) throws IOException {
         String request = head.header("X-Request-Id");
         arrived(request, sinceDrainingMillis());
         running++;
         try {
             String start = "HTTP/1.1 200 OK\r\n" + echo + "\r\nX-Server-Signature: " + id + "." + request
-                    + "\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+                    + "\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+                    + (stateLength ? "Transfer-Encoding: chunked\r\n\r\n" : "Connection: close\r\n\r\n");
             out.write(start.getBytes(StandardCharsets.ISO_8859_1));
             for (int i = 1; i <= EVENTS; i++) {
                 String event = "id: " + i + "\ndata: " + request + " " + i + "\n\n";
-                out.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes(StandardCharsets.UTF_8));
+                String chunk = stateLength ? Integer.toHexString(event.length()) + "\r\n" + event + "\r\n" : event;
+                out.write(chunk.getBytes(StandardCharsets.UTF_8));
                 out.flush();
                 rest(EVENT_MILLIS);
             }
-            out.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            if (stateLength) {
+                out.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            } else {
+                socket.shutdownOutput();
+                rest(20);
+                socket.close();
+            }
         } finally {
             running--;
         }
--- a/review/standin/Server.java
+++ b/review/standin/Server.java
@@ -15,6 +15,7 @@
 
     private final ServerSocket listener;
     private final Handler handler;
+    private final java.util.Set<Socket> open = java.util.concurrent.ConcurrentHashMap.newKeySet();
 
     Server(Handler handler) throws IOException {
         this(handler, 0);
@@ -58,6 +59,7 @@
     }
 
     private void serve(Socket socket) {
+        open.add(socket);
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             for (Http.Head head = Http.head(in); head != null && !socket.isClosed(); head = Http.head(in)) {
@@ -70,6 +72,8 @@
             // The other side has closed or reset the connection.
         } catch (IOException e) {
             // The other side has closed the connection within a message.
+        } finally {
+            open.remove(socket);
         }
     }
 
@@ -79,6 +83,13 @@
         socket.close();
     }
 
+    /** Resets all open connections. */
+    void resetAll() throws IOException {
+        for (Socket socket : open) {
+            reset(socket);
+        }
+    }
+
     void close() throws IOException {
         listener.close();
     }
