--- a/review/3/PagedList.java
+++ b/review/3/PagedList.java
@@ -1,120 +1,155 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One of many servers leaves. With trouble, the entry has been stopped and started again, and reads the list of the servers, which
- * has two pages, at that moment.
+ * The servers of a service are replaced two at a time, one second after the other, where the list of all servers has two pages. With
+ * trouble, the entries are stopped and started again in turn.
  */
 final class PagedList {
+    private static final int ENTRIES = 4;
+    private static final int SERVERS = 12;
     private static final int OTHER_SERVERS = 600;
+    private static final int CALLERS = 8;
+    private static final int REPLACED_AT_A_TIME = 2;
+    private static final long PLAY_MILLIS = 85_000;
     private static final long DRAIN_MILLIS = 2_000;
     private static final long STABLE_WINDOW_MILLIS = 3_000;
-    /** How long the leaving server serves after its ack, in milliseconds. */
-    private static final long SERVES_MILLIS = 10_000;
+    /** How long a leaving server serves after its ack, in milliseconds. */
+    private static final long SERVES_MILLIS = 8_000;
 
     private static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+    private static final AtomicInteger ARRIVED = new AtomicInteger();
     private static final AtomicInteger LATE = new AtomicInteger();
     private static final AtomicInteger UNKNOWN = new AtomicInteger();
-    private static final Set<Socket> AT_WORK = ConcurrentHashMap.newKeySet();
+    private static final AtomicBoolean DONE = new AtomicBoolean();
+    private static final Set<String> LATE_AT = new ConcurrentSkipListSet<>();
+    private static final Map<String, Long> DRAINING_SINCE = new ConcurrentHashMap<>();
+    private static final Map<String, Long> STARTED_AT = new ConcurrentHashMap<>();
+    private static final Map<String, Server> RUNNING = new ConcurrentHashMap<>();
+    private static final Deque<String> READY = new ArrayDeque<>();
     private static Record record;
-    private static volatile long drainingSince;
-    private static volatile long startedAt;
+    private static Store store;
+    private static int numbers;
 
     private PagedList() {}
 
     public static void main(String[] args) throws Exception {
         record = new Record(Path.of(args[0], "record.txt"));
-        Store store = new Store();
+        store = new Store();
         store.put("config", "main", Site.state(1, Site.route("licence", "unsafe", "portal", 1_500, 300)));
-        Server leaving = new Server((head, in, socket) -> serve("i-0000", head, in, socket));
-        Server staying = new Server((head, in, socket) -> serve("i-0001", head, in, socket));
-        store.put("servers", "i-0000", Site.registration("portal", leaving.address(), "ready", null, 1));
-        store.put("servers", "i-0001", Site.registration("portal", staying.address(), "ready", null, 1));
+        for (int i = 0; i < SERVERS; i++) {
+            addServer();
+        }
         for (int i = 0; i < OTHER_SERVERS; i++) {
             // Servers of a service to which no route leads.
             store.put("servers", String.format("i-1%03d", i), Site.registration("llm", "127.0.0.1:9", "ready", "decode", 1));
         }
-        Entry entry = new Entry("front-1", Path.of(args[1]), store.address(), Map.of("first_start", "false")).start();
-        startedAt = System.nanoTime();
-        if (!entry.awaitReady(30_000)) {
-            record.add("the entry did not become ready");
-            System.exit(2);
+        List<Entry> entries = new ArrayList<>();
+        for (int i = 0; i < ENTRIES; i++) {
+            Path folder = Files.createDirectories(Path.of(args[1], "front" + i));
+            entries.add(new Entry("front" + i, folder, store.address(), Map.of("first_start", "false")));
+            start(entries.get(i), i);
         }
-        ask(entry, "before", 1_000);
-        UNKNOWN.set(0);
-        CountDownLatch left = new CountDownLatch(1);
-        Runnable leave = () -> {
-            store.put("servers", "i-0000", Site.registration("portal", leaving.address(), "draining", null, 2));
-            drainingSince = System.nanoTime();
-            record.add("i-0000 is draining; the store has acknowledged that");
-            left.countDown();
-        };
-        if (TROUBLE) {
-            record.add("the entry gets SIGTERM");
-            entry.signal("TERM");
-            while (entry.alive()) {
-                Thread.sleep(20);
-            }
-            store.afterFirstPage(() -> {
-                store.afterFirstPage(() -> {});
-                record.add("the entry has got the first page of the list of the servers");
-                leave.run();
-            });
-            store.onLastPage(() -> record.add("the entry asks for the last page"));
-            record.add("the entry is started again");
-            startedAt = System.nanoTime();
-            entry.start();
-            if (!left.await(20, TimeUnit.SECONDS) || !entry.awaitReady(20_000)) {
-                record.add("the entry did not come back");
+        for (Entry entry : entries) {
+            if (!entry.awaitReady(30_000)) {
+                record.add("an entry did not become ready");
                 System.exit(2);
             }
-        } else {
-            leave.run();
         }
-        List<Thread> clients = new ArrayList<>();
-        for (int i = 1; i <= 4; i++) {
-            String name = "after-" + i;
-            Thread client = new Thread(() -> ask(entry, name, SERVES_MILLIS + 2_000));
-            client.start();
-            clients.add(client);
+        for (int i = 0; i < CALLERS; i++) {
+            int caller = i;
+            Server.daemon(() -> call(entries, caller));
         }
-        Thread.sleep(SERVES_MILLIS);
-        leaving.close();
-        for (Socket socket : AT_WORK) {
-            Server.reset(socket);
+        if (TROUBLE) {
+            Server.daemon(() -> restartInTurn(entries));
         }
-        store.delete("servers", "i-0000");
-        record.add("i-0000 exits");
-        for (Thread client : clients) {
-            client.join();
+        long until = System.nanoTime() + PLAY_MILLIS * 1_000_000;
+        while (System.nanoTime() < until) {
+            for (int i = 0; i < REPLACED_AT_A_TIME; i++) {
+                addServer();
+            }
+            for (int i = 0; i < REPLACED_AT_A_TIME; i++) {
+                drain(READY.pollFirst());
+            }
+            Engine.rest(1_000);
         }
+        DONE.set(true);
         record.add(
-                "DRAIN: %d requests reached the server later than %d ms after the ack, sent on by an entry in touch;"
+                "DRAIN: %d of %d requests reached a server later than %d ms after its ack, sent on by an entry in touch, at %s;"
                         + " %d unsafe requests have an unknown outcome",
-                LATE.get(), DRAIN_MILLIS, UNKNOWN.get());
+                LATE.get(), ARRIVED.get(), DRAIN_MILLIS, LATE_AT, UNKNOWN.get());
         System.exit(LATE.get() > 0 ? 1 : 0);
     }
 
-    private static void ask(Entry entry, String name, long millis) {
-        long until = System.nanoTime() + millis * 1_000_000;
-        for (int i = 1; System.nanoTime() < until; i++) {
-            String id = name + "-" + i;
-            Caller.Outcome got = Caller.ask(entry, "POST", "/licence/1", id, 3_000);
-            record.add("client sends %s, unsafe, and gets %d from %s", id, got.status(), got.signature());
-            if (got.status() == 502 || got.status() == 0) {
+    private static void addServer() throws IOException {
+        String id = String.format("i-0%03d", numbers++);
+        Server server = new Server((head, in, socket) -> serve(id, head, in, socket));
+        RUNNING.put(id, server);
+        store.put("servers", id, Site.registration("portal", server.address(), "ready", null, 1));
+        READY.addLast(id);
+    }
+
+    private static void drain(String id) {
+        store.put("servers", id, Site.registration("portal", RUNNING.get(id).address(), "draining", null, 2));
+        DRAINING_SINCE.put(id, System.nanoTime());
+        record.add("%s is draining; the store has acknowledged that", id);
+        Server.daemon(() -> {
+            Engine.rest(SERVES_MILLIS);
+            store.delete("servers", id);
+            try {
+                RUNNING.get(id).close();
+                RUNNING.get(id).resetAll();
+            } catch (IOException e) {
+                record.add("%s could not be closed: %s", id, e);
+            }
+        });
+    }
+
+    private static void start(Entry entry, int number) throws IOException {
+        STARTED_AT.put("front" + number, System.nanoTime());
+        entry.start();
+    }
+
+    private static void restartInTurn(List<Entry> entries) {
+        try {
+            for (int i = 0; !DONE.get(); i = (i + 1) % ENTRIES) {
+                record.add("front%d gets SIGTERM", i);
+                entries.get(i).signal("TERM");
+                while (entries.get(i).alive()) {
+                    Engine.rest(20);
+                }
+                record.add("front%d is started again", i);
+                start(entries.get(i), i);
+                entries.get(i).awaitReady(10_000);
+            }
+        } catch (IOException | InterruptedException e) {
+            record.add("the restarts have ended: %s", e);
+        }
+    }
+
+    private static void call(List<Entry> entries, int caller) {
+        for (int i = 0; !DONE.get(); i++) {
+            int entry = (caller + i) % ENTRIES;
+            String id = "front" + entry + "-" + caller + "-" + i;
+            Caller.Outcome got = Caller.ask(entries.get(entry), "POST", "/licence/1", id, 3_000);
+            if (got.status() == 502) {
                 UNKNOWN.incrementAndGet();
+                record.add("client gets 502 for %s, unsafe", id);
             }
-            Engine.rest(20);
+            Engine.rest(30);
         }
     }
 
@@ -125,19 +160,19 @@
             socket.getOutputStream().write(Http.answer(421, "", "X-Request-Id: " + id, "X-Not-Executed: 1"));
             return;
         }
+        ARRIVED.incrementAndGet();
         long now = System.nanoTime();
-        long sinceMillis = drainingSince == 0 || !server.equals("i-0000") ? -1 : (now - drainingSince) / 1_000_000;
-        boolean inTouch = (now - startedAt) / 1_000_000 > STABLE_WINDOW_MILLIS + 100;
-        record.add(
-                "%s runs %s%s", server, id, sinceMillis < 0 ? "" : ", " + sinceMillis + " ms after the ack that it is draining");
-        if (sinceMillis > DRAIN_MILLIS && inTouch) {
+        Long since = DRAINING_SINCE.get(server);
+        long sinceMillis = since == null ? -1 : (now - since) / 1_000_000;
+        long upMillis = (now - STARTED_AT.get(id.split("-", -1)[0])) / 1_000_000;
+        if (sinceMillis > DRAIN_MILLIS && upMillis > STABLE_WINDOW_MILLIS + 100) {
             LATE.incrementAndGet();
+            LATE_AT.add(server);
+            record.add(
+                    "%s runs %s, %d ms after the ack that it is draining; the entry was started %d ms ago",
+                    server, id, sinceMillis, upMillis);
         }
-        if (server.equals("i-0000")) {
-            AT_WORK.add(socket);
-        }
-        Engine.rest(200);
-        AT_WORK.remove(socket);
+        Engine.rest(60);
         socket.getOutputStream()
                 .write(Http.answer(200, "done", "X-Request-Id: " + id, "X-Server-Signature: " + server + "." + id));
     }
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -26,8 +26,6 @@
     private final Map<String, TreeMap<String, ObjectNode>> kinds = new HashMap<>();
     private final List<Change> history = new ArrayList<>();
     private long revision = 10;
-    private volatile Runnable afterFirstPage = () -> {};
-    private volatile Runnable onLastPage = () -> {};
 
     Store() throws IOException {
         server = new Server(this::handle);
@@ -37,16 +35,6 @@
         return server.address();
     }
 
-    /** Sets what happens right after the first of several pages of the servers has been read. */
-    void afterFirstPage(Runnable call) {
-        afterFirstPage = call;
-    }
-
-    /** Sets what happens when the last of several pages of the servers is asked for. */
-    void onLastPage(Runnable call) {
-        onLastPage = call;
-    }
-
     /** Writes an object; the return is the ack. */
     synchronized void put(String kind, String name, ObjectNode spec) {
         ObjectNode object = JSON.createObjectNode();
@@ -110,14 +98,7 @@
             var left = objects.tailMap(query.getOrDefault("after", ""), false).values();
             left.stream().limit(PAGE).forEach(items::add);
             boolean more = left.size() > PAGE;
-            if (!more && kind.equals("servers") && query.containsKey("after")) {
-                onLastPage.run();
-            }
-            byte[] answer = reply(200, page.put("has_more", more).put("as_of", revision));
-            if (more && kind.equals("servers") && !query.containsKey("after")) {
-                afterFirstPage.run();
-            }
-            return answer;
+            return reply(200, page.put("has_more", more).put("as_of", revision));
         }
         ObjectNode known = objects.get(name);
         if (method.equals("GET")) {
