--- a/review/standin/Entry.java
+++ b/review/standin/Entry.java
@@ -22,10 +22,20 @@
     private final int ready;
     private final int peers;
     private final Path settings;
-    private Process process;
+    private volatile Process process;
+
+    private static boolean ending;
 
     static {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> ALL.forEach(Entry::kill)));
+        Runtime.getRuntime().addShutdownHook(new Thread(Entry::endAll));
+    }
+
+    /** Kills all entries; none is started any more. */
+    private static void endAll() {
+        synchronized (Entry.class) {
+            ending = true;
+        }
+        ALL.forEach(Entry::kill);
     }
 
     /** Creates an entry with the bounds of a small deployment; {@code fields} override fields of its settings. */
@@ -104,7 +114,12 @@
         builder.environment().put("QUETZALSEAM_NODE_FILE", settings.toAbsolutePath().toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
-        process = builder.start();
+        synchronized (Entry.class) {
+            if (ending) {
+                throw new IOException("the case has ended");
+            }
+            process = builder.start();
+        }
         return this;
     }
 
