--- a/review/3/PagedList.java
+++ b/review/3/PagedList.java
@@ -15,13 +15,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * The servers of a service are replaced two at a time, one second after the other, where the list of all servers has two pages. With
+ * The servers of a service are replaced two at a time, one second after the other, where the list of all servers has three pages. With
  * trouble, the entries are stopped and started again in turn.
  */
 final class PagedList {
     private static final int ENTRIES = 4;
     private static final int SERVERS = 12;
-    private static final int OTHER_SERVERS = 600;
+    private static final int OTHER_SERVERS = 1_100;
     private static final int CALLERS = 8;
     private static final int REPLACED_AT_A_TIME = 2;
     private static final long PLAY_MILLIS = 85_000;
@@ -55,7 +55,7 @@
         }
         for (int i = 0; i < OTHER_SERVERS; i++) {
             // Servers of a service to which no route leads.
-            store.put("servers", String.format("i-1%03d", i), Site.registration("llm", "127.0.0.1:9", "ready", "decode", 1));
+            store.put("servers", String.format("i-1%04d", i), Site.registration("llm", "127.0.0.1:9", "ready", "decode", 1));
         }
         List<Entry> entries = new ArrayList<>();
         for (int i = 0; i < ENTRIES; i++) {
--- a/review/standin/Entry.java
+++ b/review/standin/Entry.java
@@ -70,10 +70,16 @@
         ALL.add(this);
     }
 
-    private int freePort() throws IOException {
-        try (java.net.ServerSocket probe = new java.net.ServerSocket()) {
-            probe.bind(new java.net.InetSocketAddress(host, 0));
-            return probe.getLocalPort();
+    /** Returns a free port below those that the system gives to outgoing connections. */
+    private int freePort() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 28_000);
+            try (java.net.ServerSocket probe = new java.net.ServerSocket()) {
+                probe.bind(new java.net.InetSocketAddress(host, port));
+                return port;
+            } catch (IOException e) {
+                // In use; another one is tried.
+            }
         }
     }
 
