--- a/review/3/PagedList.java
+++ b/review/3/PagedList.java
@@ -15,18 +15,26 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * The servers of a service are replaced two at a time, one second after the other, where the list of all servers has three pages. With
+ * The servers of a service are replaced two at a time, one second after the other, where the list of all servers has 23 pages. With
  * trouble, the entries are stopped and started again in turn.
  */
 final class PagedList {
-    private static final int ENTRIES = 4;
+    private static final int ENTRIES = 5;
     private static final int SERVERS = 12;
     private static final int OTHER_SERVERS = 1_100;
+    /** Objects in a page of a list and time of an answer of the store, in milliseconds, as on the site. */
+    private static final int PAGE_OBJECTS = 50;
+
+    private static final long ANSWER_MILLIS = 4;
     private static final int CALLERS = 8;
     private static final int REPLACED_AT_A_TIME = 2;
     private static final long PLAY_MILLIS = 85_000;
     private static final long DRAIN_MILLIS = 2_000;
     private static final long STABLE_WINDOW_MILLIS = 3_000;
+    /** Time from one entry's SIGTERM to the next entry's, and from the last one's to the first one's again, in milliseconds. */
+    private static final long GAP_MILLIS = 2_000;
+
+    private static final long PAUSE_MILLIS = 8_000;
     /** How long a leaving server serves after its ack, in milliseconds. */
     private static final long SERVES_MILLIS = 8_000;
 
@@ -48,7 +56,7 @@
 
     public static void main(String[] args) throws Exception {
         record = new Record(Path.of(args[0], "record.txt"));
-        store = new Store();
+        store = new Store(PAGE_OBJECTS, ANSWER_MILLIS);
         store.put("config", "main", Site.state(1, Site.route("licence", "unsafe", "portal", 1_500, 300)));
         for (int i = 0; i < SERVERS; i++) {
             addServer();
@@ -124,20 +132,27 @@
     }
 
     private static void restartInTurn(List<Entry> entries) {
+        while (!DONE.get()) {
+            for (int i = 0; i < ENTRIES; i++) {
+                int number = i;
+                Server.daemon(() -> restart(entries.get(number), number));
+                Engine.rest(i < ENTRIES - 1 ? GAP_MILLIS : PAUSE_MILLIS);
+            }
+        }
+    }
+
+    private static void restart(Entry entry, int number) {
         try {
-            for (int i = 0; !DONE.get(); i = (i + 1) % ENTRIES) {
-                record.add("front%d gets SIGTERM", i);
-                STARTED_AT.remove("front" + i);
-                entries.get(i).signal("TERM");
-                while (entries.get(i).alive()) {
-                    Engine.rest(20);
-                }
-                record.add("front%d is started again", i);
-                start(entries.get(i), i);
-                entries.get(i).awaitReady(10_000);
+            record.add("front%d gets SIGTERM", number);
+            STARTED_AT.remove("front" + number);
+            entry.signal("TERM");
+            while (entry.alive()) {
+                Engine.rest(20);
             }
+            record.add("front%d is started again", number);
+            start(entry, number);
         } catch (IOException | InterruptedException e) {
-            record.add("the restarts have ended: %s", e);
+            record.add("front%d was not started again: %s", number, e);
         }
     }
 
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -18,16 +18,25 @@
     static final ObjectMapper JSON = new ObjectMapper();
 
     /** Most objects in a page of a list: "about 500 or 1 MB at most". */
-    private static final int PAGE = 500;
+    private static final int LARGEST_PAGE = 500;
 
     private record Change(long revision, String kind, ObjectNode object, boolean deleted) {}
 
     private final Server server;
+    private final int pageObjects;
+    private final long answerMillis;
     private final Map<String, TreeMap<String, ObjectNode>> kinds = new HashMap<>();
     private final List<Change> history = new ArrayList<>();
     private long revision = 10;
 
     Store() throws IOException {
+        this(LARGEST_PAGE, 0);
+    }
+
+    /** Creates a store whose lists have pages of a given size, and whose answers take a given time. */
+    Store(int pageObjects, long answerMillis) throws IOException {
+        this.pageObjects = pageObjects;
+        this.answerMillis = answerMillis;
         server = new Server(this::handle);
     }
 
@@ -79,6 +88,9 @@
         }
         String[] path = target[0].substring("/-/objects/".length()).split("/", -1);
         String name = path.length > 1 ? URLDecoder.decode(path[1], StandardCharsets.UTF_8) : "";
+        if (answerMillis > 0) {
+            Engine.rest(answerMillis);
+        }
         socket.getOutputStream().write(answer(head.method(), path[0], name, query, body));
     }
 
@@ -96,8 +108,8 @@
             ObjectNode page = JSON.createObjectNode();
             ArrayNode items = page.putArray("items");
             var left = objects.tailMap(query.getOrDefault("after", ""), false).values();
-            left.stream().limit(PAGE).forEach(items::add);
-            boolean more = left.size() > PAGE;
+            left.stream().limit(pageObjects).forEach(items::add);
+            boolean more = left.size() > pageObjects;
             return reply(200, page.put("has_more", more).put("as_of", revision));
         }
         ObjectNode known = objects.get(name);
