--- a/review/3/PagedList.java
+++ b/review/3/PagedList.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListSet;
@@ -34,6 +35,9 @@
     /** Time from one entry's SIGTERM to the next entry's, and from the last one's to the first one's again, in milliseconds. */
     private static final long GAP_MILLIS = 2_000;
 
+    /** Longest addition to a gap, in milliseconds, so that the restarts don't keep step with the releases. */
+    private static final int MORE_MILLIS = 1_000;
+
     private static final long PAUSE_MILLIS = 8_000;
     /** How long a leaving server serves after its ack, in milliseconds. */
     private static final long SERVES_MILLIS = 8_000;
@@ -132,11 +136,12 @@
     }
 
     private static void restartInTurn(List<Entry> entries) {
+        Random random = new Random(1);
         while (!DONE.get()) {
             for (int i = 0; i < ENTRIES; i++) {
                 int number = i;
                 Server.daemon(() -> restart(entries.get(number), number));
-                Engine.rest(i < ENTRIES - 1 ? GAP_MILLIS : PAUSE_MILLIS);
+                Engine.rest((i < ENTRIES - 1 ? GAP_MILLIS : PAUSE_MILLIS) + random.nextInt(MORE_MILLIS));
             }
         }
     }
