A repeated reply no longer passes for the reply to another sending of its request

Cause: a reply was told apart by the request's id only. An entry sends the same id again after a rejection, and used any idle connection for that, also the one that had carried the first sending. A faulty endpoint may send a reply twice, the second time where the next reply is due: the copy of the first rejection fitted the second sending. The entry refused the caller, or sent the request a third time, while the endpoint ran it.

Evidence: RepeatedReplyTest on the code as landed: 2 of 3 failed in the first requests (plain call r1, stream without booked memory r4, each answered 503 after one run). The third, with booked memory, held as landed too.

Why it holds: a connection remembers the ids it has carried, is not used for one of them again, and is closed after 500 of them, so that its memory is bounded. A copy comes over the connection of its original only, so it can fit no other sending: the same for a prefill and a decode call, a lost reply and a resumed stream. Cost: a new connection for a repeat where all idle ones have carried it, and one in 500 requests.

Measured: RepeatedReplyTest 3 of 3; PlainCallTest, GenerationTest, RestartedEndpointTest, UnframedAnswerTest pass (66 tests).

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -178,7 +178,7 @@
             timers.soon(() -> failRestarted(call));
             return call;
         }
-        HttpConnection reused = connections.poll();
+        HttpConnection reused = connections.pollFor(id);
         if (reused != null) {
             call.begin(reused);
             return call;
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/KeptConnections.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/KeptConnections.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.limits.IdleLimit;
 import org.quetzalseam.gateway.http.HttpConnection;
@@ -61,32 +62,37 @@
     /** Takes the connection that has been idle for the shortest time, null if none may be used; closes those that may not. */
     @Nullable
     HttpConnection poll() {
+        return poll(connection -> true);
+    }
+
+    /** Takes the connection that has been idle for the shortest time of those that have not carried a request with an id. */
+    @Nullable
+    HttpConnection pollFor(String id) {
+        return poll(connection -> !connection.hasCarried(id));
+    }
+
+    private @Nullable HttpConnection poll(Predicate<HttpConnection> suitable) {
         long now = System.nanoTime();
         long limitNanos = idleLimit.limitNanos(now);
-        while (true) {
-            HttpConnection connection = idle.pollFirst();
-            if (connection == null) {
-                return null;
-            }
-            long idleNanos = now - connection.idleSince();
-            if (connection.open() && idleNanos < Math.min(limitNanos, maxIdleNanos(connection))) {
+        for (HttpConnection connection : List.copyOf(idle)) {
+            if (!mayBeUsed(connection, limitNanos, now)) {
+                idle.remove(connection);
+                connection.abort();
+            } else if (suitable.test(connection)) {
+                idle.remove(connection);
                 return connection;
             }
-            connection.abort();
         }
+        return null;
+    }
+
+    private static boolean mayBeUsed(HttpConnection connection, long limitNanos, long now) {
+        return connection.open() && now - connection.idleSince() < Math.min(limitNanos, maxIdleNanos(connection));
     }
 
     /** Takes a certain connection. Returns whether it was idle and may be used. */
     boolean poll(HttpConnection wanted) {
-        if (!idle.remove(wanted)) {
-            return false;
-        }
-        idle.addFirst(wanted);
-        HttpConnection found = poll();
-        if (found != wanted && found != null) {
-            idle.addFirst(found);
-        }
-        return found == wanted;
+        return poll(connection -> connection == wanted) == wanted;
     }
 
     private static long maxIdleNanos(HttpConnection connection) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
@@ -17,6 +17,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.http.CallFailure.Kind;
@@ -25,18 +27,21 @@
  * A client connection that carries one exchange at a time. Used on its event loop only.
  *
  * <p>A reply is accepted only for the request whose id it carries. A reply to another request, which a faulty endpoint may send
- * late or twice, is skipped. Data that arrives while no exchange is in progress closes the connection, because it belongs to no
- * request.
+ * late or twice, is skipped. So that such a reply never fits a later sending of its own request, a connection carries each id once
+ * ({@link #hasCarried}). Data that arrives while no exchange is in progress closes the connection, because it belongs to no request.
  */
 // A write or close that fails is reported through the channel's pipeline, where it is handled.
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class HttpConnection extends ChannelInboundHandlerAdapter {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Number of ids after which a connection is closed, which bounds the memory that it takes to remember them. */
+    private static final int MAX_IDS = 500;
 
     private final String idHeader;
     private final ReplyBounds bounds;
     private final Consumer<HttpConnection> onIdle;
     private final Consumer<HttpConnection> onClosed;
+    private final Set<String> carriedIds = new HashSet<>();
     private @Nullable Channel channel;
     private @Nullable ReplyListener listener;
     private @Nullable String requestId;
@@ -97,6 +102,9 @@
         listener = replies;
         bounds.begin();
         requestId = id;
+        if (id != null) {
+            carriedIds.add(id);
+        }
         head = null;
         skipping = false;
         awaitingRelease = false;
@@ -107,6 +115,14 @@
         written = open.writeAndFlush(new DefaultLastHttpContent(body));
     }
 
+    /**
+     * Returns whether the connection has carried a request with an id. A repeated reply to that request would be taken for the reply to
+     * the next one with its id.
+     */
+    public boolean hasCarried(String id) {
+        return carriedIds.contains(id);
+    }
+
     /**
      * Returns whether the connection was lost before the head of the reply to a request that was sent after an idle time, because
      * the other side no longer kept the connection.
@@ -206,7 +222,7 @@
             return;
         }
         head = response;
-        reusable = HttpUtil.isKeepAlive(response) && isFramed(response);
+        reusable = HttpUtil.isKeepAlive(response) && isFramed(response) && carriedIds.size() < MAX_IDS;
         readIdleTimeout(response);
         ReplyListener current = listener;
         current.head(response);
