A request without an id does not receive a repeated reply to another request

What callers saw: an answer that belongs to another request (MIXED). Found when looking for the cause of REFUSED elsewhere: a reply is accepted by its id, and a request without one accepts any reply, also a copy of the reply to the request before it on a kept connection.

Why it holds: such a request has a connection of its own, on which nothing has been sent before. Callers of the platform send ids, so this costs nothing there.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -178,7 +178,9 @@
             timers.soon(() -> failRestarted(call));
             return call;
         }
-        HttpConnection reused = connections.pollFor(id);
+        // Without an id, a repeated reply to an earlier request on the connection would be taken for the reply to this
+        // one.
+        HttpConnection reused = id.isEmpty() ? null : connections.pollFor(id);
         if (reused != null) {
             call.begin(reused);
             return call;
--- a/gateway/src/test/java/org/quetzalseam/gateway/RepeatedReplyTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/RepeatedReplyTest.java
@@ -107,4 +107,26 @@
         entry.updateEndpoints(one.endpoint.member("s", Stage.DECODE), prefill.member("s", Stage.PREFILL));
         assertServed("/stream/x", PROMPT_TOKENS_HEADER);
     }
+
+    // Guards against a caller without an id receiving a repeated reply to another caller's request.
+    @Test
+    void aRequestWithoutAnIdDoesNotReceiveARepeatedReply() {
+        ScriptedEndpoint repeating = one.endpoint;
+        Map<ScriptedEndpoint.Connection, RawRequest> before = new ConcurrentHashMap<>();
+        repeating.script((request, connection) -> {
+            RawRequest earlier = before.put(connection, request);
+            if (earlier != null) {
+                connection.answer(earlier, "of another");
+            }
+            connection.answer(request, "own");
+        });
+        entry.updateEndpoints(repeating.member("s", Stage.WHOLE));
+        for (int i = 0; i < REQUESTS; i++) {
+            assertThat(entry.ask("/once/x", "r" + i)).endsWith("own");
+            try (TestEntry.Caller caller = entry.caller()) {
+                caller.write("GET /once/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+                assertThat(caller.readAll()).doesNotContain("of another");
+            }
+        }
+    }
 }
