--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -263,7 +263,7 @@
         @Override
         public void answered(HttpResponse head, ByteBuf body) {
             held.release();
-            handleCompleteReply(outcome, head, body);
+            handleCompleteReply(outcome, head, body, sentAt);
         }
 
         @Override
@@ -274,7 +274,7 @@
         }
     }
 
-    private void handleCompleteReply(EngineOutcome outcome, HttpResponse head, ByteBuf body) {
+    private void handleCompleteReply(EngineOutcome outcome, HttpResponse head, ByteBuf body, long sentAt) {
         Endpoint engine = outcome.decodeEngine();
         ReplyFacts facts = context.protocol().facts(head);
         int status = head.status().code();
@@ -282,7 +282,7 @@
             body.release();
             outcome.recordRefusal(context.now());
             context.crashGuard().recordRejected(exchange);
-            log.rejected(engine, status, context.describeBudget(service));
+            log.rejected(engine, status, sentAt, context.describeBudget(service));
             retryNotRun("the engine turned it away");
             return;
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -107,10 +107,16 @@
                 exchange.facts().id(), service, exchange.ageMillis(), inputs);
     }
 
-    /** Logs that an endpoint has refused the request, which means that it has not run there. */
-    void rejected(Endpoint endpoint, int status, String budget) {
+    /**
+     * Logs that an endpoint has refused the request, which means that it has not run there, and how long after it was sent: a reply
+     * that comes sooner than a round trip takes is a repeated one.
+     *
+     * @param sentAt when the request was sent, in monotonic nanoseconds
+     */
+    void rejected(Endpoint endpoint, int status, long sentAt, String budget) {
         metrics.failedAttempt(service, "REJECTED");
-        step("rejected", endpoint, "status=" + status + " " + budget);
+        long tookMicros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - sentAt);
+        step("rejected", endpoint, "status=" + status + " took_us=" + tookMicros + " " + budget);
     }
 
     void step(String step, Endpoint endpoint, String detail) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -210,7 +210,7 @@
             body.release();
             context.crashGuard().recordRejected(exchange);
             places.ended(PlaceOutcome.REJECTED, 0);
-            rejected(endpoint, answer.status().code());
+            rejected(endpoint, answer.status().code(), sentAt);
             return;
         }
         runs++;
@@ -252,9 +252,9 @@
                 && ReplyFraming.statesItsEnd(answer);
     }
 
-    private void rejected(Endpoint endpoint, int status) {
+    private void rejected(Endpoint endpoint, int status, long sentAt) {
         rejections++;
-        log.rejected(endpoint, status, context.describeBudget(service));
+        log.rejected(endpoint, status, sentAt, context.describeBudget(service));
         if (rejections < MAX_REJECTIONS && acquireRetry()) {
             sendToNext();
         } else {
