A repeat counts against the retry budget when it is sent

What callers saw: more repeats arrived at a service in one window than its budget allows (BUDGET). The users' record is one line, so this is the likeliest cause of their case and no more.

Cause: a repeat was counted when it was decided. It arrives after a wait for memory, a permit, a place or its prompt, up to its caller's patience of 14 s, so that it had left the count when it arrived, beside the repeats that were decided then. Class: a limit on events that is charged at another moment than the event.

Evidence, code as landed: WaitingRepeatsTest (a real entry, four repeats whose prompts take 7 s): 11 repeats in one window where 10 are allowed. The counting of before, put back into RetryAllowance (a mutant): WaitingRetriesTest fails in four of five waits, 78, 98, 118 and 136 arrivals where 74 are allowed, and in random histories (161 of 147, 150 of 142).

Why it holds: the cost is reserved at the decision, so that what waits is bounded; it is counted when it is sent, and checked again at that moment. At the last arrival of any window all arrivals in it are counted, as before for repeats without a wait. An attempt that finds prefill engines which were not there at its decision reserves one sending more, or is read by its decode engine. repeat-sent and repeat-denied state how long a repeat has waited.

Measured: WaitingRetriesTest 27 of 27, RetryAllowance* 19 of 19, WaitingRepeatsTest, RetryBudgetTest, PrefillTest, GenerationTest, PlainCallTest, RepeatedReplyTest pass.

--- a/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
+++ b/core/src/main/java/org/quetzalseam/core/limits/RetryAllowance.java
@@ -12,6 +12,10 @@
  * the slack; until it knows the number of entries, a part so small that it suffices for {@link #ASSUMED_ENTRIES} of
  * them.
  *
+ * <p>A retry may wait between the decision and its sending. It is reserved at the decision and counts until it is sent; it is counted
+ * in the window when it is sent, because that is when it arrives. So retries that were decided over some time and are sent together
+ * stay within the budget, as do all that are decided beside them.
+ *
  * <p>A process does not know what previous incarnations of the same entry have spent in the window. So an entry's part
  * of the slack has two parts: one for a process that has been up for a whole window, and a smaller one for all younger
  * processes together, which grows linearly with a process's age. However often an entry is restarted in a window, it
@@ -39,6 +43,7 @@
     private int entries = ASSUMED_ENTRIES;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> retries = new ArrayDeque<>();
+    private int reserved;
 
     /**
      * Creates an allowance.
@@ -80,44 +85,108 @@
         trim(now);
     }
 
-    /** Spends one retry. Returns false if none is left. */
+    /** Spends one retry, which is sent at once. Returns false if none is left. */
     public boolean tryRetry(long now) {
         return tryRetries(now, 1);
     }
 
-    /**
-     * Spends several retries, one for each call that will follow a request's first. Returns false, and spends none, if
-     * fewer are left.
-     */
+    /** Spends several retries, which are sent at once. Returns false, and spends none, if fewer are left. */
     public boolean tryRetries(long now, int count) {
-        trim(now);
-        if (retries.size() + count > ratio * requests.size() + slack(now)) {
+        Reservation reservation = new Reservation();
+        if (!reservation.add(now, count)) {
             return false;
         }
-        for (int i = 0; i < count; i++) {
-            retries.addLast(now);
+        while (reservation.unsent() > 0) {
+            reservation.send(now);
         }
         return true;
     }
 
+    /** Returns a reservation of no retries. */
+    public Reservation newReservation() {
+        return new Reservation();
+    }
+
+    private boolean exceeds(int count, long now) {
+        return count > ratio * requests.size() + slack(now);
+    }
+
+    /** Retries of one request that have been decided and not sent yet. */
+    public final class Reservation {
+        private int unsent;
+        private long lastSentAt;
+
+        private Reservation() {}
+
+        /** Returns the number of retries that are reserved and not sent yet. */
+        public int unsent() {
+            return unsent;
+        }
+
+        /** Reserves further retries. Returns false, and reserves none, if fewer are left. */
+        public boolean add(long now, int count) {
+            trim(now);
+            if (exceeds(retries.size() + reserved + count, now)) {
+                return false;
+            }
+            unsent += count;
+            reserved += count;
+            return true;
+        }
+
+        /**
+         * Counts a reserved retry that is sent now. Returns false if it must not be sent, because fewer requests have come in the last
+         * window than when it was reserved.
+         */
+        public boolean send(long now) {
+            if (unsent == 0) {
+                throw new IllegalStateException("expected a reserved retry, found none");
+            }
+            trim(now);
+            if (exceeds(retries.size() + 1, now)) {
+                return false;
+            }
+            unsent--;
+            reserved--;
+            retries.addLast(now);
+            lastSentAt = now;
+            return true;
+        }
+
+        /** Takes back the latest of these retries that was counted, which was not sent after all: it is reserved again. */
+        public void takeBack() {
+            if (retries.removeLastOccurrence(lastSentAt)) {
+                unsent++;
+                reserved++;
+            }
+        }
+
+        /** Gives up all retries that have not been sent. */
+        public void release() {
+            reserved -= unsent;
+            unsent = 0;
+        }
+    }
+
     /**
      * Figures on which a decision about a retry is based. Immutable.
      *
      * @param retriesLeft number of retries left, rounded down
      * @param requests number of requests in the window
-     * @param retries number of retries in the window
+     * @param retries number of retries sent in the window
+     * @param reserved number of retries decided and not sent yet
      * @param slack this entry's part of the slack
      * @param upNanos how long this entry's process has been up
      */
-    public record Inputs(int retriesLeft, int requests, int retries, double slack, long upNanos) {}
+    public record Inputs(int retriesLeft, int requests, int retries, int reserved, double slack, long upNanos) {}
 
     /** Returns the figures for a decision now, for the log. */
     public Inputs inputs(long now) {
         trim(now);
         double slack = slack(now);
         double allowed = ratio * requests.size() + slack;
-        return new Inputs(
-                (int) Math.floor(allowed - retries.size()), requests.size(), retries.size(), slack, now - startedAt);
+        int left = (int) Math.floor(allowed - retries.size() - reserved);
+        return new Inputs(left, requests.size(), retries.size(), reserved, slack, now - startedAt);
     }
 
     private void trim(long now) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationAttempts.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationAttempts.java
@@ -16,10 +16,12 @@
     private final RunContext context;
     private final RouteRule route;
     private final String service;
+    private final Repeats repeats;
     private int count;
     private int runs;
 
-    GenerationAttempts(RunContext context, RouteRule route, String service) {
+    GenerationAttempts(RunContext context, RouteRule route, String service, Repeats repeats) {
+        this.repeats = repeats;
         this.context = context;
         this.route = route;
         this.service = service;
@@ -45,18 +47,19 @@
     }
 
     /**
-     * Returns whether a request that the last engine has not run gets another attempt; if so, its cost is taken from the
-     * retry budget.
+     * Returns whether a request that the last engine has not run gets another attempt; if so, its cost is reserved from the retry
+     * budget.
      */
     boolean acquireRetry() {
-        return count < MAX_ATTEMPTS && context.acquireAttempt(service);
+        return count < MAX_ATTEMPTS && repeats.decide(context.sendingsPerAttempt(service));
     }
 
     /**
-     * Decides whether a request that may have run is resumed in another attempt; if so, its cost is taken from the retry
-     * budget.
+     * Decides whether a request that may have run is resumed in another attempt; if so, its cost is reserved from the retry budget.
      */
     RetryDecision acquireResume() {
-        return count < MAX_ATTEMPTS ? context.decideAttempt(route, service, runs) : RetryDecision.TRIES_USED_UP;
+        return count < MAX_ATTEMPTS
+                ? RunContext.decideRetry(route, runs, repeats, context.sendingsPerAttempt(service))
+                : RetryDecision.TRIES_USED_UP;
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -33,6 +33,7 @@
     private final HeldResources held;
     private final StreamRelay relay;
     private final GenerationStatistics statistics;
+    private final Repeats repeats;
     private final GenerationAttempts attempts;
     private final StreamBinding binding;
     private final GenerationWork work = new GenerationWork();
@@ -50,7 +51,8 @@
         this.held = new HeldResources(bookings);
         this.statistics = new GenerationStatistics(context, exchange, route, bookings, log);
         this.relay = new StreamRelay(exchange, log);
-        this.attempts = new GenerationAttempts(context, route, service);
+        this.repeats = new Repeats(context, service, log);
+        this.attempts = new GenerationAttempts(context, route, service, repeats);
         this.binding = binding;
         this.forwarded = new ForwardedRequest(exchange, context.protocol(), route);
         this.earlierAttemptsMillis = context.earlierWaits(route.name())
@@ -67,6 +69,7 @@
         end.onFinished(() -> {
             timer.cancel();
             held.release();
+            repeats.release();
             statistics.recordWastedPrefill();
             statistics.recordStreamPace(relay.pace(), earlierAttemptsMillis);
         });
@@ -162,7 +165,7 @@
     private void prefillPrompt(BookedMemory booked) {
         int promptTokens = exchange.facts().promptTokens();
         PrefillRun newPrefill = new PrefillRun(
-                context, exchange, forwarded, deadline, service, promptTokens, log, new PrefillRun.Listener() {
+                context, exchange, forwarded, deadline, service, promptTokens, repeats, log, new PrefillRun.Listener() {
                     @Override
                     public void prefilled(Endpoint prefillEngine, String handle) {
                         held.prefilled(new KvCache(prefillEngine, handle));
@@ -211,6 +214,13 @@
         if (end.endIfQuarantined()) {
             return;
         }
+        if (!repeats.send(engine)) {
+            held.release();
+            statistics.recordWastedPrefill();
+            end.giveUp(RunContext.BUDGET_SPENT);
+            return;
+        }
+        repeats.release();
         context.crashGuard().recordSent(exchange);
         Forwarding forwarding = new Forwarding(
                 engine.member().id(), forwarded.remainingMillis(), false, kvSource, booking, relay.resumePoint());
@@ -304,6 +314,7 @@
         log.callFailed("decode", engine, failure);
         if (failure.nothingSent()) {
             context.crashGuard().recordNotSent(exchange);
+            repeats.notSent();
             retryNotRun("the engine can't be reached");
             return;
         }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
@@ -37,6 +37,9 @@
     /** Upper limit of that lead, as a share of the time that the caller keeps waiting when the prompt is sent. */
     private static final double MAX_REFUSAL_LEAD_SHARE = 0.1;
 
+    /** Sendings of a request that is prefilled: the prefill and the run. */
+    private static final int SENDINGS_WITH_RUN = 2;
+
     private static final int MAX_REPLY_BYTES = 64 * 1024;
 
     /** Receives the result of the prefill. */
@@ -64,6 +67,10 @@
     private final PrefillEngines engines;
     private final String service;
     private final int promptTokens;
+    private final Repeats attemptRepeats;
+    /** The sendings to further engines in this attempt. */
+    private final Repeats furtherRepeats;
+
     private final RunLog log;
     private final Listener listener;
     private final Set<Endpoint> triedEngines = new HashSet<>();
@@ -80,6 +87,7 @@
             FirstEventDeadline deadline,
             String service,
             int promptTokens,
+            Repeats attemptRepeats,
             RunLog log,
             Listener listener) {
         this.context = context;
@@ -89,6 +97,8 @@
         this.forwarded = forwarded;
         this.service = service;
         this.promptTokens = promptTokens;
+        this.attemptRepeats = attemptRepeats;
+        this.furtherRepeats = new Repeats(context, service, log);
         this.log = log;
         this.listener = listener;
     }
@@ -118,8 +128,26 @@
         if (engine.limits().limited()) {
             askToSend(engine, decodeEngine);
         } else {
-            send(engine, decodeEngine, engines.begin(engine, promptTokens, remaining));
+            sendIfAllowed(engine, decodeEngine);
+        }
+    }
+
+    private Repeats repeats() {
+        return triedEngines.size() > 1 ? furtherRepeats : attemptRepeats;
+    }
+
+    /** Sends the prompt if the retry budget allows the run that follows, too; else the decode engine has to read it. */
+    private void sendIfAllowed(Endpoint engine, Endpoint decodeEngine) {
+        boolean further = !triedEngines.isEmpty();
+        if (!further && !attemptRepeats.reserve(SENDINGS_WITH_RUN)) {
+            listener.noEngine();
+            return;
         }
+        if (!(further ? furtherRepeats : attemptRepeats).send(engine)) {
+            listener.failed(RunContext.BUDGET_SPENT);
+            return;
+        }
+        send(engine, decodeEngine, engines.begin(engine, promptTokens, deadline.remaining()));
     }
 
     /** Sends the prompt to an engine that states a limit once this is allowed, or to another one that states none. */
@@ -128,7 +156,7 @@
         permit = context.endpointLimits().ask(engine, 1, waitMillis, new EndpointLimits.Listener() {
             @Override
             public void granted() {
-                send(engine, decodeEngine, engines.begin(engine, promptTokens, deadline.remaining()));
+                sendIfAllowed(engine, decodeEngine);
             }
 
             @Override
@@ -253,13 +281,16 @@
 
     private void failed(Endpoint engine, Endpoint decodeEngine, CallFailure failure) {
         end();
+        if (failure.nothingSent()) {
+            repeats().notSent();
+        }
         engine.health().recordFailure(context.now());
         log.callFailed("prefill", engine, failure);
         retryElsewhere(decodeEngine);
     }
 
     private void retryElsewhere(Endpoint decodeEngine) {
-        if (triedEngines.size() < MAX_ENGINES && context.acquireRetry(service)) {
+        if (triedEngines.size() < MAX_ENGINES && furtherRepeats.decide(1)) {
             start(decodeEngine);
             return;
         }
@@ -276,6 +307,7 @@
         if (pendingPermit != null) {
             pendingPermit.cancel();
         }
+        furtherRepeats.release();
         end();
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -53,6 +53,9 @@
     /** Reason given when a stream is refused because it can go on only at a build that no endpoint has now. */
     static final String NO_ENDPOINT_OF_BUILD = "no endpoint of the build that began the stream";
 
+    /** Reason given when a repeat is given up that the retry budget no longer allows when it is to be sent. */
+    static final String BUDGET_SPENT = "the retry budget is used up";
+
     /** Reason given when a request is refused because of the limits that endpoints state. */
     static final String ALL_LIMITED = "all endpoints state limits, and none has room in time";
 
@@ -150,66 +153,42 @@
         return timers.after(millis, call);
     }
 
-    /** Takes one retry from this entry's share of the retry budget. Returns false if none is left. */
-    boolean acquireRetry(String service) {
-        return acquireRetries(service, 1);
-    }
-
     /**
-     * Takes the cost of another attempt of a generation from the retry budget: one retry for the run, and one for the
-     * prefill of its prompt, because only the first prefill of a request is free. Returns false if less is left in the
-     * budget.
+     * Returns how often another attempt of a generation sends its request: once for the run, and once for the prefill of its prompt,
+     * because only the first prefill of a request is free.
      */
-    boolean acquireAttempt(String service) {
-        return acquireRetries(service, arrivalsPerAttempt(service));
-    }
-
-    private int arrivalsPerAttempt(String service) {
+    int sendingsPerAttempt(String service) {
         return directory.usable(service, Stage.PREFILL).isEmpty() ? 1 : 2;
     }
 
-    private boolean acquireRetries(String service, int count) {
-        boolean allowed = retries(service).tryRetries(now(), count);
-        metrics.retry(service, allowed);
-        return allowed;
-    }
-
     /** Returns the inputs of a retry decision at a service as {@code key=value} pairs for the log. */
     String describeBudget(String service) {
         RetryAllowance.Inputs inputs = retries(service).inputs(now());
         EntryCount counted = entries;
         return String.format(
                 Locale.ROOT,
-                "budget_left=%d budget_requests=%d budget_retries=%d budget_slack=%.1f entries=%d up_ms=%d",
+                "budget_left=%d budget_requests=%d budget_retries=%d budget_reserved=%d budget_slack=%.1f entries=%d up_ms=%d",
                 inputs.retriesLeft(),
                 inputs.requests(),
                 inputs.retries(),
+                inputs.reserved(),
                 inputs.slack(),
                 counted == null ? 0 : counted.entries(),
                 TimeUnit.NANOSECONDS.toMillis(inputs.upNanos()));
     }
 
     /**
-     * Decides whether a request that may have run the given number of times is sent again; if so, takes the retry from the
-     * budget.
+     * Decides whether a request that may have run the given number of times is sent again; if so, reserves the sendings of which that
+     * consists.
      */
-    RetryDecision decideRetry(RouteRule route, String service, int runs) {
-        return decideRetry(route, service, runs, 1);
-    }
-
-    /** Decides the same for a generation, which needs another attempt from booking to decoding. */
-    RetryDecision decideAttempt(RouteRule route, String service, int runs) {
-        return decideRetry(route, service, runs, arrivalsPerAttempt(service));
-    }
-
-    private RetryDecision decideRetry(RouteRule route, String service, int runs, int arrivals) {
+    static RetryDecision decideRetry(RouteRule route, int runs, Repeats repeats, int sendings) {
         if (!route.mayRepeat()) {
             return RetryDecision.NOT_IDEMPOTENT;
         }
         if (runs >= route.maxAttempts()) {
             return RetryDecision.TRIES_USED_UP;
         }
-        return acquireRetries(service, arrivals) ? RetryDecision.ALLOWED : RetryDecision.BUDGET_SPENT;
+        return repeats.decide(sendings) ? RetryDecision.ALLOWED : RetryDecision.BUDGET_SPENT;
     }
 
     void entries(EntryCount counted) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunLog.java
@@ -69,6 +69,16 @@
                 exchange.ageMillis());
     }
 
+    /**
+     * Logs that a repeat is sent, or no longer allowed to be, and how long it has waited.
+     *
+     * @param decidedAt when the repeat was decided, in monotonic nanoseconds
+     */
+    void repeatSent(Endpoint endpoint, boolean sent, long decidedAt, String budget) {
+        long waitedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - decidedAt);
+        step(sent ? "repeat-sent" : "repeat-denied", endpoint, "waited_ms=" + waitedMillis + " " + budget);
+    }
+
     /** Logs why a request that may have run is not sent again. */
     void attemptsEnded(String why, RetryDecision denied, String budget) {
         logger.atInfo().log(
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/ServiceRun.java
@@ -48,6 +48,7 @@
     private final ForwardedRequest forwarded;
     private final Set<Endpoint> triedEndpoints = new HashSet<>();
     private final CallPlaces places;
+    private final Repeats repeats;
     private @Nullable EndpointSearch search;
     private @Nullable EndpointCall call;
     private @Nullable Endpoint currentEndpoint;
@@ -65,6 +66,7 @@
         this.service = service;
         this.log = log;
         this.forwarded = new ForwardedRequest(exchange, context.protocol(), route);
+        this.repeats = new Repeats(context, service, log);
         this.places = new CallPlaces(context, exchange, route, service, forwarded, new Placed());
     }
 
@@ -165,6 +167,11 @@
     }
 
     private void send(Endpoint endpoint) {
+        if (!repeats.send(endpoint)) {
+            places.ended(PlaceOutcome.NOT_SENT, 0);
+            giveUp(RunContext.BUDGET_SPENT);
+            return;
+        }
         triedEndpoints.add(endpoint);
         currentEndpoint = endpoint;
         context.crashGuard().recordSent(exchange);
@@ -231,7 +238,7 @@
         } else {
             endpoint.health().recordSuccess(context.now(), (context.now() - sentAt) / 1e6);
         }
-        if (serverFault && context.decideRetry(route, service, runs) == RetryDecision.ALLOWED) {
+        if (serverFault && decideRetry() == RetryDecision.ALLOWED) {
             body.release();
             log.step("retry", endpoint, "status=" + answer.status().code() + " " + context.describeBudget(service));
             sendToNext();
@@ -255,15 +262,15 @@
     private void rejected(Endpoint endpoint, int status, long sentAt) {
         rejections++;
         log.rejected(endpoint, status, sentAt, context.describeBudget(service));
-        if (rejections < MAX_REJECTIONS && acquireRetry()) {
+        if (rejections < MAX_REJECTIONS && repeats.decide(1)) {
             sendToNext();
         } else {
             giveUp("the service is full");
         }
     }
 
-    private boolean acquireRetry() {
-        return context.acquireRetry(service);
+    private RetryDecision decideRetry() {
+        return RunContext.decideRetry(route, runs, repeats, 1);
     }
 
     private void failed(Endpoint endpoint, CallFailure failure) {
@@ -276,6 +283,7 @@
         log.callFailed("run", endpoint, failure);
         if (failure.nothingSent()) {
             context.crashGuard().recordNotSent(exchange);
+            repeats.notSent();
             connectFailures++;
             if (connectFailures < MAX_CONNECT_FAILURES) {
                 sendToNext();
@@ -291,7 +299,7 @@
 
     /** Handles a request that may have run, and for which there is no answer to forward: sends it again if that is allowed. */
     private void retryOrReportUnknown(Endpoint endpoint, String why) {
-        RetryDecision decision = context.decideRetry(route, service, runs);
+        RetryDecision decision = decideRetry();
         if (decision == RetryDecision.ALLOWED) {
             log.step("retry", endpoint, "why=\"" + why + "\" " + context.describeBudget(service));
             sendToNext();
@@ -374,6 +382,7 @@
 
     private void finish(String outcome, int status) {
         stopAttemptTimer();
+        repeats.release();
         places.cancel();
         EndpointSearch pending = search;
         if (pending != null) {
