What builds have served outlasts the entries, in the platform's store

Cause: a process took the builds that it had seen since its start for all that had served, however short it had been up, for callers who don't name the first attempt; and it believed first-start in later lives too. Class: who doesn't know takes what is there for all that was.

Why it holds: an entry that lists a build which the store's record lacks adds it by a conditional write; a process that starts reads the record after its list, so that both together hold all that served. What is not known from the start, of an earlier era of the store, unreadable or out of reach proves nothing, and streams of unknown origin are refused. BuildHistory no longer forgets a build for a route with a long timeout because one with a short timeout was asked for.

--- a/core/src/main/java/org/quetzalseam/core/routing/RouteTable.java
+++ b/core/src/main/java/org/quetzalseam/core/routing/RouteTable.java
@@ -63,6 +63,16 @@
         return byHost.values().stream().mapToInt(Map::size).sum();
     }
 
+    /** Returns the longest timeout of a route whose streams callers may take up, in milliseconds; 0 if there is none. */
+    public long longestResumableMillis() {
+        return byHost.values().stream()
+                .flatMap(routes -> routes.values().stream())
+                .filter(RouteRule::resumable)
+                .mapToLong(RouteRule::timeoutMillis)
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Returns the route of the host whose prefix is the longest that matches the path.
      *
--- a/core/src/main/java/org/quetzalseam/core/stream/BuildHistory.java
+++ b/core/src/main/java/org/quetzalseam/core/stream/BuildHistory.java
@@ -6,12 +6,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import org.quetzalseam.core.fleet.Member;
 
 /**
  * The builds that have served each service lately. If one build only has served for as long as any stream lasts, a stream of unknown
  * origin may go on anywhere. A process does not know what served before it first listed the endpoints, nor what came and went
- * between two lists. Not thread-safe. Times are monotonic nanoseconds.
+ * between two lists, unless it is told ({@link #recordServedBefore}). Not thread-safe. Times are monotonic nanoseconds.
  */
 public final class BuildHistory {
     private static final String UNKNOWN_BUILD = "";
@@ -33,6 +35,51 @@
         completeSince = now;
     }
 
+    /**
+     * Records what served before the latest list, as others know it. It counts as served until now.
+     *
+     * @param builds the builds of each service; none for a service of which nothing served
+     */
+    public void recordServedBefore(Map<String, Set<String>> builds, long now) {
+        completeFromStart = true;
+        recordServed(builds, now);
+    }
+
+    /** Records builds of which others know that they serve or have served. They count as served until now. */
+    public void recordServed(Map<String, Set<String>> builds, long now) {
+        builds.forEach((service, names) -> names.forEach(build -> stamp(new Listed(service, build), now)));
+    }
+
+    /** Returns the builds of the endpoints that there are now, by service; an unknown one is empty. */
+    public Map<String, Set<String>> present() {
+        Map<String, Set<String>> builds = new TreeMap<>();
+        present.forEach(there ->
+                builds.computeIfAbsent(there.service(), key -> new TreeSet<>()).add(there.build()));
+        return builds;
+    }
+
+    /** Returns whether all that has served for the given time, in nanoseconds, is known. */
+    public boolean complete(long window, long now) {
+        return completeFromStart || now - completeSince >= window;
+    }
+
+    /** Returns the builds that are known to have served in the given time, in nanoseconds, by service; an unknown one is empty. */
+    public Map<String, Set<String>> served(long window, long now) {
+        Map<String, Set<String>> builds = new TreeMap<>();
+        for (String service : lastListed.keySet()) {
+            Set<String> names = listed(service, window, now);
+            if (!names.isEmpty()) {
+                builds.put(service, new TreeSet<>(names));
+            }
+        }
+        return builds;
+    }
+
+    /** Returns how long all that has served is known, in nanoseconds; {@link Long#MAX_VALUE} if it is known from the start. */
+    public long knownNanos(long now) {
+        return completeFromStart ? Long.MAX_VALUE : now - completeSince;
+    }
+
     /** Records which endpoints there are from now on, draining ones included. */
     public void update(Collection<Member> members, long now) {
         Set<Listed> listed = new HashSet<>();
@@ -54,7 +101,7 @@
      * that time is known.
      */
     public Optional<String> onlyBuild(String service, long window, long now) {
-        if (!completeFromStart && now - completeSince < window) {
+        if (!complete(window, now)) {
             return Optional.empty();
         }
         Set<String> builds = listed(service, window, now);
@@ -72,8 +119,12 @@
 
     private Set<String> listed(String service, long window, long now) {
         present.forEach(there -> stamp(there, now));
-        Map<String, Long> builds = lastListed.getOrDefault(service, new HashMap<>());
-        builds.values().removeIf(at -> now - at > window);
-        return builds.keySet();
+        Set<String> builds = new HashSet<>();
+        lastListed.getOrDefault(service, Map.of()).forEach((build, at) -> {
+            if (now - at <= window) {
+                builds.add(build);
+            }
+        });
+        return builds;
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -32,6 +32,7 @@
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.KindFreshness;
 import org.quetzalseam.gateway.store.ObjectStore;
+import org.quetzalseam.gateway.stream.SharedBuilds;
 import org.quetzalseam.gateway.stream.SharedOrigins;
 
 /** Finds the route of each request and starts its run. Used on the event loop only. */
@@ -57,6 +58,7 @@
     private final SharedProof proof;
     private final SharedOrigins origins;
     private final TakenUpStreams takenUpStreams;
+    private final SharedBuilds builds;
     private final WaitingRequests earlyRequests;
     private final WaitingRequests requestsInDoubt;
     private final WaitingRequests keysInDoubt;
@@ -75,6 +77,7 @@
             Peers peers) {
         this.context = new RunContext(timers, protocol, directory, settings, metrics, peers);
         this.origins = new SharedOrigins(timers, peers);
+        this.builds = new SharedBuilds(timers, directory.buildHistory(), this::takeUpWindowNanos);
         this.takenUpStreams = new TakenUpStreams(context, origins, directory.buildHistory());
         this.accessControl = accessControl;
         this.allowances = allowances;
@@ -124,6 +127,16 @@
         return origins;
     }
 
+    private long takeUpWindowNanos() {
+        RouteTable table = routes;
+        return TakenUpStreams.windowNanos(table == null ? 0 : table.longestResumableMillis());
+    }
+
+    /** Returns which builds have served, as the entries note it in the store. */
+    public SharedBuilds builds() {
+        return builds;
+    }
+
     /** Sets the source that states how current the known endpoints are. */
     public void endpointKnowledge(KindFreshness endpoints) {
         takenUpStreams.knowledge(endpoints);
@@ -137,6 +150,7 @@
     /** Sets the number of entries that share the site's budgets, and this entry's rank. */
     public void entries(EntryCount counted) {
         context.entries(counted);
+        builds.rank(counted.rank());
     }
 
     /** Returns what this entry knows of the desired state from the store itself. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/TakenUpStreams.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/TakenUpStreams.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -20,8 +19,8 @@
  * state. Without a record, it goes on only if one build has served the service for as long as a stream may last, by a list of
  * the endpoints that is proved to be as recent as the request; else the caller is refused and may begin anew.
  *
- * <p>Older callers do not name the attempt that began their stream, so that no record can be found. They go on as long as this entry
- * has seen no second build. Used on the event loop only.
+ * <p>Older callers do not name the attempt that began their stream, so that no record can be found. They go on under the same
+ * condition. Used on the event loop only.
  */
 final class TakenUpStreams {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -58,7 +57,7 @@
     void locate(Exchange exchange, RouteRule route, Consumer<StreamOrigin> goOn) {
         String begunBy = exchange.facts().begunBy();
         if (begunBy == null) {
-            locateUnnamed(exchange, route, goOn);
+            locateWithoutRecord(exchange, route, OriginFinding.NOT_ASKED, goOn);
             return;
         }
         origins.find(begunBy, finding -> {
@@ -68,19 +67,6 @@
         });
     }
 
-    private void locateUnnamed(Exchange exchange, RouteRule route, Consumer<StreamOrigin> goOn) {
-        List<String> services = route.services();
-        Set<String> seen =
-                services.size() == 1 ? builds.builds(services.get(0), windowNanos(route), context.now()) : Set.of();
-        if (seen.size() == 1) {
-            StreamOrigin origin =
-                    StreamOrigin.atBuild(services.get(0), seen.iterator().next());
-            goOn(exchange, route, "not-named", OriginFinding.NOT_ASKED, origin, goOn);
-        } else {
-            refuse(exchange, route, NOT_NAMED, OriginFinding.NOT_ASKED);
-        }
-    }
-
     private void located(Exchange exchange, RouteRule route, OriginFinding finding, Consumer<StreamOrigin> goOn) {
         Optional<StreamOrigin> origin = finding.origin();
         if (origin.isEmpty()) {
@@ -94,10 +80,12 @@
 
     private void locateWithoutRecord(
             Exchange exchange, RouteRule route, OriginFinding finding, Consumer<StreamOrigin> goOn) {
+        boolean named = exchange.facts().begunBy() != null;
+        String why = named ? NO_RECORD : NOT_NAMED;
         KindFreshness known = endpoints;
         List<String> services = route.services();
         if (known == null || services.size() != 1) {
-            refuse(exchange, route, NO_RECORD, finding);
+            refuse(exchange, route, why, finding);
             return;
         }
         refresh(known, exchange, () -> {
@@ -106,8 +94,13 @@
                     : Optional.empty();
             only.ifPresentOrElse(
                     build -> goOn(
-                            exchange, route, "only-build", finding, StreamOrigin.atBuild(services.get(0), build), goOn),
-                    () -> refuse(exchange, route, NO_RECORD, finding));
+                            exchange,
+                            route,
+                            named ? "only-build" : "not-named",
+                            finding,
+                            StreamOrigin.atBuild(services.get(0), build),
+                            goOn),
+                    () -> refuse(exchange, route, why, finding));
         });
     }
 
@@ -132,7 +125,12 @@
     }
 
     private static long windowNanos(RouteRule route) {
-        return TimeUnit.MILLISECONDS.toNanos(Math.max(MIN_WINDOW_MILLIS, WINDOW_TIMEOUTS * route.timeoutMillis()));
+        return windowNanos(route.timeoutMillis());
+    }
+
+    /** Returns for how long builds are remembered, in nanoseconds, where streams may last for the given time. */
+    static long windowNanos(long timeoutMillis) {
+        return TimeUnit.MILLISECONDS.toNanos(Math.max(MIN_WINDOW_MILLIS, WINDOW_TIMEOUTS * timeoutMillis));
     }
 
     private void goOn(
@@ -156,7 +154,7 @@
         KindFreshness known = endpoints;
         logger.atInfo().log(
                 "event=stream-taken-up request=%s begun_by=%s after=%s route=%s outcome=%s %s builds=%s"
-                        + " list_age_ms=%d age_ms=%d",
+                        + " served=%s known_ms=%d list_age_ms=%d age_ms=%d",
                 exchange.facts().id(),
                 exchange.facts().begunBy(),
                 exchange.facts().resumesAfter(),
@@ -166,6 +164,10 @@
                 route.services().stream()
                         .flatMap(service -> context.directory().builds(service).stream())
                         .toList(),
+                route.services().stream()
+                        .flatMap(service -> builds.builds(service, windowNanos(route), context.now()).stream())
+                        .toList(),
+                TimeUnit.NANOSECONDS.toMillis(builds.knownNanos(context.now())),
                 known == null ? 0 : known.ageMillis(),
                 exchange.ageMillis());
     }
