An answer without a length that is reset while its request is written is incomplete

Cause: an answer without a length ends with its connection. If a write of the request fails, the channel is closed before what the endpoint sent is read to its end, and the decoder makes of that the same end as of a regular close.

Why it holds: such an answer is complete only if its request has been written whole, so that the end can only be the peer's. A reset after that arrives as a read error, which was a failure before. The class, an end that is taken for the regular one, has no other place: framed answers state theirs.

--- a/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
@@ -293,10 +293,23 @@
             content.release();
         }
         if (content instanceof LastHttpContent && listener == current) {
-            complete(current);
+            if (mayBeCutShort(head)) {
+                fail(Kind.CONNECTION_LOST, "closed while the request was being written");
+            } else {
+                complete(current);
+            }
         }
     }
 
+    /**
+     * Returns whether a reply that ends with its connection may lack its end. If a write fails, the channel is closed before what the
+     * endpoint has sent is read to its end, and the decoder can't tell that from a regular close.
+     */
+    private boolean mayBeCutShort(HttpResponse reply) {
+        ChannelFuture request = written;
+        return !isFramed(reply) && (request == null || !request.isSuccess());
+    }
+
     private void complete(ReplyListener current) {
         listener = null;
         bounds.end();
