A stream does not go to an engine that began to drain while its prompt was read

What callers saw: streams reached a decode engine after drain_ms and were cut off by its exit (DRAIN).

Cause: memory is booked first, then the prompt is prefilled elsewhere; nobody asked after that whether the booked engine still accepts work. Class: a decision that rests on a state which may change during the wait that follows it. The searches for plain calls and unbooked streams ask again; so does now a prefill that waited for a permit.

Why it holds: the question is asked at the moment of sending, in the same task. The KV cache that has been made is kept for the engine that is booked next, and nothing has been sent to a decode engine, so that no retry is spent. Where no engine stays, the caller is refused, truthfully.

--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -154,7 +154,9 @@
             return;
         }
         statistics.recordBooked();
-        if (booked.prefillsPrompt()) {
+        if (held.prefilled()) {
+            decodeBooked(booked);
+        } else if (booked.prefillsPrompt()) {
             log.step("reads-in-place", booked.engine(), "tokens=" + booked.tokens());
             decodeBooked(booked);
         } else {
@@ -202,6 +204,16 @@
 
     private void decodeBooked(BookedMemory booked) {
         work.prefillEnded();
+        if (!context.directory().usable(booked.engine())) {
+            log.step(
+                    "booking-left",
+                    booked.engine(),
+                    "draining=" + booked.engine().member().draining());
+            held.releaseMemory();
+            attempts.recordPostponed();
+            startAttempt();
+            return;
+        }
         KvCache kv = held.markUsed();
         String source = kv == null
                 ? null
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/HeldResources.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/HeldResources.java
@@ -42,8 +42,23 @@
         return kv;
     }
 
+    /** Returns whether there is a KV cache that is not used yet. */
+    boolean prefilled() {
+        return unusedKv != null;
+    }
+
     /** Releases what was not used, and reports that the engine has room again. */
     void release() {
+        releaseMemory();
+        KvCache kv = unusedKv;
+        if (kv != null) {
+            bookings.dropKv(kv.holder(), kv.handle());
+        }
+        unusedKv = null;
+    }
+
+    /** Releases the booked memory, and keeps the KV cache for the engine that is booked next. */
+    void releaseMemory() {
         BookedMemory booked = memory;
         String booking = unusedBooking;
         if (booked != null && booking != null) {
@@ -52,12 +67,7 @@
         if (booked != null) {
             bookings.recordFreed(booked.engine(), booked.tokens());
         }
-        KvCache kv = unusedKv;
-        if (kv != null) {
-            bookings.dropKv(kv.holder(), kv.handle());
-        }
         memory = null;
         unusedBooking = null;
-        unusedKv = null;
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
@@ -138,6 +138,10 @@
 
     /** Sends the prompt if the retry budget allows the run that follows, too; else the decode engine has to read it. */
     private void sendIfAllowed(Endpoint engine, Endpoint decodeEngine) {
+        if (!context.directory().usable(engine)) {
+            start(decodeEngine);
+            return;
+        }
         boolean further = !triedEngines.isEmpty();
         if (!further && !attemptRepeats.reserve(SENDINGS_WITH_RUN)) {
             listener.noEngine();
--- a/gateway/src/test/java/org/quetzalseam/gateway/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/ScriptedEndpoint.java
@@ -71,6 +71,11 @@
         return new Member(id, startMillis, service, "127.0.0.1", server.port(), "a", 4, false, stage, build);
     }
 
+    /** Returns the registration of an endpoint that accepts no new work. */
+    Member drainingMember(String service, Stage stage) {
+        return new Member(id, FIRST_START_MILLIS, service, "127.0.0.1", server.port(), "a", 4, true, stage, "v1");
+    }
+
     @Override
     public void close() {
         server.close();
