A list in several pages misses nothing that changed while it was read

Cause: the watch began at the revision of the last page. What changed on an earlier page meanwhile was in neither the list nor the watch, until the object changed again. It holds for each watched kind: routes and other entries too. Crash reports and counts of entries are lists without a watch, which are read again.

Why it holds: the watch begins at the first page. Changes that a later page shows already are skipped by the object's position, so that nothing is taken back to an older state.

--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -2,7 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -53,6 +55,10 @@
     private final LastResponse lastResponse;
     private final List<Runnable> refreshCallbacks = new ArrayList<>();
     private final List<StoredObject> listedObjects = new ArrayList<>();
+    /** Positions of the objects of the latest list, while changes may be received that are older than some of its pages. */
+    private final Map<String, StorePosition> listedPositions = new HashMap<>();
+
+    private StorePosition firstPage = StorePosition.NONE;
     private long retryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
     private long listEra;
     private long listSentAtNanos;
@@ -132,6 +138,7 @@
     private void onPage(ObjectPage page, @Nullable String after) {
         if (after == null) {
             listEra = page.position().era();
+            firstPage = page.position();
         } else if (listEra != page.position().era()) {
             // Pages of two eras do not form one list.
             listAll();
@@ -148,7 +155,12 @@
         logger.atInfo().log(
                 "event=listed kind=%s objects=%d era=%d revision=%d",
                 kind, listedObjects.size(), lastListed.era(), lastListed.revision());
-        newest = lastListed;
+        // What changed on an earlier page while later ones were read is in none of them.
+        newest = firstPage;
+        listedPositions.clear();
+        if (firstPage.isBefore(lastListed)) {
+            listedObjects.forEach(object -> listedPositions.put(object.name(), object.position()));
+        }
         completeRefreshes();
         watchFrom(newest);
     }
@@ -243,6 +255,9 @@
         long waited = changes.changes().isEmpty() ? waitMillis : 0;
         recordResponse(sentAt + TimeUnit.MILLISECONDS.toNanos(waited));
         for (ObjectChanges.Change change : changes.changes()) {
+            if (listedLater(change.object())) {
+                continue;
+            }
             if (change.deleted()) {
                 notifyListener(change.object().name(), () -> listener.deleted(change.object(), recentlyRecovered()));
             } else {
@@ -250,10 +265,19 @@
             }
         }
         newest = StorePosition.later(from, changes.position());
+        if (!newest.isBefore(lastListed)) {
+            listedPositions.clear();
+        }
         completeRefreshes();
         nextCall = timers.after(changes.changes().isEmpty() ? 0 : BATCH_MILLIS, () -> watchFrom(newest));
     }
 
+    /** Returns whether a page of the list was later than a change and has the object as it was after that. */
+    private boolean listedLater(StoredObject changed) {
+        StorePosition listed = listedPositions.get(changed.name());
+        return listed != null && changed.position().isBefore(listed);
+    }
+
     /** Calls the listener; an object that cannot be read is skipped, so that those after it are still processed. */
     private void notifyListener(String name, Runnable call) {
         try {
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -44,13 +44,34 @@
         return new StoredObject(name, at(revision), JsonNodeFactory.instance.objectNode());
     }
 
+    // Guards against an object of an earlier page that changes or goes while later pages are read.
     @Test
-    void pagesAreListedTogetherAndTheWatchStartsFromTheLastOne() {
+    void pagesAreListedTogetherAndTheWatchStartsFromTheFirstOne() {
         store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, at(5)));
         assertThat(store.after).isEqualTo("a");
         store.listed.accept(new ObjectPage(List.of(object("b", 4)), false, at(6)));
         assertThat(listener.lines).containsExactly("listed a b recovered=false");
-        assertThat(store.watchedFrom).isEqualTo(6);
+        assertThat(store.watchedFrom).isEqualTo(5);
+    }
+
+    // Guards against the watch taking an object back to an older state than that of the list.
+    @Test
+    void changesThatALaterPageShowsAlreadyAreSkipped() {
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, at(5)));
+        store.listed.accept(new ObjectPage(List.of(object("b", 8)), false, at(9)));
+        store.changed.accept(new ObjectChanges(
+                List.of(
+                        new ObjectChanges.Change(object("a", 6), true),
+                        new ObjectChanges.Change(object("b", 7), false),
+                        new ObjectChanges.Change(object("b", 8), false),
+                        new ObjectChanges.Change(object("b", 10), true)),
+                at(10)));
+        assertThat(listener.lines)
+                .containsExactly(
+                        "listed a b recovered=false",
+                        "deleted a recovered=false",
+                        "changed b",
+                        "deleted b recovered=false");
     }
 
     @Test
