The bodies of all requests share a bound on memory, those still arriving included

What callers saw: 33 callers with bodies of 4 MB, below max_body_bytes, brought the entry to a stand-still for seconds; of the requests unanswered at timeout_ms most had no answer half a second later (CONFIG).

Cause: the buffer of a body is allocated at its stated length when the head has come, and the bound counted the requests in progress, not the bodies that are arriving. When the direct memory is used up, each further allocation waits, on the event loop. Class: a resource that is taken before it is counted; bodies in chunks had no bound at all.

What doesn't fit is refused at once with 503, and the connection stays until the caller has sent its body, so that the refusal arrives. quetzalseam.bodies.kept.bytes and body-refused show it.

--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -123,6 +123,7 @@
     private void registerGauges() {
         metrics.gauge("quetzalseam.requests.in.progress", callerServer::inProgress);
         metrics.gauge("quetzalseam.caller.connections", callerServer::connections);
+        metrics.gauge("quetzalseam.bodies.kept.bytes", callerServer::bodyBytes);
         metrics.gauge("quetzalseam.desired.state.version", router::version);
         metrics.gauge("quetzalseam.memory.used.bytes", EntryProcess::memoryUsed);
         metrics.gauge("quetzalseam.loop.delay.ms", () -> loopDelayMillis);
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -45,6 +46,11 @@
     private @Nullable HttpRequest head;
     private @Nullable ByteBuf body;
     private boolean discarding;
+    /** Whether the connection stays open until the refused body has ended, so that its caller receives the refusal. */
+    private boolean closingAtBodyEnd;
+    /** Bytes reserved for the body that is being received. */
+    private long reserved;
+
     private boolean processStopping;
     private final long openedAt = System.nanoTime();
     private long idleSince = openedAt;
@@ -137,8 +143,7 @@
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is longer than allowed");
             return;
         }
-        if (!server.mayAcceptBody(length)) {
-            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many bodies are being read");
+        if (!reserveBody(length)) {
             return;
         }
         head = request;
@@ -148,11 +153,38 @@
         }
     }
 
+    /** Reserves memory for a body of the given length so far; refuses the request if there is none. */
+    private boolean reserveBody(long length) {
+        long missing = Math.max(0, length - reserved);
+        if (server.bodies().tryReserve(missing, length)) {
+            reserved += missing;
+            return true;
+        }
+        logger.atInfo().log(
+                "event=body-refused length=%d used=%d", length, server.bodies().used());
+        closingAtBodyEnd = true;
+        refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many bodies are being read");
+        return false;
+    }
+
+    private void releaseBody() {
+        ByteBuf unused = body;
+        if (unused != null) {
+            unused.release();
+        }
+        body = null;
+        server.bodies().release(reserved);
+        reserved = 0;
+    }
+
     private void receiveContent(HttpContent content) {
         HttpRequest request = head;
         ByteBuf received = body;
         if (discarding || request == null || received == null) {
             content.release();
+            if (closingAtBodyEnd && content instanceof LastHttpContent) {
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            }
             return;
         }
         if (received.readableBytes() + content.content().readableBytes()
@@ -161,6 +193,10 @@
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is longer than allowed");
             return;
         }
+        if (!reserveBody(received.readableBytes() + content.content().readableBytes())) {
+            content.release();
+            return;
+        }
         received.writeBytes(content.content());
         content.release();
         if (content instanceof LastHttpContent) {
@@ -173,6 +209,9 @@
 
     private void requestReceived(HttpRequest request, ByteBuf received) {
         Exchange exchange = new Exchange(channel, request, received, server.facts(request), this::exchangeEnded);
+        long bytes = reserved;
+        reserved = 0;
+        exchange.onBodyReleased(() -> server.bodies().release(bytes));
         if (processStopping) {
             exchange.discard();
             return;
@@ -261,12 +300,8 @@
     }
 
     private void refuse(HttpResponseStatus status, String text) {
-        ByteBuf unused = body;
-        if (unused != null) {
-            unused.release();
-        }
+        releaseBody();
         head = null;
-        body = null;
         if (discarding) {
             return;
         }
@@ -286,7 +321,10 @@
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
             answer.headers().set(HttpHeaderNames.RETRY_AFTER, 1);
         }
-        channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+        ChannelFuture written = channel.writeAndFlush(answer);
+        if (!closingAtBodyEnd) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
     }
 
     @Override
@@ -308,11 +346,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.connectionClosed(this);
-        ByteBuf unused = body;
-        if (unused != null) {
-            unused.release();
-            body = null;
-        }
+        releaseBody();
         Exchange exchange = current;
         if (exchange != null) {
             exchange.callerDisconnected();
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
@@ -39,10 +39,6 @@
     private static final int MAX_CHUNK_BYTES = 16 * 1024;
     /** Longest request line, in bytes: long enough for what common clients send. */
     private static final int MAX_FIRST_LINE_BYTES = 8 * 1024;
-    /** Longest declared body that is accepted however many requests are in progress, in bytes. */
-    private static final long LARGE_BODY_BYTES = 1024 * 1024;
-    /** Number of requests in progress from which large bodies are refused, to bound the memory that they use. */
-    private static final int BUSY_REQUESTS = 200;
     /**
      * Idle time after which a draining entry closes a connection, in nanoseconds: many round trips of a caller in the same
      * region.
@@ -53,6 +49,7 @@
     private final Protocol protocol;
     private final CallerLimitsSupplier limits;
     private final Consumer<Exchange> router;
+    private final BodyMemory bodies;
     private final Set<CallerConnection> connections = new HashSet<>();
     private @Nullable Channel listener;
     private boolean draining;
@@ -68,6 +65,16 @@
      * @param router receives each request once it is complete
      */
     public CallerServer(EventLoop loop, Protocol protocol, CallerLimitsSupplier limits, Consumer<Exchange> router) {
+        this(loop, protocol, limits, router, BodyMemory.ofProcess());
+    }
+
+    CallerServer(
+            EventLoop loop,
+            Protocol protocol,
+            CallerLimitsSupplier limits,
+            Consumer<Exchange> router,
+            BodyMemory bodies) {
+        this.bodies = bodies;
         this.loop = loop;
         this.protocol = protocol;
         this.limits = limits;
@@ -131,8 +138,13 @@
         return draining;
     }
 
-    boolean mayAcceptBody(long bytes) {
-        return bytes <= LARGE_BODY_BYTES || inProgress < BUSY_REQUESTS;
+    BodyMemory bodies() {
+        return bodies;
+    }
+
+    /** Returns how many bytes the bodies of all requests take, those that are still arriving included. */
+    public long bodyBytes() {
+        return bodies.used();
     }
 
     void connectionOpened(CallerConnection connection) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
@@ -53,6 +53,7 @@
     private @Nullable Runnable onWritable;
     private @Nullable Runnable onShutdown;
     private @Nullable Runnable onNotRun;
+    private Runnable onBodyReleased = () -> {};
     private @Nullable Team team;
     private boolean identified;
 
@@ -321,7 +322,17 @@
     /** Discards a request that was never routed. */
     void discard() {
         markEnded();
+        releaseBody();
+    }
+
+    /** Sets the callback that runs once the body is not needed any more. */
+    void onBodyReleased(Runnable call) {
+        onBodyReleased = call;
+    }
+
+    private void releaseBody() {
         body.release();
+        onBodyReleased.run();
     }
 
     private void markEnded() {
@@ -346,7 +357,7 @@
     }
 
     private void finish() {
-        body.release();
+        releaseBody();
         onEnd.run();
     }
 }
