--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -165,9 +165,8 @@
     }
 
     private void prefillPrompt(BookedMemory booked) {
-        int promptTokens = exchange.facts().promptTokens();
         PrefillRun newPrefill = new PrefillRun(
-                context, exchange, forwarded, deadline, service, promptTokens, repeats, log, new PrefillRun.Listener() {
+                context, exchange, forwarded, deadline, service, repeats, log, new PrefillRun.Listener() {
                     @Override
                     public void prefilled(Endpoint prefillEngine, String handle) {
                         held.prefilled(new KvCache(prefillEngine, handle));
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/PrefillRun.java
@@ -86,7 +86,6 @@
             ForwardedRequest forwarded,
             FirstEventDeadline deadline,
             String service,
-            int promptTokens,
             Repeats attemptRepeats,
             RunLog log,
             Listener listener) {
@@ -96,7 +95,7 @@
         this.engines = context.bookings(service).prefillEngines();
         this.forwarded = forwarded;
         this.service = service;
-        this.promptTokens = promptTokens;
+        this.promptTokens = exchange.facts().promptTokens();
         this.attemptRepeats = attemptRepeats;
         this.furtherRepeats = new Repeats(context, service, log);
         this.log = log;
