A list without a watch is one state of the store or fails

An entry's crash report that a restored store lacks counted as written, so that the others did not know of the crashes; entries or reports missing from a list whose next page could not be requested counted as gone, which gives each entry a larger part of the shared limits.

Cause: EntryPages and CrashReports put pages together that were read at several moments. Neither compared the eras of the pages, as KindWatch does, and both took a page without a name to continue from for the last one.

Why it holds: PagedList is the one place that joins pages. Pages of two eras are read again from the first, a page that cannot be continued is a failure, and the whole states its first page as the position at which it is complete.

--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReports.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReports.java
@@ -1,7 +1,6 @@
 package org.quetzalseam.gateway.crash;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,8 +12,8 @@
 import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectFaults;
-import org.quetzalseam.gateway.store.ObjectPage;
 import org.quetzalseam.gateway.store.ObjectStore;
+import org.quetzalseam.gateway.store.PagedList;
 import org.quetzalseam.gateway.store.StoreFailure;
 import org.quetzalseam.gateway.store.StoredObject;
 import org.quetzalseam.gateway.store.UnreadableException;
@@ -60,25 +59,18 @@
 
     /** Reads the reports of all entries, then states whether that succeeded. */
     void read(Consumer<Boolean> answered) {
-        readPage(null, new ArrayList<>(), answered);
+        PagedList.read(
+                (after, done, failed) -> store.list(KIND, after, done, failed),
+                list -> listed(list.objects(), answered),
+                failure -> failed("read", failure, answered));
     }
 
-    private void readPage(@Nullable String after, List<StoredObject> before, Consumer<Boolean> answered) {
-        store.list(KIND, after, page -> pageRead(page, before, answered), failure -> failed("read", failure, answered));
-    }
-
-    private void pageRead(ObjectPage page, List<StoredObject> before, Consumer<Boolean> answered) {
-        before.addAll(page.objects());
-        Optional<String> last = page.lastName();
-        if (page.more() && last.isPresent()) {
-            readPage(last.get(), before, answered);
-            return;
-        }
+    private void listed(List<StoredObject> objects, Consumer<Boolean> answered) {
         long now = timers.now();
         ownPosition = null;
         Optional<CrashReport> own = Optional.empty();
         Map<String, CrashReport> others = new HashMap<>();
-        for (StoredObject object : before) {
+        for (StoredObject object : objects) {
             Optional<CrashReport> report = parse(object);
             if (object.name().equals(self)) {
                 ownPosition = object.position();
--- a/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryRegistry.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/entry/EntryRegistry.java
@@ -3,13 +3,15 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.runtime.Timers;
-import org.quetzalseam.gateway.store.ObjectPage;
 import org.quetzalseam.gateway.store.ObjectStore;
+import org.quetzalseam.gateway.store.PagedList;
+import org.quetzalseam.gateway.store.PagedList.WholeList;
 import org.quetzalseam.gateway.store.StoreFailure;
 import org.quetzalseam.gateway.store.StoredObject;
 
@@ -148,17 +150,17 @@
 
     private void countFromNewestList() {
         long askedAt = timers.elapsed();
-        EntryPages.readAll(
+        PagedList.read(
                 (after, done, failed) -> store.list(KIND, after, done, failed),
-                page -> handlePage(page, askedAt),
+                list -> handleList(list, askedAt),
                 failure -> retryFirstList(failure, this::countFromNewestList));
     }
 
     private void countFromRecentList() {
         long askedAt = timers.elapsed();
-        EntryPages.readAll(
+        PagedList.read(
                 (after, done, failed) -> store.listRecent(KIND, after, done, failed),
-                page -> handlePage(page, askedAt),
+                list -> handleList(list, askedAt),
                 failure -> retryFirstList(failure, this::countFromRecentList));
     }
 
@@ -187,22 +189,22 @@
         era = currentEra;
     }
 
-    private void handlePage(ObjectPage page, long askedAt) {
+    private void handleList(WholeList list, long askedAt) {
         listed = true;
-        updateEra(page.position().era());
-        Set<String> names = page.objects().stream().map(StoredObject::name).collect(Collectors.toSet());
+        updateEra(list.first().era());
+        Set<String> names = list.objects().stream().map(StoredObject::name).collect(Collectors.toSet());
         if (names.add(self)) {
             // The name was removed, or the list is stale. This entry is running, and registering it again does no harm.
             registered = false;
         }
         int rank = (int) names.stream().filter(name -> name.compareTo(self) < 0).count();
         EntryCount count = new EntryCount(names.size(), rank);
-        updateRegistration(page);
+        updateRegistration(list.objects());
         int listed = mayBeTooLow(count) && lastCount != null ? lastCount.entries() : count.entries();
         listener.listed(new EntryList(
                 listed,
-                PeerAddresses.ofOthers(page, self),
-                PeerAddresses.processorsOfOthers(page, self),
+                PeerAddresses.ofOthers(list.objects(), self),
+                PeerAddresses.processorsOfOthers(list.objects(), self),
                 intervalMillis(listed),
                 askedAt));
         if (count.equals(lastCount) || mayBeTooLow(count)) {
@@ -218,8 +220,8 @@
     }
 
     /** Replaces the registration of an earlier process of this entry that listened at another address. */
-    private void updateRegistration(ObjectPage page) {
-        page.objects().stream()
+    private void updateRegistration(List<StoredObject> objects) {
+        objects.stream()
                 .filter(object -> object.name().equals(self) && !object.spec().equals(registration))
                 .findFirst()
                 .ifPresent(object -> store.replace(
--- a/gateway/src/main/java/org/quetzalseam/gateway/entry/PeerAddresses.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/entry/PeerAddresses.java
@@ -7,10 +7,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
-import org.quetzalseam.gateway.store.ObjectPage;
 import org.quetzalseam.gateway.store.StoredObject;
 
 /** What the registrations of entries state for the others: addresses at which they answer, and processors. Stateless. */
@@ -36,9 +36,9 @@
     }
 
     /** Returns the processors that the other entries state; an unusable number counts as none. */
-    static Map<String, Double> processorsOfOthers(ObjectPage page, String self) {
+    static Map<String, Double> processorsOfOthers(List<StoredObject> objects, String self) {
         Map<String, Double> processors = new HashMap<>();
-        for (StoredObject object : page.objects()) {
+        for (StoredObject object : objects) {
             JsonNode processor = object.spec().path(PROCESSOR);
             if (!object.name().equals(self)
                     && processor.isNumber()
@@ -50,9 +50,9 @@
         return processors;
     }
 
-    static Map<String, InetSocketAddress> ofOthers(ObjectPage page, String self) {
+    static Map<String, InetSocketAddress> ofOthers(List<StoredObject> objects, String self) {
         Map<String, InetSocketAddress> addresses = new HashMap<>();
-        for (StoredObject object : page.objects()) {
+        for (StoredObject object : objects) {
             if (!object.name().equals(self)) {
                 parse(object.spec().path(ADDRESS).asText(""))
                         .ifPresent(address -> addresses.put(object.name(), address));
--- a/gateway/src/test/java/org/quetzalseam/gateway/crash/CrashReportsTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/crash/CrashReportsTest.java
@@ -126,6 +126,25 @@
         assertThat(store.spec(KIND, "one")).isNotNull();
     }
 
+    // Guards against a report counting as written because an early page showed it, though the store was then restored
+    // from
+    // a copy
+    // without it.
+    @Test
+    void aReportThatAStoreLacksWhichIsRestoredBetweenTwoPagesIsOutdated() {
+        Entry other = new Entry("two");
+        other.lose("r", "i-2");
+        other.write();
+        MemoryStore.Copy copy = store.copy();
+        Entry one = new Entry("one");
+        one.lose("r", "i-1");
+        one.write();
+        store.pageSize(1);
+        store.betweenPages(() -> store.restore(copy));
+        assertThat(one.read()).isTrue();
+        assertThat(one.reports.outdated()).isTrue();
+    }
+
     @Test
     void anObjectOfAnotherFormIsLeftAside() {
         store.put(KIND, "foreign", JsonNodeFactory.instance.objectNode().put("lost", 3));
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
@@ -22,6 +22,7 @@
     private @Nullable StoredObject recentObject;
     private @Nullable List<StoredObject> recentList;
     private int pageSize = Integer.MAX_VALUE;
+    private Runnable betweenPages = () -> {};
 
     /** Sets whether calls are declined. */
     public void declining(boolean declining) {
@@ -48,6 +49,11 @@
         pageSize = objects;
     }
 
+    /** Sets what happens once between the first and the second page of a list. */
+    public void betweenPages(Runnable event) {
+        betweenPages = event;
+    }
+
     /** Returns how often a kind has been listed. */
     public int lists() {
         return lists;
@@ -132,6 +138,11 @@
     @Override
     public void list(String kind, @Nullable String after, Consumer<ObjectPage> done, Consumer<StoreFailure> failed) {
         lists++;
+        if (after != null) {
+            Runnable event = betweenPages;
+            betweenPages = () -> {};
+            event.run();
+        }
         if (declines(failed)) {
             return;
         }
