The stated age of the crash reports counts from the request of their first page

What operators saw: reports_age_ms of a quarantine stated the time since the last page of the reports was read, so that a report written after the first page was read seemed to have been seen.

Cause: a list of several pages was dated by its end.

Why it holds: nothing on any page is older than the request of the first.

--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReports.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReports.java
@@ -47,7 +47,7 @@
         this.ledger = ledger;
     }
 
-    /** Returns how long ago the reports of all entries were last read, in nanoseconds; {@link Long#MAX_VALUE} before that. */
+    /** Returns how long ago the latest reading of all entries' reports began, in nanoseconds; {@link Long#MAX_VALUE} before that. */
     long ageNanos() {
         return readOnce ? timers.now() - readAt : Long.MAX_VALUE;
     }
@@ -59,13 +59,14 @@
 
     /** Reads the reports of all entries, then states whether that succeeded. */
     void read(Consumer<Boolean> answered) {
+        long askedAt = timers.now();
         PagedList.read(
                 (after, done, failed) -> store.list(KIND, after, done, failed),
-                list -> listed(list.objects(), answered),
+                list -> listed(list.objects(), askedAt, answered),
                 failure -> failed("read", failure, answered));
     }
 
-    private void listed(List<StoredObject> objects, Consumer<Boolean> answered) {
+    private void listed(List<StoredObject> objects, long askedAt, Consumer<Boolean> answered) {
         long now = timers.now();
         ownPosition = null;
         Optional<CrashReport> own = Optional.empty();
@@ -86,7 +87,7 @@
         ownKnown = true;
         written = own.orElse(CrashReport.EMPTY);
         readOnce = true;
-        readAt = now;
+        readAt = askedAt;
         answered.accept(true);
     }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/crash/CrashReportsTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/crash/CrashReportsTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.DefaultEventLoop;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -145,6 +146,21 @@
         assertThat(one.reports.outdated()).isTrue();
     }
 
+    // Guards against a reading that began before a report was written passing for one that has seen the report.
+    @Test
+    void theAgeOfTheReportsCountsFromTheRequestOfTheFirstPage() {
+        Entry other = new Entry("two");
+        other.lose("r", "i-2");
+        other.write();
+        Entry one = new Entry("one");
+        one.write();
+        store.pageSize(1);
+        long readNanos = TimeUnit.MILLISECONDS.toNanos(50);
+        store.betweenPages(() -> LockSupport.parkNanos(readNanos));
+        one.read();
+        assertThat(one.reports.ageNanos()).isGreaterThanOrEqualTo(readNanos);
+    }
+
     @Test
     void anObjectOfAnotherFormIsLeftAside() {
         store.put(KIND, "foreign", JsonNodeFactory.instance.objectNode().put("lost", 3));
