A state counts as current only when the last page of its list has been read

After an outage, or when the store had dropped its history, an entry whose list has several pages took its earlier state for current from the first page on: for as long as the other pages take it could deny what a newer state allows, and confirm to other entries a state that was older than stated.

Cause: each page was recorded as an answer of the store as of the request of the list, although what the later pages change had not been applied. Changes of a watch were dated before they were applied, too.

Why it holds: the date is recorded after the listener has the whole list or all changes, in the same task. KindWatch reads its pages through PagedList; the event 'listed' states the revision of the first page, at which the watch begins.

--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -5,12 +5,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.gateway.runtime.ScheduledCall;
 import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.PagedList.WholeList;
 
 /**
  * Follows one kind of objects: lists it, then watches it, and lists it again when the store has dropped the history or was
@@ -54,14 +53,10 @@
     private final KindListener listener;
     private final LastResponse lastResponse;
     private final List<Runnable> refreshCallbacks = new ArrayList<>();
-    private final List<StoredObject> listedObjects = new ArrayList<>();
     /** Positions of the objects of the latest list, while changes may be received that are older than some of its pages. */
     private final Map<String, StorePosition> listedPositions = new HashMap<>();
 
-    private StorePosition firstPage = StorePosition.NONE;
     private long retryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
-    private long listEra;
-    private long listSentAtNanos;
     private StorePosition lastListed = StorePosition.NONE;
     private StorePosition newest = StorePosition.NONE;
     /** Number of the newest watch; answers to earlier ones are ignored. */
@@ -125,41 +120,31 @@
     }
 
     private void listAll() {
-        listedObjects.clear();
         immediateAnswerExpected = true;
-        listSentAtNanos = timers.elapsed();
-        listFrom(null);
-    }
-
-    private void listFrom(@Nullable String after) {
-        store.list(kind, after, page -> onPage(page, after), this::listFailed);
+        long sentAt = timers.elapsed();
+        PagedList.read(
+                (after, done, failed) -> store.list(kind, after, done, failed),
+                list -> onList(list, sentAt),
+                this::listFailed);
     }
 
-    private void onPage(ObjectPage page, @Nullable String after) {
-        if (after == null) {
-            listEra = page.position().era();
-            firstPage = page.position();
-        } else if (listEra != page.position().era()) {
-            // Pages of two eras do not form one list.
-            listAll();
-            return;
-        }
-        listedObjects.addAll(page.objects());
-        if (page.more()) {
-            requestNextPage(page, after);
-            return;
-        }
-        recordResponse(listSentAtNanos);
-        recordEra(page.position());
-        notifyListener("all", () -> listener.listed(List.copyOf(listedObjects), recentlyRecovered()));
+    private void onList(WholeList list, long sentAt) {
+        recordAvailable();
+        recordEra(list.last());
+        notifyListener("all", () -> listener.listed(list.objects(), recentlyRecovered()));
+        lastResponse.recordResponse(sentAt);
         logger.atInfo().log(
-                "event=listed kind=%s objects=%d era=%d revision=%d",
-                kind, listedObjects.size(), lastListed.era(), lastListed.revision());
+                "event=listed kind=%s objects=%d era=%d revision=%d first_page_revision=%d",
+                kind,
+                list.objects().size(),
+                lastListed.era(),
+                lastListed.revision(),
+                list.first().revision());
         // What changed on an earlier page while later ones were read is in none of them.
-        newest = firstPage;
+        newest = list.first();
         listedPositions.clear();
-        if (firstPage.isBefore(lastListed)) {
-            listedObjects.forEach(object -> listedPositions.put(object.name(), object.position()));
+        if (newest.isBefore(lastListed)) {
+            list.objects().forEach(object -> listedPositions.put(object.name(), object.position()));
         }
         completeRefreshes();
         watchFrom(newest);
@@ -184,20 +169,6 @@
         lastListed = position;
     }
 
-    /**
-     * Requests the page after the last name of this one. Without a new last name the whole list is requested again, because the
-     * objects missing from a partial list would seem deleted.
-     */
-    private void requestNextPage(ObjectPage page, @Nullable String after) {
-        Optional<String> last = page.lastName();
-        if (last.isEmpty() || last.get().equals(after)) {
-            listFailed(new StoreFailure(StoreFailure.Kind.UNREADABLE, "page without a new last name to continue from"));
-            return;
-        }
-        recordResponse(listSentAtNanos);
-        listFrom(last.get());
-    }
-
     private void listFailed(StoreFailure failure) {
         retryAfterDelay(failure, this::listAll);
     }
@@ -253,7 +224,7 @@
         }
         // The store gives an answer without changes only after the whole wait.
         long waited = changes.changes().isEmpty() ? waitMillis : 0;
-        recordResponse(sentAt + TimeUnit.MILLISECONDS.toNanos(waited));
+        recordAvailable();
         for (ObjectChanges.Change change : changes.changes()) {
             if (listedLater(change.object())) {
                 continue;
@@ -264,6 +235,7 @@
                 notifyListener(change.object().name(), () -> listener.changed(change.object()));
             }
         }
+        lastResponse.recordResponse(sentAt + TimeUnit.MILLISECONDS.toNanos(waited));
         newest = StorePosition.later(from, changes.position());
         if (!newest.isBefore(lastListed)) {
             listedPositions.clear();
@@ -310,9 +282,8 @@
         retryDelayMillis = Math.min(2 * retryDelayMillis, MAX_RETRY_DELAY_MILLIS);
     }
 
-    private void recordResponse(long asOf) {
+    private void recordAvailable() {
         retryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
-        lastResponse.recordResponse(asOf);
         if (unavailable) {
             unavailable = false;
             recoveredAtNanos = timers.now();
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -74,6 +74,20 @@
                         "deleted b recovered=false");
     }
 
+    // Guards against the state before a list counting as current since the list was requested, though its last page has
+    // yet to show
+    // what has changed.
+    @Test
+    void theStateIsCurrentOnlyWhenTheLastPageOfANewListHasBeenRead() {
+        store.listed.accept(new ObjectPage(List.of(object("a", 3), object("b", 4)), false, at(6)));
+        pass(LastResponse.MAX_CURRENT_AGE_MILLIS + 1);
+        store.failed.accept(new StoreFailure(StoreFailure.Kind.HISTORY_GONE, "status 410"));
+        store.listed.accept(new ObjectPage(List.of(object("a", 3)), true, at(9)));
+        assertThat(watch.current()).isFalse();
+        store.listed.accept(new ObjectPage(List.of(object("b", 8)), false, at(9)));
+        assertThat(watch.current()).isTrue();
+    }
+
     @Test
     void anUnresponsiveStoreIsAskedForAnImmediateAnswerUntilItRecovers() {
         store.listed.accept(new ObjectPage(List.of(), false, at(6)));
