A KV cache is not used once its prefill engine has ended

A stream whose decode engine began to drain during the prefill waits for memory at another one, with the KV cache of its prompt kept. If the prefill engine restarts in that wait, the next incarnation may hold another prompt's cache under the same handle, and the stream goes on from it (MIXED).

Cause: the handle was checked when the prefill was answered; since a second wait follows, after which nobody asked again. Class: a decision whose ground may change while it waits.

Why it holds: the question is asked in the task that sends the stream. A forgotten cache is not released, because the handle may be another's; the prompt is prefilled again.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -185,11 +185,14 @@
                 .count();
     }
 
+    /** Returns whether the platform lists this incarnation of the endpoint, be it draining or not. */
+    public boolean lists(Endpoint endpoint) {
+        return endpoints.get(endpoint.member().id()) == endpoint;
+    }
+
     /** Returns whether the endpoint still accepts new work. */
     public boolean usable(Endpoint endpoint) {
-        return !endpoint.member().draining()
-                && !endpoint.misdirected()
-                && endpoints.get(endpoint.member().id()) == endpoint;
+        return !endpoint.member().draining() && !endpoint.misdirected() && lists(endpoint);
     }
 
     /** Returns a service's endpoints of a stage that accept new work. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -154,7 +154,7 @@
             return;
         }
         statistics.recordBooked();
-        if (held.prefilled()) {
+        if (held.prefilled(context.directory())) {
             decodeBooked(booked);
         } else if (booked.prefillsPrompt()) {
             log.step("reads-in-place", booked.engine(), "tokens=" + booked.tokens());
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/HeldResources.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/HeldResources.java
@@ -1,6 +1,7 @@
 package org.quetzalseam.gateway.route;
 
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.gateway.endpoint.Directory;
 
 /** Tracks what engines hold for one generation, and releases what is unused when the generation ends. Not thread-safe. */
 final class HeldResources {
@@ -42,8 +43,15 @@
         return kv;
     }
 
-    /** Returns whether there is a KV cache that is not used yet. */
-    boolean prefilled() {
+    /**
+     * Returns whether there is a KV cache that is not used yet. One whose engine has ended since is forgotten: the next incarnation of
+     * that engine may hold another prompt's cache under the same handle.
+     */
+    boolean prefilled(Directory directory) {
+        KvCache kv = unusedKv;
+        if (kv != null && !directory.lists(kv.holder())) {
+            unusedKv = null;
+        }
         return unusedKv != null;
     }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/LeavingEngineTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/LeavingEngineTest.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -15,6 +16,7 @@
 /** Tests engines that begin to drain while a stream waits for its prompt, with memory booked at them. */
 class LeavingEngineTest {
     private static final String PROMPT_TOKENS_HEADER = "x-tokens: 1000";
+    private static final long SECOND_START_MILLIS = 2_000;
 
     private final TestEntry entry = new TestEntry();
     private final CountDownLatch reading = new CountDownLatch(1);
@@ -22,15 +24,30 @@
     private final ScriptedEndpoint prefill = new ScriptedEndpoint("prefill", this::prefill);
     private final ScriptedEndpoint leaving = new ScriptedEndpoint("leaving", LeavingEngineTest::decode);
     private final ScriptedEndpoint staying = new ScriptedEndpoint("staying", LeavingEngineTest::decode);
+    private final CountDownLatch booking = new CountDownLatch(1);
+    private final CountDownLatch booked = new CountDownLatch(1);
+    private final AtomicInteger prefills = new AtomicInteger();
 
     private void prefill(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
         reading.countDown();
+        await(read);
+        connection.answer(request, "kv" + prefills.incrementAndGet());
+    }
+
+    private static void await(CountDownLatch latch) {
         try {
-            read.await();
+            latch.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        connection.answer(request, "kv1");
+    }
+
+    private void decodeOnceBooked(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
+        if (request.path().startsWith("/control/reserve")) {
+            booking.countDown();
+            await(booked);
+        }
+        decode(request, connection);
     }
 
     private static void decode(RawRequest request, ScriptedEndpoint.Connection connection) throws IOException {
@@ -52,6 +69,7 @@
     @AfterEach
     void stop() {
         read.countDown();
+        booked.countDown();
         entry.close();
         prefill.close();
         leaving.close();
@@ -91,4 +109,27 @@
         assertThat(answer.get(10, TimeUnit.SECONDS)).startsWith("HTTP/1.1 503").contains("x-come-back: ");
         assertThat(leaving.runs()).isEmpty();
     }
+
+    // Guards against a stream going on from another prompt's KV cache, which the prefill engine holds under the same
+    // handle
+    // since it restarted, while the stream waited for memory at a second engine.
+    @Test
+    void aKvCacheWhosePrefillEngineRestartsDuringTheNextBookingIsNotUsed() throws Exception {
+        staying.script(this::decodeOnceBooked);
+        CompletableFuture<String> answer = askUntilPromptIsRead();
+        entry.updateEndpoints(
+                prefill.member("s", Stage.PREFILL),
+                leaving.drainingMember("s", Stage.DECODE),
+                staying.member("s", Stage.DECODE));
+        read.countDown();
+        assertThat(booking.await(5, TimeUnit.SECONDS)).isTrue();
+        entry.updateEndpoints(
+                prefill.member("s", Stage.PREFILL, SECOND_START_MILLIS),
+                leaving.drainingMember("s", Stage.DECODE),
+                staying.member("s", Stage.DECODE));
+        booked.countDown();
+        assertThat(answer.get(10, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200 OK");
+        assertThat(staying.runs()).hasSize(1);
+        assertThat(staying.runs().get(0).header("x-kv")).isEqualTo("kv2");
+    }
 }
