A request is not sent to an endpoint that began to leave while its connection opened

Cause: whether the endpoint takes work was asked when the endpoint was chosen, not when the connection was open and the request was written.

Evidence: ConnectingCallTest, 2 of 3 cases failed on: "completed", expected "NOT_CONNECTED".

Why it holds: the question is asked in the task that writes the request. The call fails as not sent, so that it is placed elsewhere without counting as a repeat. Control calls go on, since bookings of a draining endpoint have to be released. An idle connection to an endpoint that is no longer listed is closed instead of kept.

Measured: ConnectingCallTest 3 of 3.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -165,7 +165,7 @@
             logger.atInfo().log(
                     "event=endpoint-gone endpoint=%s service=%s",
                     id, removed.member().service());
-            removed.close();
+            removed.delist();
             if (!removed.member().draining()) {
                 onUnplannedEnd.run();
             }
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.fleet.EndpointHealth;
@@ -76,6 +77,7 @@
     private Member member;
     private int maxConnections = Integer.MAX_VALUE;
     private int outstanding;
+    private boolean listed = true;
     private boolean ended;
 
     Endpoint(Connector connector, Protocol protocol, Member member, Listener listener) {
@@ -109,6 +111,11 @@
         return ended;
     }
 
+    /** Returns whether the platform lists this incarnation and it is not draining. */
+    boolean takesNewWork() {
+        return listed && !ended && !member.draining();
+    }
+
     /** Returns whether the registration has recently proved wrong, so that every request sent to it would be rejected. */
     boolean misdirected() {
         return misdirection.recent(timers.now());
@@ -204,17 +211,23 @@
                 address,
                 this::connectionIdle,
                 this::connectionClosed,
-                new ConnectOutcome(call, this::connectionIdle, connections::recordNotOpened));
+                new ConnectOutcome(call, this::takesNewWork, this::connectionIdle, connections::recordNotOpened));
     }
 
     /** Receives the outcome of opening a connection. */
     private final class ConnectOutcome implements Connector.ConnectListener {
         private final @Nullable EndpointCall call;
+        private final BooleanSupplier mayBegin;
         private final Consumer<HttpConnection> onUnused;
         private final Runnable onNotOpened;
 
-        ConnectOutcome(@Nullable EndpointCall call, Consumer<HttpConnection> onUnused, Runnable onNotOpened) {
+        ConnectOutcome(
+                @Nullable EndpointCall call,
+                BooleanSupplier mayBegin,
+                Consumer<HttpConnection> onUnused,
+                Runnable onNotOpened) {
             this.call = call;
+            this.mayBegin = mayBegin;
             this.onUnused = onUnused;
             this.onNotOpened = onNotOpened;
         }
@@ -222,7 +235,13 @@
         @Override
         public void connected(HttpConnection connection) {
             crashCheck.connected();
-            if (ended || call == null || !call.begin(connection)) {
+            if (call == null) {
+                onUnused.accept(connection);
+            } else if (!mayBegin.getAsBoolean()) {
+                onUnused.accept(connection);
+                call.failUnsent(
+                        new CallFailure(CallFailure.Kind.NOT_CONNECTED, "the endpoint began to leave meanwhile"));
+            } else if (!call.begin(connection)) {
                 onUnused.accept(connection);
             }
         }
@@ -307,7 +326,8 @@
                 address,
                 this::controlConnectionIdle,
                 this::controlConnectionClosed,
-                new ConnectOutcome(call, this::controlConnectionIdle, controlConnections::recordNotOpened));
+                new ConnectOutcome(
+                        call, () -> !ended, this::controlConnectionIdle, controlConnections::recordNotOpened));
         return call;
     }
 
@@ -343,7 +363,7 @@
     }
 
     private void keepIdle(HttpConnection connection, KeptConnections kept) {
-        if (ended) {
+        if (ended || !listed) {
             connection.abort();
         } else {
             kept.keep(connection);
@@ -384,8 +404,13 @@
         lost.forEach(EndpointCall::failRestarted);
     }
 
-    /** Closes idle connections; calls in flight continue. */
-    void close() {
+    /** Ends new work because the platform lists this incarnation no longer; calls in flight continue. */
+    void delist() {
+        listed = false;
+        close();
+    }
+
+    private void close() {
         connections.closeIdle();
         controlConnections.closeIdle();
     }
