quetzalseamd: an answer that stops within its head or a chunk's size is not taken for whole

Cause: at the end of the stream HttpCore's parser takes an unfinished line for a line, and the lines so far for the whole head, the whole size of a chunk, or the whole trailer. So `Content-Le` ends a head without a length, and the `00` of a chunk size `00b` ends the body. Class: an end that is taken for the regular one.

Why it holds: SendOnceClient uses the HTTP codec of the streaming entry, which tells the end of the stream from the end of a head, a chunk or a body by its state. RawConnection, the stand-in, can cut a reply at any byte.

--- a/daemon/src/main/java/org/quetzalseam/daemon/service/SendOnceClient.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/SendOnceClient.java
@@ -1,39 +1,39 @@
 package org.quetzalseam.daemon.service;
 
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
 import java.net.URI;
-import java.util.HashMap;
-import java.util.Locale;
-import java.util.Map;
-import java.util.concurrent.CancellationException;
+import java.util.Deque;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import org.apache.hc.core5.concurrent.FutureCallback;
-import org.apache.hc.core5.http.Header;
-import org.apache.hc.core5.http.HttpHost;
-import org.apache.hc.core5.http.HttpResponse;
-import org.apache.hc.core5.http.Message;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
-import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
-import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
-import org.apache.hc.core5.http.nio.AsyncRequestProducer;
-import org.apache.hc.core5.http.nio.entity.AsyncEntityProducers;
-import org.apache.hc.core5.http.nio.entity.BasicAsyncEntityConsumer;
-import org.apache.hc.core5.http.nio.support.AsyncRequestBuilder;
-import org.apache.hc.core5.http.nio.support.BasicResponseConsumer;
-import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
-import org.apache.hc.core5.http.protocol.RequestContent;
-import org.apache.hc.core5.http.protocol.RequestTargetHost;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
-import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.util.Timeout;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.daemon.HttpClients;
 import org.quetzalseam.daemon.service.ServiceException.Code;
 import org.quetzalseam.wire.message.Call;
 import org.quetzalseam.wire.runtime.Service;
+import org.quetzalseam.wire.runtime.Threads;
 
 /**
  * Makes HTTP calls and never repeats one. An idempotent call may use a connection that an earlier one has left open; any other
@@ -45,44 +45,38 @@
  * service ended fails as if it had not been sent.
  */
 final class SendOnceClient implements Service {
-    /** Practically unlimited, because the endpoint's slots limit the calls that run. */
-    private static final int MAX_CONNECTIONS = 65_536;
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /**
      * Enough, because an endpoint serves one service, and one thread copies its answers as fast as loopback delivers
      * them.
      */
     private static final int IO_THREADS = 1;
+    /** Longest status line and longest header section of an answer, in bytes. */
+    private static final int MAX_HEAD_BYTES = 64 * 1024;
 
-    private static final String STOPPED = "stopped";
+    private static final HttpDecoderConfig DECODER_CONFIG =
+            new HttpDecoderConfig().setMaxInitialLineLength(MAX_HEAD_BYTES).setMaxHeaderSize(MAX_HEAD_BYTES);
+    /** Methods whose requests state a length though their body is empty. */
+    private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
 
-    private final HttpHost host;
-    private final HttpAsyncRequester requester;
+    private final InetSocketAddress address;
+    private final String host;
+    private final EventLoopGroup loop = new NioEventLoopGroup(IO_THREADS, Threads.named("service-client"));
+    private final Deque<ServiceConnection> idle = new ConcurrentLinkedDeque<>();
 
     SendOnceClient(URI base) {
-        this.host = new HttpHost(base.getScheme(), base.getHost(), base.getPort());
-        this.requester = AsyncRequesterBootstrap.bootstrap()
-                .setIOReactorConfig(IOReactorConfig.custom()
-                        .setIoThreadCount(IO_THREADS)
-                        .setTcpNoDelay(true)
-                        .build())
-                .setHttpProcessor(HttpProcessorBuilder.create()
-                        .add(RequestTargetHost.INSTANCE)
-                        .add(RequestContent.INSTANCE)
-                        .build())
-                .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
-                .setDefaultMaxPerRoute(MAX_CONNECTIONS)
-                .setMaxTotal(MAX_CONNECTIONS)
-                .create();
+        this.address = new InetSocketAddress(base.getHost(), base.getPort());
+        this.host = base.getHost() + ":" + base.getPort();
     }
 
     @Override
     public void start() {
-        requester.start();
+        // Connections are opened when calls need them.
     }
 
     @Override
     public void stop() {
-        requester.close(CloseMode.IMMEDIATE);
+        Future<?> unused = loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -91,140 +85,85 @@
      * @throws IllegalArgumentException if the call cannot be expressed in HTTP
      */
     CompletableFuture<ServiceAnswer> call(Call call) {
-        long limit = Math.max(1, call.timeoutMillis());
-        PendingCall pending = new PendingCall(request(call), call.idempotent());
-        // HttpCore also applies the timeout given here as the connection's idle timeout, so it must not be the connect
-        // timeout.
-        Future<AsyncClientEndpoint> unused = requester.connect(host, Timeout.ofMilliseconds(limit), null, pending);
-        return pending.answer(limit);
-    }
-
-    private AsyncRequestProducer request(Call call) {
-        AsyncRequestBuilder builder =
-                AsyncRequestBuilder.create(call.method()).setHttpHost(host).setPath(call.path());
-        HttpServiceClient.forwardedHeaders(call).forEach(builder::setHeader);
-        if (!call.idempotent()) {
-            builder.setHeader("Connection", "close");
-        }
-        if (call.body().length > 0) {
-            builder.setEntity(AsyncEntityProducers.create(call.body(), null));
+        long limitMillis = Math.max(1, call.timeoutMillis());
+        FullHttpRequest request = request(call);
+        CompletableFuture<ServiceAnswer> answer = new CompletableFuture<>();
+        ServiceConnection kept = call.idempotent() ? pollIdle() : null;
+        if (kept != null) {
+            kept.send(request, answer);
+        } else {
+            connect(request, answer, call.idempotent());
         }
-        return builder.build();
+        return answer.orTimeout(limitMillis, TimeUnit.MILLISECONDS).exceptionallyCompose(failure -> {
+            boolean timedOut = HttpClients.cause(failure) instanceof TimeoutException;
+            return CompletableFuture.failedFuture(
+                    timedOut
+                            ? new ServiceException(Code.TIMEOUT, "the service did not answer in time", failure)
+                            : failure);
+        });
     }
 
-    /** One call, from connecting to its answer. */
-    private static final class PendingCall implements FutureCallback<AsyncClientEndpoint> {
-        private final AsyncRequestProducer request;
-        private final boolean reusable;
-        /**
-         * Completed by the connection or by the connect timeout; whichever comes first decides whether the call is
-         * sent.
-         */
-        private final CompletableFuture<AsyncClientEndpoint> connecting = new CompletableFuture<>();
-
-        private final CompletableFuture<ServiceAnswer> answer = new CompletableFuture<>();
-
-        PendingCall(AsyncRequestProducer request, boolean reusable) {
-            this.request = request;
-            this.reusable = reusable;
-        }
-
-        /** Returns the answer. After the limit the call counts as started, even if it was still connecting. */
-        CompletableFuture<ServiceAnswer> answer(long limitMillis) {
-            CompletableFuture<Void> unused = connecting
-                    .orTimeout(HttpClients.CONNECT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                    .handle((connection, failure) -> {
-                        if (failure != null) {
-                            failNotConnected(failure);
-                        }
-                        return null;
-                    });
-            return answer.orTimeout(limitMillis, TimeUnit.MILLISECONDS).exceptionallyCompose(failure -> {
-                boolean timedOut = HttpClients.cause(failure) instanceof TimeoutException;
-                return CompletableFuture.failedFuture(
-                        timedOut
-                                ? new ServiceException(Code.TIMEOUT, "the service did not answer in time", failure)
-                                : failure);
-            });
-        }
-
-        private void failNotConnected(Throwable failure) {
-            boolean timedOut = failure instanceof TimeoutException;
-            String reason = timedOut
-                    ? "no connection within " + HttpClients.CONNECT_TIMEOUT.toMillis() + " ms"
-                    : String.valueOf(failure.getMessage());
-            fail(Code.NOT_RUN, reason, failure);
-        }
-
-        @Override
-        public void completed(AsyncClientEndpoint connection) {
-            if (!connecting.complete(connection) || answer.isDone()) {
-                connection.releaseAndDiscard();
-                return;
-            }
-            CompletableFuture<ServiceAnswer> unusedAnswer = answer.whenComplete((result, failure) -> {
-                if (failure != null) {
-                    connection.releaseAndDiscard();
-                }
-            });
-            Future<Message<HttpResponse, byte[]>> unused = connection.execute(
-                    request, new BasicResponseConsumer<>(new BasicAsyncEntityConsumer()), new Exchange(connection));
+    private @Nullable ServiceConnection pollIdle() {
+        ServiceConnection kept = idle.pollLast();
+        while (kept != null && !kept.open()) {
+            kept = idle.pollLast();
         }
+        return kept;
+    }
 
-        @Override
-        public void failed(Exception failure) {
-            connecting.completeExceptionally(failure);
+    private FullHttpRequest request(Call call) {
+        if (call.path().chars().anyMatch(character -> character <= ' ' || character == '\u007f')) {
+            throw new IllegalArgumentException("expected a path without blanks and control characters");
         }
-
-        @Override
-        public void cancelled() {
-            connecting.completeExceptionally(new CancellationException(STOPPED));
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(call.method()),
+                call.path(),
+                Unpooled.wrappedBuffer(call.body()));
+        HttpServiceClient.forwardedHeaders(call).forEach(request.headers()::set);
+        request.headers().set(HttpHeaderNames.HOST, host);
+        if (call.body().length > 0 || METHODS_WITH_BODY.contains(call.method())) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
         }
-
-        private void fail(Code code, String reason, @Nullable Throwable failure) {
-            answer.completeExceptionally(new ServiceException(code, "the service gave no answer: " + reason, failure));
+        if (!call.idempotent()) {
+            request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
+        return request;
+    }
 
-        private final class Exchange implements FutureCallback<Message<HttpResponse, byte[]>> {
-            private final AsyncClientEndpoint connection;
-
-            Exchange(AsyncClientEndpoint connection) {
-                this.connection = connection;
-            }
-
-            @Override
-            public void completed(Message<HttpResponse, byte[]> response) {
-                if (reusable) {
-                    connection.releaseAndReuse();
+    private void connect(FullHttpRequest request, CompletableFuture<ServiceAnswer> answer, boolean reusable) {
+        ServiceConnection connection = new ServiceConnection(reusable ? idle::addLast : ServiceConnection::close);
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) HttpClients.CONNECT_TIMEOUT.toMillis())
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(DECODER_CONFIG, false, false))
+                                .addLast(connection);
+                    }
+                });
+        try {
+            ChannelFuture connecting = bootstrap.connect(address);
+            connecting.addListener(done -> {
+                if (done.isSuccess()) {
+                    connection.send(request, answer);
                 } else {
-                    connection.releaseAndDiscard();
+                    failNotRun(answer, done.cause());
                 }
-                answer.complete(toAnswer(response));
-            }
-
-            @Override
-            public void failed(Exception failure) {
-                fail(Code.NO_ANSWER, String.valueOf(failure.getMessage()), failure);
-            }
-
-            @Override
-            public void cancelled() {
-                fail(Code.NO_ANSWER, STOPPED, null);
-            }
+            });
+        } catch (RejectedExecutionException | IllegalStateException e) {
+            failNotRun(answer, e);
         }
     }
 
-    private static ServiceAnswer toAnswer(Message<HttpResponse, byte[]> response) {
-        Map<String, String> headers = new HashMap<>();
-        for (Header header : response.getHead().getHeaders()) {
-            if (HttpServiceClient.isForwarded(header.getName())) {
-                headers.merge(
-                        header.getName().toLowerCase(Locale.ROOT),
-                        header.getValue(),
-                        (first, second) -> first + ", " + second);
-            }
-        }
-        byte[] body = response.getBody();
-        return new ServiceAnswer(response.getHead().getCode(), headers, body == null ? new byte[0] : body);
+    private static void failNotRun(CompletableFuture<ServiceAnswer> answer, @Nullable Throwable cause) {
+        String reason = cause == null ? "no connection" : String.valueOf(cause.getMessage());
+        logger.atFine().log("event=service-not-reached reason=\"%s\"", reason);
+        answer.completeExceptionally(
+                new ServiceException(Code.NOT_RUN, "the service gave no answer: " + reason, cause));
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/ServiceConnection.java
@@ -0,0 +1,204 @@
+package org.quetzalseam.daemon.service;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.quetzalseam.daemon.service.ServiceException.Code;
+
+/**
+ * A connection to a service that carries one call at a time. An answer counts only if it is whole: a connection that ends within a head,
+ * or before the end that the head states, fails the call. Used on its event loop only, except where stated otherwise.
+ */
+// A write or close that fails is reported through the channel's pipeline, where it is handled.
+@SuppressWarnings("FutureReturnValueIgnored")
+final class ServiceConnection extends ChannelInboundHandlerAdapter {
+    private final Consumer<ServiceConnection> onIdle;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private volatile @Nullable Channel channel;
+    private @Nullable CompletableFuture<ServiceAnswer> answer;
+    private @Nullable ChannelFuture written;
+    private @Nullable HttpResponse head;
+    private @Nullable ServiceAnswer received;
+    private boolean skipping;
+
+    /** Creates a connection; {@code onIdle} is called when it could carry another call. */
+    ServiceConnection(Consumer<ServiceConnection> onIdle) {
+        this.onIdle = onIdle;
+    }
+
+    /** Returns whether the connection is open. May be called by any thread. */
+    boolean open() {
+        Channel opened = channel;
+        return opened != null && opened.isActive();
+    }
+
+    /** Closes the connection. May be called by any thread. */
+    void close() {
+        Channel opened = channel;
+        if (opened != null) {
+            opened.close();
+        }
+    }
+
+    /** Sends a call, unless its answer is no longer waited for. May be called by any thread. */
+    void send(FullHttpRequest request, CompletableFuture<ServiceAnswer> expected) {
+        Channel opened = channel;
+        if (opened == null || expected.isDone()) {
+            request.release();
+            close();
+            return;
+        }
+        opened.eventLoop().execute(() -> begin(opened, request, expected));
+    }
+
+    private void begin(Channel opened, FullHttpRequest request, CompletableFuture<ServiceAnswer> expected) {
+        answer = expected;
+        expected.whenComplete((result, failure) -> {
+            if (failure != null) {
+                close();
+            }
+        });
+        head = null;
+        body.reset();
+        written = opened.writeAndFlush(request);
+        if (!opened.isActive()) {
+            fail("the connection was closed before the call was sent", null);
+        }
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws IOException {
+        try {
+            if (answer == null || received != null) {
+                // Data that belongs to no call: the connection cannot carry another one.
+                close();
+                return;
+            }
+            if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+                fail("not a whole answer: " + part.decoderResult().cause(), null);
+                return;
+            }
+            if (message instanceof HttpResponse response) {
+                skipping = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+                head = skipping ? head : response;
+            }
+            if (message instanceof HttpContent content) {
+                receive(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void receive(HttpContent content) throws IOException {
+        HttpResponse whole = head;
+        boolean last = content instanceof LastHttpContent;
+        if (skipping || whole == null) {
+            skipping = skipping && !last;
+            return;
+        }
+        ByteBuf part = content.content();
+        part.readBytes(body, part.readableBytes());
+        if (last && !isFramed(whole) && !requestWritten()) {
+            // The decoder makes the same end of a connection that a failed write has closed.
+            fail("closed while the call was being written", null);
+        } else if (last) {
+            received = new ServiceAnswer(whole.status().code(), forwardedHeaders(whole), body.toByteArray());
+        }
+    }
+
+    private static boolean isFramed(HttpResponse response) {
+        return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+    }
+
+    private boolean requestWritten() {
+        ChannelFuture request = written;
+        return request != null && request.isSuccess();
+    }
+
+    private static Map<String, String> forwardedHeaders(HttpResponse response) {
+        Map<String, String> headers = new HashMap<>();
+        response.headers().forEach(header -> {
+            if (HttpServiceClient.isForwarded(header.getKey())) {
+                headers.merge(
+                        header.getKey().toLowerCase(Locale.ROOT),
+                        header.getValue(),
+                        (first, second) -> first + ", " + second);
+            }
+        });
+        return headers;
+    }
+
+    /** Not earlier, because data that follows the answer in the same read must first be detected as unsolicited. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        CompletableFuture<ServiceAnswer> waiting = answer;
+        ServiceAnswer whole = received;
+        HttpResponse wholeHead = head;
+        if (waiting == null || whole == null || wholeHead == null) {
+            return;
+        }
+        answer = null;
+        received = null;
+        if (HttpUtil.isKeepAlive(wholeHead)
+                && isDelimited(wholeHead)
+                && requestWritten()
+                && ctx.channel().isActive()) {
+            onIdle.accept(this);
+        } else {
+            close();
+        }
+        waiting.complete(whole);
+    }
+
+    /** Returns whether the end of an answer was stated otherwise than by the end of its connection. */
+    private static boolean isDelimited(HttpResponse response) {
+        int status = response.status().code();
+        return isFramed(response) || status == 204 || status == 304;
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        fail(String.valueOf(cause.getMessage()), cause);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        channelReadComplete(ctx);
+        fail("the connection was closed before the end of the answer", null);
+    }
+
+    private void fail(String reason, @Nullable Throwable cause) {
+        CompletableFuture<ServiceAnswer> waiting = answer;
+        answer = null;
+        received = null;
+        close();
+        if (waiting != null) {
+            waiting.completeExceptionally(
+                    new ServiceException(Code.NO_ANSWER, "the service gave no answer: " + reason, cause));
+        }
+    }
+}
--- a/standins/src/main/java/org/quetzalseam/standins/raw/RawConnection.java
+++ b/standins/src/main/java/org/quetzalseam/standins/raw/RawConnection.java
@@ -84,6 +84,25 @@
         write("0\r\n\r\n");
     }
 
+    /** How a reply that is cut short ends. */
+    public enum End {
+        /** The sending direction is closed in order. */
+        CLOSED,
+        /** The connection is reset. */
+        RESET
+    }
+
+    /** Writes the first bytes of a reply, and ends the connection. */
+    public void cut(String reply, int bytes, End end) throws IOException {
+        byte[] whole = reply.getBytes(StandardCharsets.UTF_8);
+        socket.getOutputStream().write(whole, 0, Math.min(bytes, whole.length));
+        if (end == End.RESET) {
+            reset();
+        } else {
+            finish();
+        }
+    }
+
     /** Closes the sending direction in order. */
     public void finish() throws IOException {
         socket.shutdownOutput();
