quetzalseamd: a request that stops within its head is not run

What callers saw: a caller stopped within a request and closed its side; the request was run with headers missing or cut and an empty body. An Idempotency-Key of which only the first byte had arrived counted as the caller's key.

Cause: the JDK's server takes the headers that have arrived at the end of a connection for the whole head. Class: an end that is taken for the regular one.

A handler is called after the end of the head; a body that stops before its stated end fails to be read. Handlers keep the exchanges of the JDK's interface.

--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/BodyReader.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/BodyReader.java
@@ -66,7 +66,7 @@
         }
     }
 
-    /** Ends a read that takes too long by interrupting its thread, which closes the connection; closing the exchange would block. */
+    /** Ends a read that takes too long by interrupting its thread; closing the exchange would wait for the rest of the body. */
     private static final class ReadTimeout {
         private final HttpExchange exchange;
         private final Thread reader;
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/CallerServer.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.ExecutorService;
@@ -12,9 +11,9 @@
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.catalogue.CatalogueInForce;
 import org.quetzalseam.core.limits.EntryLimiter;
-import org.quetzalseam.daemon.HttpServers;
 import org.quetzalseam.daemon.entry.EntryRouter;
 import org.quetzalseam.daemon.entry.RequestId;
+import org.quetzalseam.daemon.http.ExchangeServer;
 import org.quetzalseam.daemon.operator.Metrics;
 import org.quetzalseam.daemon.settings.Settings.Listen;
 import org.quetzalseam.wire.runtime.Service;
@@ -38,7 +37,7 @@
     }
 
     private final EntryRouter router;
-    private final HttpServer server;
+    private final ExchangeServer server;
     private final ExecutorService executor;
     private final Object lock = new Object();
     private boolean ready;
@@ -56,7 +55,7 @@
                 TimeUnit.SECONDS,
                 new SynchronousQueue<>(),
                 Threads.named("caller"));
-        this.server = HttpServers.create(listen.host(), listen.port(), executor);
+        this.server = new ExchangeServer(listen.host(), listen.port(), executor);
         RequestAdmission admittance = new RequestAdmission(inForce, new EntryLimiter(), router, metrics);
         BodyReader bodies = new BodyReader(timers);
         CompletionHandler completions = new CompletionHandler(admittance, bodies, router, metrics);
@@ -70,7 +69,7 @@
     }
 
     private void context(String path, Handler handler) {
-        server.createContext(path, exchange -> serve(exchange, handler));
+        server.handle(path, exchange -> serve(exchange, handler));
     }
 
     private static Handler exact(String path, Handler handler) {
@@ -96,7 +95,7 @@
 
     /** Returns the port that the server listens on. */
     public int port() {
-        return server.getAddress().getPort();
+        return server.port();
     }
 
     /** Returns whether callers should send requests here. */
@@ -186,7 +185,7 @@
             ready = false;
             closed = true;
         }
-        server.stop(0);
+        server.stop();
         executor.shutdownNow();
     }
 
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/ErrorReply.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/ErrorReply.java
@@ -70,7 +70,7 @@
         if (length == null) {
             return CallerServer.header(exchange, "Transfer-Encoding") != null;
         }
-        // The JDK's server rejects a length that is not a number before it calls a handler.
+        // The server rejects a length that is not a number before it calls a handler.
         return Long.parseLong(length.trim()) > MAX_DRAINED_BYTES;
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/ExchangeServer.java
@@ -0,0 +1,124 @@
+package org.quetzalseam.daemon.http;
+
+import com.sun.net.httpserver.HttpHandler;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.quetzalseam.daemon.DaemonException;
+import org.quetzalseam.daemon.DaemonException.Code;
+import org.quetzalseam.wire.runtime.Service;
+import org.quetzalseam.wire.runtime.Threads;
+
+/**
+ * Serves HTTP with the handlers and exchanges of the JDK's server interface; each request has a thread of the executor. Thread-safe.
+ *
+ * <p>The JDK's own server takes the headers that have arrived when a connection ends for the whole head of a request. Here a request is
+ * handed to its handler only after the end of its head, and a body that stops before its stated end fails to be read.
+ */
+public final class ExchangeServer implements Service {
+    private static final int BACKLOG = 1024;
+    private static final int IO_THREADS = 2;
+    /** Longest request line, and longest header section, of a request, in bytes. */
+    private static final int MAX_HEAD_BYTES = 64 * 1024;
+
+    private static final HttpDecoderConfig DECODER_CONFIG =
+            new HttpDecoderConfig().setMaxInitialLineLength(MAX_HEAD_BYTES).setMaxHeaderSize(MAX_HEAD_BYTES);
+
+    private final EventLoopGroup loops = new NioEventLoopGroup(IO_THREADS, Threads.named("http-server"));
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+    private final Map<String, HttpHandler> handlers = new ConcurrentHashMap<>();
+    private final Channel listener;
+
+    /**
+     * Creates a server that listens, but answers only after it is started.
+     *
+     * @param host the address to listen on
+     * @param port the port to listen on; 0 selects any free port
+     * @param executor runs the handlers
+     */
+    public ExchangeServer(String host, int port, Executor executor) {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                // A caller may close its side after a whole request and wait for the answer.
+                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        connections.add(channel);
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(DECODER_CONFIG))
+                                .addLast(new ServerConnection(ExchangeServer.this::handler, executor));
+                    }
+                });
+        listener = bind(bootstrap, host, port);
+    }
+
+    private Channel bind(ServerBootstrap bootstrap, String host, int port) {
+        ChannelFuture binding =
+                bootstrap.bind(new InetSocketAddress(host, port)).awaitUninterruptibly();
+        if (!binding.isSuccess()) {
+            stopLoops();
+            Throwable cause = binding.cause();
+            String reason = cause == null ? "unknown reason" : String.valueOf(cause.getMessage());
+            throw new DaemonException(Code.CANNOT_LISTEN, host + ":" + port + ": " + reason, cause);
+        }
+        return binding.channel();
+    }
+
+    /** Sets the handler of all paths that begin with the given one; of several, the longest counts. */
+    public void handle(String path, HttpHandler handler) {
+        handlers.put(path, handler);
+    }
+
+    private Optional<HttpHandler> handler(String path) {
+        return handlers.entrySet().stream()
+                .filter(entry -> path.startsWith(entry.getKey()))
+                .max(Comparator.comparingInt(entry -> entry.getKey().length()))
+                .map(Map.Entry::getValue);
+    }
+
+    @Override
+    public void start() {
+        listener.config().setAutoRead(true);
+    }
+
+    /** Returns the port that the server listens on. */
+    public int port() {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /** Stops to listen and closes all connections. */
+    @Override
+    public void stop() {
+        listener.close().awaitUninterruptibly();
+        connections.close().awaitUninterruptibly();
+        stopLoops();
+    }
+
+    private void stopLoops() {
+        Future<?> unused = loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+}
--- a/daemon/src/main/java/org/quetzalseam/daemon/operator/OperatorServer.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/operator/OperatorServer.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.URLDecoder;
@@ -11,8 +10,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.jspecify.annotations.Nullable;
-import org.quetzalseam.daemon.HttpServers;
 import org.quetzalseam.daemon.Json;
+import org.quetzalseam.daemon.http.ExchangeServer;
 import org.quetzalseam.wire.runtime.Service;
 import org.quetzalseam.wire.runtime.Threads;
 
@@ -45,7 +44,7 @@
     private final Metrics metrics;
     private final Source source;
     private final ExecutorService executor;
-    private volatile @Nullable HttpServer server;
+    private volatile @Nullable ExchangeServer server;
 
     /** Creates an interface on an address; port 0 selects any free port. */
     public OperatorServer(String host, int port, Metrics metrics, Source source) {
@@ -58,24 +57,23 @@
 
     @Override
     public void start() {
-        HttpServer created = HttpServers.create(host, port, executor);
-        created.createContext("/healthz", exchange -> answer(exchange, OK, "text/plain", bytes("ok\n")));
-        created.createContext("/readyz", this::ready);
-        created.createContext("/metrics", exchange -> answer(exchange, OK, "text/plain", bytes(metrics.scrape())));
-        created.createContext(
-                "/status", exchange -> answer(exchange, OK, "application/json", Json.write(source.status())));
-        created.createContext("/explain", this::explain);
+        ExchangeServer created = new ExchangeServer(host, port, executor);
+        created.handle("/healthz", exchange -> answer(exchange, OK, "text/plain", bytes("ok\n")));
+        created.handle("/readyz", this::ready);
+        created.handle("/metrics", exchange -> answer(exchange, OK, "text/plain", bytes(metrics.scrape())));
+        created.handle("/status", exchange -> answer(exchange, OK, "application/json", Json.write(source.status())));
+        created.handle("/explain", this::explain);
         created.start();
         server = created;
     }
 
     /** Returns the port that the server listens on. */
     public int port() {
-        HttpServer started = server;
+        ExchangeServer started = server;
         if (started == null) {
             throw new IllegalStateException("the operators' interface has not been started");
         }
-        return started.getAddress().getPort();
+        return started.port();
     }
 
     private static byte[] bytes(String text) {
@@ -111,9 +109,9 @@
 
     @Override
     public void stop() {
-        HttpServer started = server;
+        ExchangeServer started = server;
         if (started != null) {
-            started.stop(0);
+            started.stop();
             logger.atFine().log("event=operator-interface-stopped");
         }
         executor.shutdownNow();
--- a/daemon/src/test/java/org/quetzalseam/daemon/caller/BodyReaderTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/caller/BodyReaderTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -12,17 +11,17 @@
 import java.util.concurrent.Executors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.quetzalseam.daemon.HttpServers;
+import org.quetzalseam.daemon.http.ExchangeServer;
 import org.quetzalseam.wire.runtime.TimerService;
 
 class BodyReaderTest {
     private final TimerService timers = new TimerService("test");
     private final ExecutorService executor = Executors.newCachedThreadPool();
-    private final HttpServer server = HttpServers.create("127.0.0.1", 0, executor);
+    private final ExchangeServer server = new ExchangeServer("127.0.0.1", 0, executor);
 
     @AfterEach
     void stop() {
-        server.stop(0);
+        server.stop();
         executor.shutdownNow();
         timers.stop();
     }
@@ -30,10 +29,9 @@
     @Test
     void aBodySentTooSlowlyIsRejectedWithTooSlow() throws IOException {
         BodyReader bodies = new BodyReader(timers, Duration.ofMillis(100));
-        server.createContext("/", exchange -> assertThat(bodies.read(exchange)).isNotNull());
+        server.handle("/", exchange -> assertThat(bodies.read(exchange)).isNotNull());
         server.start();
-        try (Socket socket =
-                new Socket(InetAddress.getLoopbackAddress(), server.getAddress().getPort())) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
             socket.getOutputStream()
                     .write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nonly this"
                             .getBytes(StandardCharsets.US_ASCII));
