quetzalseamd: an answer that stops after its head is not an empty document

What callers saw: nothing that was reported. A prefill whose engine stopped after the head, without a length, counted as done, with nothing to transfer. The store's answer, cut there alike, was an object without a name, and a list of VMs without any, of the newest era: an entry that had read no list yet adopted the empty one.

Cause: the JSON parser makes a missing node, and no failure, of no bytes, and each field of a missing node has its usual value. Class: an end that is taken for the regular one; the adapter of the streaming entry had the same.

Evidence: CutEngineAnswerTest and CutStoreAnswerTest, each byte, with a length, in chunks and without a length, closed and reset: one prefill and one read taken for whole on, each without a length, closed right after the head. Streams held, since only their last event ends them.

Why it holds: no bytes are no document, for all documents that the daemon reads.

--- a/daemon/src/main/java/org/quetzalseam/daemon/Json.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/Json.java
@@ -36,10 +36,14 @@
     /**
      * Reads a document.
      *
-     * @throws IOException when the bytes are not one JSON document
+     * @throws IOException when the bytes are not one JSON document; no bytes are none
      */
     public static JsonNode read(byte[] bytes) throws IOException {
-        return MAPPER.readTree(bytes);
+        JsonNode tree = MAPPER.readTree(bytes);
+        if (tree == null || tree.isMissingNode()) {
+            throw new IOException("expected a JSON document, got " + bytes.length + " bytes without one");
+        }
+        return tree;
     }
 
     /**
