--- a/standins/src/main/java/org/quetzalseam/standins/raw/RawConnection.java
+++ b/standins/src/main/java/org/quetzalseam/standins/raw/RawConnection.java
@@ -4,7 +4,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -14,8 +13,13 @@
 
 /** A connection whose replies are written as text. Only the thread that serves it may use it, except for {@link #reset}. */
 public final class RawConnection {
+    /** States that the replies that follow are written whole. */
+    public static final int NO_CUT = -1;
+
     private final Socket socket;
     private final InputStream in;
+    private int bytesBeforeCut = NO_CUT;
+    private End cutEnd = End.CLOSED;
 
     RawConnection(Socket socket) throws IOException {
         this.socket = socket;
@@ -59,9 +63,19 @@
 
     /** Writes text unchanged. */
     public void write(String text) throws IOException {
-        OutputStream out = socket.getOutputStream();
-        out.write(text.getBytes(StandardCharsets.UTF_8));
-        out.flush();
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        if (bytesBeforeCut == NO_CUT) {
+            socket.getOutputStream().write(bytes);
+            return;
+        }
+        int written = Math.min(bytesBeforeCut, bytes.length);
+        if (written > 0) {
+            socket.getOutputStream().write(bytes, 0, written);
+            bytesBeforeCut -= written;
+            if (bytesBeforeCut == 0) {
+                endCut();
+            }
+        }
     }
 
     /** Writes a complete reply with its Content-Length; each header is a line without the line break. */
@@ -94,9 +108,26 @@
 
     /** Writes the first bytes of a reply, and ends the connection. */
     public void cut(String reply, int bytes, End end) throws IOException {
-        byte[] whole = reply.getBytes(StandardCharsets.UTF_8);
-        socket.getOutputStream().write(whole, 0, Math.min(bytes, whole.length));
-        if (end == End.RESET) {
+        cutAfter(bytes, end);
+        write(reply);
+    }
+
+    /**
+     * Ends the connection after some more bytes have been written; what is written then is lost.
+     *
+     * @param bytes the number of bytes, or {@link #NO_CUT}
+     * @param end how the connection ends
+     */
+    public void cutAfter(int bytes, End end) throws IOException {
+        cutEnd = end;
+        bytesBeforeCut = bytes;
+        if (bytes == 0) {
+            endCut();
+        }
+    }
+
+    private void endCut() throws IOException {
+        if (cutEnd == End.RESET) {
             reset();
         } else {
             finish();
