The exchange of quetzalseamd's server has the project's own form

No change of what callers see: handlers get a ServerExchange instead of the JDK's exchange, whose names the style rules out; CallerServer and OperatorServer use no class of the JDK's server any more. A header that a caller repeats in other letters is forwarded once. ConnectOutcome of the gateway is a file of its own.

--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/BodyReader.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/BodyReader.java
@@ -1,9 +1,9 @@
 package org.quetzalseam.daemon.caller;
 
-import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import java.io.InputStream;
 import java.time.Duration;
+import org.quetzalseam.daemon.http.ServerExchange;
 import org.quetzalseam.wire.runtime.TimerService;
 import org.quetzalseam.wire.runtime.TimerService.Subscription;
 
@@ -32,8 +32,8 @@
     }
 
     /** Returns the body, or refuses one that is too large or arrives too slowly. */
-    byte[] read(HttpExchange exchange) throws IOException {
-        InputStream in = exchange.getRequestBody();
+    byte[] read(ServerExchange exchange) throws IOException {
+        InputStream in = exchange.requestBody();
         ReadTimeout limit = new ReadTimeout(exchange, Thread.currentThread());
         Subscription timer = timers.after(timeout, limit::expire);
         try {
@@ -68,12 +68,12 @@
 
     /** Ends a read that takes too long by interrupting its thread; closing the exchange would wait for the rest of the body. */
     private static final class ReadTimeout {
-        private final HttpExchange exchange;
+        private final ServerExchange exchange;
         private final Thread reader;
         private boolean finished;
         private boolean interrupted;
 
-        ReadTimeout(HttpExchange exchange, Thread reader) {
+        ReadTimeout(ServerExchange exchange, Thread reader) {
             this.exchange = exchange;
             this.reader = reader;
         }
@@ -96,15 +96,15 @@
         }
     }
 
-    private static void sendTooSlow(HttpExchange exchange) {
+    private static void sendTooSlow(ServerExchange exchange) {
         try {
             byte[] body = "{\"error\":{\"code\":\"too-slow\",\"outcome\":\"not-run\",\"retry_safe\":true}}"
                     .getBytes(java.nio.charset.StandardCharsets.US_ASCII);
-            exchange.getResponseHeaders().set("Content-Type", "application/json");
-            exchange.getResponseHeaders().set("Connection", "close");
-            exchange.sendResponseHeaders(Statuses.REQUEST_TIMEOUT, body.length);
-            exchange.getResponseBody().write(body);
-            exchange.getResponseBody().flush();
+            exchange.responseHeaders().set("Content-Type", "application/json");
+            exchange.responseHeaders().set("Connection", "close");
+            exchange.begin(Statuses.REQUEST_TIMEOUT, body.length);
+            exchange.responseBody().write(body);
+            exchange.responseBody().flush();
         } catch (IOException ignored) {
             // The caller has disconnected, so the error cannot be delivered.
         }
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/CallerServer.java
@@ -1,7 +1,6 @@
 package org.quetzalseam.daemon.caller;
 
 import com.google.common.flogger.FluentLogger;
-import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.ExecutorService;
@@ -14,6 +13,7 @@
 import org.quetzalseam.daemon.entry.EntryRouter;
 import org.quetzalseam.daemon.entry.RequestId;
 import org.quetzalseam.daemon.http.ExchangeServer;
+import org.quetzalseam.daemon.http.ServerExchange;
 import org.quetzalseam.daemon.operator.Metrics;
 import org.quetzalseam.daemon.settings.Settings.Listen;
 import org.quetzalseam.wire.runtime.Service;
@@ -33,7 +33,7 @@
     @FunctionalInterface
     interface Handler {
         /** Answers a request, or throws the error for the caller. */
-        void handle(HttpExchange exchange, RequestId id) throws IOException;
+        void handle(ServerExchange exchange, RequestId id) throws IOException;
     }
 
     private final EntryRouter router;
@@ -74,14 +74,14 @@
 
     private static Handler exact(String path, Handler handler) {
         return (exchange, id) -> {
-            if (!exchange.getRequestURI().getPath().equals(path)) {
+            if (!exchange.uri().getPath().equals(path)) {
                 noSuchPath(exchange, id);
             }
             handler.handle(exchange, id);
         };
     }
 
-    private static void noSuchPath(HttpExchange exchange, RequestId id) {
+    private static void noSuchPath(ServerExchange exchange, RequestId id) {
         throw CallerException.notRetryable(Statuses.NOT_FOUND, "no-such-path", "there is nothing at this path");
     }
 
@@ -105,7 +105,7 @@
         }
     }
 
-    private void serve(HttpExchange exchange, Handler handler) {
+    private void serve(ServerExchange exchange, Handler handler) {
         RequestId id = router.nextRequestId();
         try (ErrorReply errors = new ErrorReply(exchange, id)) {
             if (!beginRequest()) {
@@ -189,7 +189,7 @@
         executor.shutdownNow();
     }
 
-    static @Nullable String header(HttpExchange exchange, String name) {
-        return exchange.getRequestHeaders().getFirst(name);
+    static @Nullable String header(ServerExchange exchange, String name) {
+        return exchange.requestHeaders().get(name);
     }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/ChunkedResponse.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/ChunkedResponse.java
@@ -1,16 +1,16 @@
 package org.quetzalseam.daemon.caller;
 
-import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import java.io.OutputStream;
+import org.quetzalseam.daemon.http.ServerExchange;
 
 /** A response of unknown length that is started once and written in chunks. Used by one thread. */
 final class ChunkedResponse {
-    private final HttpExchange exchange;
+    private final ServerExchange exchange;
     private final String contentType;
     private boolean started;
 
-    ChunkedResponse(HttpExchange exchange, String contentType) {
+    ChunkedResponse(ServerExchange exchange, String contentType) {
         this.exchange = exchange;
         this.contentType = contentType;
     }
@@ -25,10 +25,10 @@
             return true;
         }
         started = true;
-        exchange.getResponseHeaders().set("Content-Type", contentType);
-        exchange.getResponseHeaders().set("Cache-Control", "no-store");
+        exchange.responseHeaders().set("Content-Type", contentType);
+        exchange.responseHeaders().set("Cache-Control", "no-store");
         try {
-            exchange.sendResponseHeaders(Statuses.OK, 0);
+            exchange.begin(Statuses.OK, ServerExchange.IN_CHUNKS);
             return write(first);
         } catch (IOException e) {
             return false;
@@ -38,7 +38,7 @@
     /** Writes and flushes bytes. Returns false when the caller has disconnected. */
     boolean write(byte[] bytes) {
         try {
-            OutputStream out = exchange.getResponseBody();
+            OutputStream out = exchange.responseBody();
             out.write(bytes);
             out.flush();
             return true;
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/CompletionHandler.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/CompletionHandler.java
@@ -1,7 +1,6 @@
 package org.quetzalseam.daemon.caller;
 
 import com.google.common.flogger.FluentLogger;
-import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import java.time.Duration;
 import org.quetzalseam.core.attempt.Outcome;
@@ -14,6 +13,7 @@
 import org.quetzalseam.daemon.entry.EntryRouter;
 import org.quetzalseam.daemon.entry.RequestId;
 import org.quetzalseam.daemon.entry.RunResult;
+import org.quetzalseam.daemon.http.ServerExchange;
 import org.quetzalseam.daemon.operator.Metrics;
 
 /** Handles requests for completions. Thread-safe. */
@@ -34,25 +34,25 @@
         this.metrics = metrics;
     }
 
-    void plain(HttpExchange exchange, RequestId id) throws IOException {
+    void plain(ServerExchange exchange, RequestId id) throws IOException {
         OwnerSpec owner = authenticate(exchange);
         answer(exchange, id, owner, Prompt.plain(bodies.read(exchange)), AnswerFormat.plain());
     }
 
-    void chat(HttpExchange exchange, RequestId id) throws IOException {
+    void chat(ServerExchange exchange, RequestId id) throws IOException {
         OwnerSpec owner = authenticate(exchange);
         answer(exchange, id, owner, Prompt.chat(bodies.read(exchange)), AnswerFormat.chat());
     }
 
-    private OwnerSpec authenticate(HttpExchange exchange) {
+    private OwnerSpec authenticate(ServerExchange exchange) {
         OwnerSpec owner = admittance.owner(exchange);
-        if (!exchange.getRequestMethod().equals("POST")) {
+        if (!exchange.method().equals("POST")) {
             throw CallerException.notRetryable(Statuses.METHOD_NOT_ALLOWED, "bad-method", "expected POST");
         }
         return owner;
     }
 
-    private void answer(HttpExchange exchange, RequestId id, OwnerSpec owner, Prompt prompt, AnswerFormat format) {
+    private void answer(ServerExchange exchange, RequestId id, OwnerSpec owner, Prompt prompt, AnswerFormat format) {
         long arrived = System.nanoTime();
         CompletionRequest request = request(exchange, id, owner, prompt);
         admittance.admit(request.entry());
@@ -74,7 +74,7 @@
         }
     }
 
-    private CompletionRequest request(HttpExchange exchange, RequestId id, OwnerSpec owner, Prompt prompt) {
+    private CompletionRequest request(ServerExchange exchange, RequestId id, OwnerSpec owner, Prompt prompt) {
         Catalogue catalogue = admittance.catalogue();
         ModelSpec model = catalogue.models().get(prompt.model());
         if (model == null) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/ErrorReply.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/ErrorReply.java
@@ -2,11 +2,11 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
-import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import org.quetzalseam.core.attempt.Outcome;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.entry.RequestId;
+import org.quetzalseam.daemon.http.ServerExchange;
 
 /**
  * Sends the error response of one exchange and closes the exchange. Once an answer has been started, an error can only be reported
@@ -14,17 +14,16 @@
  */
 final class ErrorReply implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final int NOT_COMMITTED = -1;
-    /** How much of an unread body the JDK's server drains after a response in order to keep the connection open. */
+    /** How much of an unread body the server reads after a response in order to keep the connection open. */
     private static final long MAX_DRAINED_BYTES = 64 << 10;
 
-    private final HttpExchange exchange;
+    private final ServerExchange exchange;
     private final RequestId id;
 
-    ErrorReply(HttpExchange exchange, RequestId id) {
+    ErrorReply(ServerExchange exchange, RequestId id) {
         this.exchange = exchange;
         this.id = id;
-        exchange.getResponseHeaders().set("X-Request-Id", id.toString());
+        exchange.responseHeaders().set("X-Request-Id", id.toString());
     }
 
     static ObjectNode body(CallerException error, RequestId id) {
@@ -47,9 +46,9 @@
                 "event=request-refused request=%s status=%d code=%s outcome=%s",
                 id, error.status(), error.code(), error.outcome().label());
         error.retryAfterSeconds()
-                .ifPresent(seconds -> exchange.getResponseHeaders().set("Retry-After", Long.toString(seconds)));
+                .ifPresent(seconds -> exchange.responseHeaders().set("Retry-After", Long.toString(seconds)));
         if (error.status() == Statuses.UNAUTHORIZED) {
-            exchange.getResponseHeaders().set("WWW-Authenticate", "Bearer");
+            exchange.responseHeaders().set("WWW-Authenticate", "Bearer");
         }
         write(error.status(), body(error, id));
     }
@@ -75,17 +74,17 @@
     }
 
     private void write(int status, ObjectNode body) {
-        if (exchange.getResponseCode() != NOT_COMMITTED) {
+        if (exchange.status() != ServerExchange.NOT_ANSWERED) {
             return;
         }
         try {
             byte[] bytes = Json.write(body);
             if (mayHaveUnreadBody()) {
-                exchange.getResponseHeaders().set("Connection", "close");
+                exchange.responseHeaders().set("Connection", "close");
             }
-            exchange.getResponseHeaders().set("Content-Type", "application/json");
-            exchange.sendResponseHeaders(status, bytes.length);
-            exchange.getResponseBody().write(bytes);
+            exchange.responseHeaders().set("Content-Type", "application/json");
+            exchange.begin(status, bytes.length);
+            exchange.responseBody().write(bytes);
         } catch (IOException e) {
             logger.atFine().log("event=caller-lost request=%s reason=\"%s\"", id, e.getMessage());
         }
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/JsonAnswer.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/JsonAnswer.java
@@ -1,11 +1,11 @@
 package org.quetzalseam.daemon.caller;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.sun.net.httpserver.HttpExchange;
 import org.quetzalseam.core.attempt.Outcome;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.entry.RequestId;
 import org.quetzalseam.daemon.entry.RunResult;
+import org.quetzalseam.daemon.http.ServerExchange;
 
 /**
  * Writes an answer as one JSON document. The response is started when the request is admitted; white space before the document
@@ -21,7 +21,7 @@
     private final StringBuilder text = new StringBuilder();
     private long probedAtNanos;
 
-    JsonAnswer(HttpExchange exchange, RequestId id, String model, AnswerFormat format) {
+    JsonAnswer(ServerExchange exchange, RequestId id, String model, AnswerFormat format) {
         this.response = new ChunkedResponse(exchange, "application/json");
         this.id = id;
         this.model = model;
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/ModelsHandler.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/ModelsHandler.java
@@ -2,13 +2,13 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import org.quetzalseam.core.catalogue.Catalogue;
 import org.quetzalseam.core.catalogue.OwnerSpec;
 import org.quetzalseam.core.catalogue.Route.Kind;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.entry.RequestId;
+import org.quetzalseam.daemon.http.ServerExchange;
 
 /** Lists the models for which the caller's owner has catalogue entries. Thread-safe. */
 final class ModelsHandler {
@@ -18,7 +18,7 @@
         this.admittance = admittance;
     }
 
-    void list(HttpExchange exchange, RequestId id) throws IOException {
+    void list(ServerExchange exchange, RequestId id) throws IOException {
         OwnerSpec owner = admittance.owner(exchange);
         Catalogue catalogue = admittance.catalogue();
         ObjectNode body = Json.object().put("object", "list");
@@ -32,8 +32,8 @@
                 .forEach(model ->
                         data.addObject().put("id", model).put("object", "model").put("owned_by", owner.name()));
         byte[] bytes = Json.write(body);
-        exchange.getResponseHeaders().set("Content-Type", "application/json");
-        exchange.sendResponseHeaders(Statuses.OK, bytes.length);
-        exchange.getResponseBody().write(bytes);
+        exchange.responseHeaders().set("Content-Type", "application/json");
+        exchange.begin(Statuses.OK, bytes.length);
+        exchange.responseBody().write(bytes);
     }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/RequestAdmission.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/RequestAdmission.java
@@ -1,7 +1,6 @@
 package org.quetzalseam.daemon.caller;
 
 import com.google.common.flogger.FluentLogger;
-import com.sun.net.httpserver.HttpExchange;
 import java.time.Duration;
 import java.util.Optional;
 import org.quetzalseam.core.catalogue.Catalogue;
@@ -12,6 +11,7 @@
 import org.quetzalseam.core.limits.EntryLimiter.Verdict;
 import org.quetzalseam.daemon.catalogue.Digests;
 import org.quetzalseam.daemon.entry.EntryRouter;
+import org.quetzalseam.daemon.http.ServerExchange;
 import org.quetzalseam.daemon.operator.Metrics;
 
 /** Authenticates callers and checks their requests against the limits of their catalogue entries. Thread-safe. */
@@ -46,7 +46,7 @@
     }
 
     /** Returns the owner whose token the request carries, or throws the error for the caller. */
-    OwnerSpec owner(HttpExchange exchange) {
+    OwnerSpec owner(ServerExchange exchange) {
         if (!inForce.awaitFirst(FIRST_CATALOGUE_TIMEOUT)) {
             throw CallerException.retryable(
                     Statuses.UNAVAILABLE, "no-catalogue", "this entry has no catalogue yet", 1_000);
@@ -81,7 +81,7 @@
     }
 
     /** Returns the time that the caller allows for the request, in milliseconds, or the default. */
-    long deadlineMillis(HttpExchange exchange, long fallback) {
+    long deadlineMillis(ServerExchange exchange, long fallback) {
         String header = CallerServer.header(exchange, "X-Request-Deadline-Ms");
         if (header == null) {
             return fallback;
@@ -101,7 +101,7 @@
     }
 
     /** Returns the caller's idempotency key, if the request has one. */
-    Optional<String> idempotencyKey(HttpExchange exchange) {
+    Optional<String> idempotencyKey(ServerExchange exchange) {
         Optional<String> key = Optional.ofNullable(CallerServer.header(exchange, "Idempotency-Key"));
         int maxLength = 255;
         if (key.isPresent() && (key.get().isBlank() || key.get().length() > maxLength)) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/ServiceHandler.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/ServiceHandler.java
@@ -1,6 +1,5 @@
 package org.quetzalseam.daemon.caller;
 
-import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.HashMap;
@@ -16,6 +15,7 @@
 import org.quetzalseam.daemon.entry.RequestId;
 import org.quetzalseam.daemon.entry.ServiceRequest;
 import org.quetzalseam.daemon.entry.ServiceResult;
+import org.quetzalseam.daemon.http.ServerExchange;
 import org.quetzalseam.daemon.operator.Metrics;
 import org.quetzalseam.daemon.service.HttpServiceClient;
 import org.quetzalseam.wire.message.Answer;
@@ -40,7 +40,7 @@
         this.metrics = metrics;
     }
 
-    void call(HttpExchange exchange, RequestId id) throws IOException {
+    void call(ServerExchange exchange, RequestId id) throws IOException {
         long arrived = System.nanoTime();
         ServiceRequest request = admit(exchange, id);
         try {
@@ -52,7 +52,7 @@
         }
     }
 
-    private ServiceRequest admit(HttpExchange exchange, RequestId id) throws IOException {
+    private ServiceRequest admit(ServerExchange exchange, RequestId id) throws IOException {
         try {
             ServiceRequest request = request(exchange, id, admittance.owner(exchange));
             admittance.admit(request.entry());
@@ -62,8 +62,8 @@
         }
     }
 
-    private ServiceRequest request(HttpExchange exchange, RequestId id, OwnerSpec owner) throws IOException {
-        String rest = exchange.getRequestURI().toString().substring("/services/".length());
+    private ServiceRequest request(ServerExchange exchange, RequestId id, OwnerSpec owner) throws IOException {
+        String rest = exchange.uri().toString().substring("/services/".length());
         int end = rest.indexOf('/') >= 0 ? rest.indexOf('/') : endOfName(rest);
         String name = rest.substring(0, end);
         String path = rest.substring(end).startsWith("/") ? rest.substring(end) : "/" + rest.substring(end);
@@ -72,7 +72,7 @@
         if (service == null) {
             throw admittance.notInCatalogue(Statuses.NOT_FOUND, "unknown-service", "there is no service of this name");
         }
-        String method = exchange.getRequestMethod().toUpperCase(Locale.ROOT);
+        String method = exchange.method().toUpperCase(Locale.ROOT);
         EntrySpec entry = catalogue
                 .serviceEntry(owner.name(), name, method)
                 .orElseThrow(() -> admittance.notInCatalogue(
@@ -97,14 +97,16 @@
         return query >= 0 ? query : rest.length();
     }
 
-    private static Map<String, String> headers(HttpExchange exchange, RequestId id) {
+    private static Map<String, String> headers(ServerExchange exchange, RequestId id) {
         Map<String, String> headers = new HashMap<>();
-        exchange.getRequestHeaders().forEach((name, values) -> {
+        for (String name : exchange.requestHeaders().names()) {
             if (HttpServiceClient.isForwarded(name) && !NOT_FORWARDED_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
-                headers.put(name, String.join(", ", values));
+                headers.put(
+                        name.toLowerCase(Locale.ROOT),
+                        String.join(", ", exchange.requestHeaders().getAll(name)));
             }
-        });
-        headers.put("X-Request-Id", id.toString());
+        }
+        headers.put("x-request-id", id.toString());
         return headers;
     }
 
@@ -120,16 +122,16 @@
         }
     }
 
-    private static void write(HttpExchange exchange, ServiceResult result) throws IOException {
+    private static void write(ServerExchange exchange, ServiceResult result) throws IOException {
         Answer answer = result.answer().orElseThrow(() -> CallerException.of(result.result()));
-        answer.headers().forEach((name, value) -> exchange.getResponseHeaders().set(name, value));
+        answer.headers().forEach((name, value) -> exchange.responseHeaders().set(name, value));
         boolean empty = answer.status() == NO_CONTENT
                 || answer.status() == NOT_MODIFIED
-                || exchange.getRequestMethod().equals("HEAD")
+                || exchange.method().equals("HEAD")
                 || answer.body().length == 0;
-        exchange.sendResponseHeaders(answer.status(), empty ? -1 : answer.body().length);
+        exchange.begin(answer.status(), empty ? ServerExchange.NO_BODY : answer.body().length);
         if (!empty) {
-            exchange.getResponseBody().write(answer.body());
+            exchange.responseBody().write(answer.body());
         }
     }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/StreamedAnswer.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/StreamedAnswer.java
@@ -1,12 +1,12 @@
 package org.quetzalseam.daemon.caller;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.sun.net.httpserver.HttpExchange;
 import java.nio.charset.StandardCharsets;
 import org.quetzalseam.core.attempt.Outcome;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.entry.RequestId;
 import org.quetzalseam.daemon.entry.RunResult;
+import org.quetzalseam.daemon.http.ServerExchange;
 
 /** Writes an answer as server-sent events, ended by {@code data: [DONE]}. Comments probe whether the caller is still connected. */
 final class StreamedAnswer implements CallerAnswer {
@@ -17,7 +17,7 @@
     private final String model;
     private final AnswerFormat format;
 
-    StreamedAnswer(HttpExchange exchange, RequestId id, String model, AnswerFormat format) {
+    StreamedAnswer(ServerExchange exchange, RequestId id, String model, AnswerFormat format) {
         this.response = new ChunkedResponse(exchange, "text/event-stream");
         this.id = id;
         this.model = model;
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/ExchangeServer.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/ExchangeServer.java
@@ -1,6 +1,5 @@
 package org.quetzalseam.daemon.http;
 
-import com.sun.net.httpserver.HttpHandler;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -28,7 +27,7 @@
 import org.quetzalseam.wire.runtime.Threads;
 
 /**
- * Serves HTTP with the handlers and exchanges of the JDK's server interface; each request has a thread of the executor. Thread-safe.
+ * Serves HTTP; each request has a thread of the executor. Thread-safe.
  *
  * <p>The JDK's own server takes the headers that have arrived when a connection ends for the whole head of a request. Here a request is
  * handed to its handler only after the end of its head, and a body that stops before its stated end fails to be read.
@@ -44,7 +43,7 @@
 
     private final EventLoopGroup loops = new NioEventLoopGroup(IO_THREADS, Threads.named("http-server"));
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
-    private final Map<String, HttpHandler> handlers = new ConcurrentHashMap<>();
+    private final Map<String, ExchangeHandler> handlers = new ConcurrentHashMap<>();
     private final Channel listener;
 
     /**
@@ -89,11 +88,11 @@
     }
 
     /** Sets the handler of all paths that begin with the given one; of several, the longest counts. */
-    public void handle(String path, HttpHandler handler) {
+    public void handle(String path, ExchangeHandler handler) {
         handlers.put(path, handler);
     }
 
-    private Optional<HttpHandler> handler(String path) {
+    private Optional<ExchangeHandler> handler(String path) {
         return handlers.entrySet().stream()
                 .filter(entry -> path.startsWith(entry.getKey()))
                 .max(Comparator.comparingInt(entry -> entry.getKey().length()))
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/ServerConnection.java
@@ -1,7 +1,6 @@
 package org.quetzalseam.daemon.http;
 
 import com.google.common.flogger.FluentLogger;
-import com.sun.net.httpserver.HttpHandler;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -47,7 +46,7 @@
     /** Longest rest of a request's body that is read after the answer, so that the connection can carry another, in bytes. */
     private static final int MAX_DISCARDED_BYTES = 64 * 1024;
 
-    private final Function<String, Optional<HttpHandler>> handlers;
+    private final Function<String, Optional<ExchangeHandler>> handlers;
     private final Executor executor;
     private final Deque<HttpObject> waiting = new ArrayDeque<>();
     private @Nullable ServerExchange exchange;
@@ -61,7 +60,7 @@
     private boolean closing;
     private int discardedBytes;
 
-    ServerConnection(Function<String, Optional<HttpHandler>> handlers, Executor executor) {
+    ServerConnection(Function<String, Optional<ExchangeHandler>> handlers, Executor executor) {
         this.handlers = handlers;
         this.executor = executor;
     }
@@ -149,7 +148,7 @@
             return;
         }
         String path = uri.getPath();
-        Optional<HttpHandler> handler = path == null ? Optional.empty() : handlers.apply(path);
+        Optional<ExchangeHandler> handler = path == null ? Optional.empty() : handlers.apply(path);
         if (handler.isEmpty()) {
             refuse(channel, HttpResponseStatus.NOT_FOUND);
             return;
@@ -171,11 +170,11 @@
         }
     }
 
-    private static void run(HttpHandler handler, ServerExchange exchange) {
+    private static void run(ExchangeHandler handler, ServerExchange exchange) {
         try {
             handler.handle(exchange);
         } catch (IOException | RuntimeException e) {
-            logger.atFine().withCause(e).log("event=handler-failed uri=%s", exchange.getRequestURI());
+            logger.atFine().withCause(e).log("event=handler-failed uri=%s", exchange.uri());
             exchange.abort();
         }
     }
--- a/daemon/src/main/java/org/quetzalseam/daemon/operator/OperatorServer.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/operator/OperatorServer.java
@@ -1,7 +1,6 @@
 package org.quetzalseam.daemon.operator;
 
 import com.google.common.flogger.FluentLogger;
-import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.URLDecoder;
@@ -12,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.http.ExchangeServer;
+import org.quetzalseam.daemon.http.ServerExchange;
 import org.quetzalseam.wire.runtime.Service;
 import org.quetzalseam.wire.runtime.Threads;
 
@@ -80,14 +80,13 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
-    private void ready(HttpExchange exchange) throws IOException {
+    private void ready(ServerExchange exchange) throws IOException {
         boolean ready = source.ready();
         answer(exchange, ready ? OK : UNAVAILABLE, "text/plain", bytes(ready ? "ready\n" : "not ready\n"));
     }
 
-    private void explain(HttpExchange exchange) throws IOException {
-        String query =
-                Optional.ofNullable(exchange.getRequestURI().getRawQuery()).orElse("");
+    private void explain(ServerExchange exchange) throws IOException {
+        String query = Optional.ofNullable(exchange.uri().getRawQuery()).orElse("");
         String id = query.startsWith(EXPLAIN_QUERY)
                 ? URLDecoder.decode(query.substring(EXPLAIN_QUERY.length()), StandardCharsets.UTF_8)
                 : "";
@@ -99,10 +98,10 @@
         }
     }
 
-    private static void answer(HttpExchange exchange, int status, String type, byte[] body) throws IOException {
-        exchange.getResponseHeaders().set("Content-Type", type);
-        exchange.sendResponseHeaders(status, body.length);
-        try (OutputStream out = exchange.getResponseBody()) {
+    private static void answer(ServerExchange exchange, int status, String type, byte[] body) throws IOException {
+        exchange.responseHeaders().set("Content-Type", type);
+        exchange.begin(status, body.length);
+        try (OutputStream out = exchange.responseBody()) {
             out.write(body);
         }
     }
--- a/daemon/src/test/java/org/quetzalseam/daemon/http/CutRequestTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/http/CutRequestTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -44,11 +43,11 @@
         executor.shutdownNow();
     }
 
-    private void handle(HttpExchange exchange) throws IOException {
-        int bytes = exchange.getRequestBody().readAllBytes().length;
-        handled.add(exchange.getRequestHeaders().getFirst("Idempotency-Key") + " with " + bytes + " bytes");
-        exchange.sendResponseHeaders(200, 2);
-        exchange.getResponseBody().write("ok".getBytes(StandardCharsets.US_ASCII));
+    private void handle(ServerExchange exchange) throws IOException {
+        int bytes = exchange.requestBody().readAllBytes().length;
+        handled.add(exchange.requestHeaders().get("Idempotency-Key") + " with " + bytes + " bytes");
+        exchange.begin(200, 2);
+        exchange.responseBody().write("ok".getBytes(StandardCharsets.US_ASCII));
         exchange.close();
     }
 
--- a/daemon/src/test/java/org/quetzalseam/daemon/platform/CutStoreAnswerTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/platform/CutStoreAnswerTest.java
@@ -55,9 +55,8 @@
         }
     }
 
-    // Guards against an object, a change or a list of VMs that ends with its connection passing for a whole one, as an
-    // empty
-    // one.
+    // Guards against an object, a change or a list of VMs that ends with its connection passing for a whole one, as
+    // an empty one.
     @Test
     void anAnswerThatIsCutAtAnyByteIsNotUsed() {
         assertThat(takenForWhole(OBJECT, store -> store.read("n"))).isEmpty();
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -211,50 +211,15 @@
                 address,
                 this::connectionIdle,
                 this::connectionClosed,
-                new ConnectOutcome(call, this::takesNewWork, this::connectionIdle, connections::recordNotOpened));
-    }
-
-    /** Receives the outcome of opening a connection. */
-    private final class ConnectOutcome implements Connector.ConnectListener {
-        private final @Nullable EndpointCall call;
-        private final BooleanSupplier mayBegin;
-        private final Consumer<HttpConnection> onUnused;
-        private final Runnable onNotOpened;
-
-        ConnectOutcome(
-                @Nullable EndpointCall call,
-                BooleanSupplier mayBegin,
-                Consumer<HttpConnection> onUnused,
-                Runnable onNotOpened) {
-            this.call = call;
-            this.mayBegin = mayBegin;
-            this.onUnused = onUnused;
-            this.onNotOpened = onNotOpened;
-        }
-
-        @Override
-        public void connected(HttpConnection connection) {
-            crashCheck.connected();
-            if (call == null) {
-                onUnused.accept(connection);
-            } else if (!mayBegin.getAsBoolean()) {
-                onUnused.accept(connection);
-                call.failUnsent(
-                        new CallFailure(CallFailure.Kind.NOT_CONNECTED, "the endpoint began to leave meanwhile"));
-            } else if (!call.begin(connection)) {
-                onUnused.accept(connection);
-            }
-        }
+                outcome(call, this::takesNewWork, this::connectionIdle, connections));
+    }
 
-        @Override
-        public void failed(CallFailure failure) {
-            onNotOpened.run();
-            peerDisconnects.record(System.nanoTime());
-            crashCheck.connectFailed();
-            if (call != null) {
-                call.failUnsent(failure);
-            }
-        }
+    private ConnectOutcome outcome(
+            @Nullable EndpointCall call,
+            BooleanSupplier mayBegin,
+            Consumer<HttpConnection> onUnused,
+            KeptConnections kept) {
+        return new ConnectOutcome(crashCheck, peerDisconnects, call, mayBegin, onUnused, kept::recordNotOpened);
     }
 
     /**
@@ -326,8 +291,7 @@
                 address,
                 this::controlConnectionIdle,
                 this::controlConnectionClosed,
-                new ConnectOutcome(
-                        call, () -> !ended, this::controlConnectionIdle, controlConnections::recordNotOpened));
+                outcome(call, () -> !ended, this::controlConnectionIdle, controlConnections));
         return call;
     }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/LeavingEngineTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/LeavingEngineTest.java
@@ -83,9 +83,8 @@
         return answer;
     }
 
-    // Guards against a stream being sent to the engine that booked it after that has begun to drain, and being cut off
-    // by its
-    // end.
+    // Guards against a stream being sent to the engine that booked it after that has begun to drain, and being cut
+    // off by its end.
     @Test
     void aStreamWhoseEngineBeginsToDrainDuringThePrefillGoesToAnotherOneWithTheSameKvCache() throws Exception {
         CompletableFuture<String> answer = askUntilPromptIsRead();
@@ -111,8 +110,7 @@
     }
 
     // Guards against a stream going on from another prompt's KV cache, which the prefill engine holds under the same
-    // handle
-    // since it restarted, while the stream waited for memory at a second engine.
+    // handle since it restarted, while the stream waited for memory at a second engine.
     @Test
     void aKvCacheWhosePrefillEngineRestartsDuringTheNextBookingIsNotUsed() throws Exception {
         staying.script(this::decodeOnceBooked);
--- a/gateway/src/test/java/org/quetzalseam/gateway/crash/CrashReportsTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/crash/CrashReportsTest.java
@@ -127,10 +127,8 @@
         assertThat(store.spec(KIND, "one")).isNotNull();
     }
 
-    // Guards against a report counting as written because an early page showed it, though the store was then restored
-    // from
-    // a copy
-    // without it.
+    // Guards against a report counting as written because an early page showed it, though the store was then
+    // restored from a copy without it.
     @Test
     void aReportThatAStoreLacksWhichIsRestoredBetweenTwoPagesIsOutdated() {
         Entry other = new Entry("two");
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -74,9 +74,8 @@
                         "deleted b recovered=false");
     }
 
-    // Guards against the state before a list counting as current since the list was requested, though its last page has
-    // yet to show
-    // what has changed.
+    // Guards against the state before a list counting as current since the list was requested, though its last page
+    // has yet to show what has changed.
     @Test
     void theStateIsCurrentOnlyWhenTheLastPageOfANewListHasBeenRead() {
         store.listed.accept(new ObjectPage(List.of(object("a", 3), object("b", 4)), false, at(6)));
@@ -125,8 +124,8 @@
         assertThat(store.calls).as("one watch continues").isEqualTo(calls + 2);
     }
 
-    // Guards against an unresponsive store that is called four times a second but never counts as unavailable, because
-    // each call replaces the previous one before it can fail.
+    // Guards against an unresponsive store that is called four times a second but never counts as unavailable,
+    // because each call replaces the previous one before it can fail.
     @Test
     void aStoreThatIsUnresponsiveOverANewConnectionTooIsUnavailable() {
         store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, at(6)));
@@ -185,7 +184,8 @@
         assertThat(watch.current()).isTrue();
     }
 
-    // Guards against the same in a process that has just started and cannot tell how long ago the store was restored.
+    // Guards against the same in a process that has just started and cannot tell how long ago the store was
+    // restored.
     @Test
     void aNewProcessDoesNotTakeTheStateOfARestoredStoreForCurrent() {
         store.listed.accept(new ObjectPage(List.of(), false, ofNextEra(4)));
