quetzalseamd: connections to a service that have closed are not kept

Read, not shown: a kept connection that its service had closed stayed in the list until a call polled it, so that as many objects as once ran at the same time could stay. A call after the client's stop is told that it was not run.

--- a/daemon/src/main/java/org/quetzalseam/daemon/service/SendOnceClient.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/SendOnceClient.java
@@ -132,7 +132,8 @@
     }
 
     private void connect(FullHttpRequest request, CompletableFuture<ServiceAnswer> answer, boolean reusable) {
-        ServiceConnection connection = new ServiceConnection(reusable ? idle::addLast : ServiceConnection::close);
+        ServiceConnection connection =
+                new ServiceConnection(reusable ? idle::addLast : ServiceConnection::close, idle::remove);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
--- a/daemon/src/main/java/org/quetzalseam/daemon/service/ServiceConnection.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/ServiceConnection.java
@@ -19,6 +19,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.daemon.service.ServiceException.Code;
@@ -31,6 +32,7 @@
 @SuppressWarnings("FutureReturnValueIgnored")
 final class ServiceConnection extends ChannelInboundHandlerAdapter {
     private final Consumer<ServiceConnection> onIdle;
+    private final Consumer<ServiceConnection> onClosed;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private volatile @Nullable Channel channel;
     private @Nullable CompletableFuture<ServiceAnswer> answer;
@@ -39,9 +41,10 @@
     private @Nullable ServiceAnswer received;
     private boolean skipping;
 
-    /** Creates a connection; {@code onIdle} is called when it could carry another call. */
-    ServiceConnection(Consumer<ServiceConnection> onIdle) {
+    /** Creates a connection; {@code onIdle} is called when it could carry another call, {@code onClosed} when it has closed. */
+    ServiceConnection(Consumer<ServiceConnection> onIdle, Consumer<ServiceConnection> onClosed) {
         this.onIdle = onIdle;
+        this.onClosed = onClosed;
     }
 
     /** Returns whether the connection is open. May be called by any thread. */
@@ -66,7 +69,13 @@
             close();
             return;
         }
-        opened.eventLoop().execute(() -> begin(opened, request, expected));
+        try {
+            opened.eventLoop().execute(() -> begin(opened, request, expected));
+        } catch (RejectedExecutionException e) {
+            request.release();
+            expected.completeExceptionally(
+                    new ServiceException(Code.NOT_RUN, "the service gave no answer: the client has stopped", e));
+        }
     }
 
     private void begin(Channel opened, FullHttpRequest request, CompletableFuture<ServiceAnswer> expected) {
@@ -188,6 +197,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         channelReadComplete(ctx);
+        onClosed.accept(this);
         fail("the connection was closed before the end of the answer", null);
     }
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/LeavingEngineTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/LeavingEngineTest.java
@@ -100,6 +100,8 @@
         assertThat(prefill.runs()).hasSize(1);
     }
 
+    // Guards against a stream being cut off, or left waiting, because the only engine that booked it has begun to
+    // drain.
     @Test
     void aStreamIsRefusedAsNotRunIfNoEngineStaysForIt() throws Exception {
         CompletableFuture<String> answer = askUntilPromptIsRead();
