Logs: a malformed reply states what its connection had carried

'reply lost: MALFORMED' told neither why a reply could not be read nor whether its connection had carried a reply before, so that a second copy of an earlier reply could not be told from a reply that is malformed by itself. reply-malformed states the number of the exchange on the connection, how long the connection had rested, how long after the sending the reply came, whether its head had been taken, and the detail. No decision is changed.

--- a/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
@@ -19,6 +19,7 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.http.CallFailure.Kind;
@@ -56,6 +57,8 @@
     private long idleSince;
     private long peerIdleTimeoutNanos = Long.MAX_VALUE;
     private long idleNanosBeforeRequest;
+    private long sentAt;
+    private int exchanges;
     private boolean lostAfterIdle;
 
     /**
@@ -109,7 +112,9 @@
         skipping = false;
         awaitingRelease = false;
         reusable = true;
-        idleNanosBeforeRequest = idleSince == 0 ? 0 : System.nanoTime() - idleSince;
+        sentAt = System.nanoTime();
+        exchanges++;
+        idleNanosBeforeRequest = idleSince == 0 ? 0 : sentAt - idleSince;
         Channel open = channel();
         open.write(request);
         written = open.writeAndFlush(new DefaultLastHttpContent(body));
@@ -367,10 +372,26 @@
         lostAfterIdle |= current != null && head == null && idleNanosBeforeRequest > 0 && kind == Kind.CONNECTION_LOST;
         close();
         if (current != null) {
+            logMalformed(kind, detail);
             current.failed(new CallFailure(kind, detail));
         }
     }
 
+    /** States what tells a repeated reply from one that is malformed by itself: it comes over a connection that was used before. */
+    private void logMalformed(Kind kind, String detail) {
+        if (kind == Kind.MALFORMED) {
+            logger.atInfo().log(
+                    "event=reply-malformed peer=%s request=%s exchange=%d rested_ms=%d took_us=%d head=%s detail=\"%s\"",
+                    peer(),
+                    requestId,
+                    exchanges,
+                    TimeUnit.NANOSECONDS.toMillis(idleNanosBeforeRequest),
+                    TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - sentAt),
+                    head != null,
+                    detail);
+        }
+    }
+
     private String peer() {
         return String.valueOf(channel().remoteAddress());
     }
