The beginning of a second copy is not joined with the next reply

What callers saw: a success where the server had answered a failure, under the right id, with the right body and signature (MIXED), also a refusal of a request that ran (REFUSED).

Cause: replies were told apart once they were decoded. A server that begins to send a reply again and stops within its head leaves the decoder an unfinished line or head; the next reply's status line became the rest of the reason or of a header's value, and all that followed was the next reply's. Bytes that came while the connection was idle were kept the same way, as the decoder reports whole heads only. Class: bytes of two messages that are read as one.

Change: ReplyDecoder, in a module that both programs can use, checks what every message is made of: a message with a status line in its framing (head, sizes and delimiters of chunks, trailer) other than its first line fails, and so does one of a protocol other than HTTP/1.0 and 1.1. The next reply begins with its status line, whole, so that every cut of the copy's framing is told, however the bytes are split. The body of a skipped reply must not contain a status line either, so that a copy that is cut in its body fails at once. Any byte that arrives while no request is in progress closes the connection. The method of the request in progress decides whether a reply has a body, not the order of heads.

--- a/gateway/src/main/java/org/quetzalseam/gateway/http/Connector.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/Connector.java
@@ -7,10 +7,11 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import org.quetzalseam.http.ReplyDecoder;
 
 /** Opens HTTP connections on one event loop. */
 public final class Connector {
@@ -79,7 +80,8 @@
             Consumer<HttpConnection> onIdle,
             Consumer<HttpConnection> onClosed,
             ConnectListener listener) {
-        HttpConnection connection = new HttpConnection(idHeader, memory, onIdle, onClosed);
+        ReplyDecoder decoder = new ReplyDecoder(DECODER_CONFIG);
+        HttpConnection connection = new HttpConnection(idHeader, decoder, memory, onIdle, onClosed);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -90,7 +92,8 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
-                                .addLast(new HttpClientCodec(DECODER_CONFIG, false, false))
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(decoder)
                                 .addLast(connection);
                     }
                 });
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
@@ -19,10 +19,10 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.http.CallFailure.Kind;
+import org.quetzalseam.http.ReplyDecoder;
 
 /**
  * A client connection that carries one exchange at a time. Used on its event loop only.
@@ -39,10 +39,12 @@
     private static final int MAX_IDS = 500;
 
     private final String idHeader;
+    private final ReplyDecoder decoder;
     private final ReplyBounds bounds;
     private final Consumer<HttpConnection> onIdle;
     private final Consumer<HttpConnection> onClosed;
     private final Set<String> carriedIds = new HashSet<>();
+    private final ExchangeTimes times = new ExchangeTimes();
     private @Nullable Channel channel;
     private @Nullable ReplyListener listener;
     private @Nullable String requestId;
@@ -53,25 +55,27 @@
     private boolean awaitingRelease;
     private boolean closing;
     private boolean closedByPeer;
-    private long openedAt;
-    private long idleSince;
-    private long peerIdleTimeoutNanos = Long.MAX_VALUE;
-    private long idleNanosBeforeRequest;
-    private long sentAt;
-    private int exchanges;
+    private boolean unsolicited;
+    private boolean receivedStrayBytes;
     private boolean lostAfterIdle;
 
     /**
      * Creates a handler for a new channel.
      *
      * @param idHeader the header in which a reply repeats the request's id
+     * @param decoder decodes the connection's replies
      * @param memory bounds the replies of all connections
      * @param onIdle called when the connection can carry another exchange
      * @param onClosed called once, when the connection has closed
      */
     HttpConnection(
-            String idHeader, ReplyMemory memory, Consumer<HttpConnection> onIdle, Consumer<HttpConnection> onClosed) {
+            String idHeader,
+            ReplyDecoder decoder,
+            ReplyMemory memory,
+            Consumer<HttpConnection> onIdle,
+            Consumer<HttpConnection> onClosed) {
         this.idHeader = idHeader;
+        this.decoder = decoder;
         this.bounds = new ReplyBounds(memory);
         this.onIdle = onIdle;
         this.onClosed = onClosed;
@@ -105,6 +109,7 @@
         listener = replies;
         bounds.begin();
         requestId = id;
+        decoder.expectReplyTo(request.method());
         if (id != null) {
             carriedIds.add(id);
         }
@@ -112,9 +117,7 @@
         skipping = false;
         awaitingRelease = false;
         reusable = true;
-        sentAt = System.nanoTime();
-        exchanges++;
-        idleNanosBeforeRequest = idleSince == 0 ? 0 : sentAt - idleSince;
+        times.recordSent();
         Channel open = channel();
         open.write(request);
         written = open.writeAndFlush(new DefaultLastHttpContent(body));
@@ -141,19 +144,24 @@
         return closedByPeer;
     }
 
+    /** Returns whether bytes have arrived that were no reply to the request in progress, after the connection had carried another. */
+    public boolean receivedStrayBytes() {
+        return receivedStrayBytes;
+    }
+
     /** Returns when the connection was opened, in monotonic nanoseconds. */
     public long openedAt() {
-        return openedAt;
+        return times.openedAt();
     }
 
     /** Returns how long the connection was idle before the latest request, in nanoseconds; 0 for its first request. */
     public long idleNanosBeforeRequest() {
-        return idleNanosBeforeRequest;
+        return times.idleNanosBeforeRequest();
     }
 
     /** Returns when the last exchange ended, in monotonic nanoseconds. */
     public long idleSince() {
-        return idleSince;
+        return times.idleSince();
     }
 
     /**
@@ -161,7 +169,7 @@
      * it.
      */
     public long peerIdleTimeoutNanos() {
-        return peerIdleTimeoutNanos;
+        return times.peerIdleTimeoutNanos();
     }
 
     /** Returns whether the connection is open. */
@@ -189,47 +197,51 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        openedAt = System.nanoTime();
+        times.recordOpened();
         ctx.fireChannelActive();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
+        ReplyListener current = listener;
+        if (current == null) {
+            unsolicited = true;
+            ReferenceCountUtil.release(message);
+            return;
+        }
         if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
             ReferenceCountUtil.release(message);
             fail(Kind.MALFORMED, "not a reply: " + part.decoderResult().cause());
             return;
         }
         if (message instanceof HttpResponse response) {
-            receiveHead(response);
+            receiveHead(response, current);
         }
         if (message instanceof HttpContent content) {
             receiveContent(content);
         }
     }
 
-    private void receiveHead(HttpResponse response) {
-        if (listener == null) {
-            logger.atInfo().log(
-                    "event=unasked-reply peer=%s status=%d",
-                    peer(), response.status().code());
-            abort();
-            return;
-        }
+    private void receiveHead(HttpResponse response, ReplyListener current) {
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informational || isForAnotherRequest(response)) {
             skipping = true;
+            decoder.skipMessage();
             failIf(bounds.skipHead());
             return;
         }
+        int ids = response.headers().getAll(idHeader).size();
+        if (ids > 1) {
+            fail(Kind.MALFORMED, "expected one request id, found " + ids);
+            return;
+        }
         if (response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
             fail(Kind.MALFORMED, "the body is encoded");
             return;
         }
         head = response;
         reusable = HttpUtil.isKeepAlive(response) && isFramed(response) && carriedIds.size() < MAX_IDS;
-        readIdleTimeout(response);
-        ReplyListener current = listener;
+        times.recordHead(response);
         current.head(response);
         if (listener == current) {
             failIf(bounds.head(response, current.maxBodyBytes()));
@@ -251,6 +263,7 @@
         if (expected.equals(actual)) {
             return false;
         }
+        receivedStrayBytes = true;
         logger.atInfo().log(
                 "event=reply-skipped peer=%s request=%s reply_to=%s status=%d",
                 peer(), expected, actual, response.status().code());
@@ -261,26 +274,10 @@
         return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
     }
 
-    private void readIdleTimeout(HttpResponse response) {
-        String keepAlive = response.headers().get("Keep-Alive");
-        int at = keepAlive == null ? -1 : keepAlive.indexOf("timeout=");
-        if (keepAlive == null || at < 0) {
-            return;
-        }
-        int end = at + "timeout=".length();
-        long seconds = 0;
-        while (end < keepAlive.length() && Character.isDigit(keepAlive.charAt(end))) {
-            seconds = seconds * 10 + (keepAlive.charAt(end) - '0');
-            end++;
-        }
-        peerIdleTimeoutNanos = seconds * 1_000_000_000L;
-    }
-
     private void receiveContent(HttpContent content) {
         ReplyListener current = listener;
         if (skipping || current == null || head == null) {
-            String problem =
-                    current == null ? null : bounds.skipBody(content.content().readableBytes());
+            String problem = bounds.skipBody(content.content().readableBytes());
             content.release();
             skipping = skipping && !(content instanceof LastHttpContent);
             failIf(problem);
@@ -319,7 +316,7 @@
         listener = null;
         bounds.end();
         awaitingRelease = true;
-        idleSince = System.nanoTime();
+        times.recordIdle();
         if (!reusable) {
             close();
         }
@@ -329,12 +326,20 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         // Not earlier, because data that follows the reply in the same read must first be detected as unsolicited.
-        if (awaitingRelease && listener == null && reusable) {
+        if (listener == null && !closing && (unsolicited || !decoder.betweenMessages())) {
+            closeUnsolicited();
+        } else if (awaitingRelease && listener == null && reusable) {
             awaitingRelease = false;
             releaseWhenWritten();
         }
     }
 
+    private void closeUnsolicited() {
+        receivedStrayBytes = true;
+        logger.atInfo().log("event=unasked-reply peer=%s %s", peer(), times.describe());
+        abort();
+    }
+
     private void releaseWhenWritten() {
         ChannelFuture request = written;
         if (request == null || request.isSuccess()) {
@@ -369,7 +374,9 @@
         awaitingRelease = false;
         ReplyListener current = listener;
         listener = null;
-        lostAfterIdle |= current != null && head == null && idleNanosBeforeRequest > 0 && kind == Kind.CONNECTION_LOST;
+        receivedStrayBytes |= current != null && head == null && times.usedBefore() && kind == Kind.MALFORMED;
+        lostAfterIdle |=
+                current != null && head == null && times.idleNanosBeforeRequest() > 0 && kind == Kind.CONNECTION_LOST;
         close();
         if (current != null) {
             logMalformed(kind, detail);
@@ -381,14 +388,8 @@
     private void logMalformed(Kind kind, String detail) {
         if (kind == Kind.MALFORMED) {
             logger.atInfo().log(
-                    "event=reply-malformed peer=%s request=%s exchange=%d rested_ms=%d took_us=%d head=%s detail=\"%s\"",
-                    peer(),
-                    requestId,
-                    exchanges,
-                    TimeUnit.NANOSECONDS.toMillis(idleNanosBeforeRequest),
-                    TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - sentAt),
-                    head != null,
-                    detail);
+                    "event=reply-malformed peer=%s request=%s %s head=%s detail=\"%s\"",
+                    peer(), requestId, times.describe(), head != null, detail);
         }
     }
 
