An endpoint that sends bytes of no call gets a connection for each call for a while

What callers saw: calls that may run once ended as unknown, one after the other, at an endpoint that sends replies again; and a reply without an id, as all control calls have, could be a copy of the one before it on its connection (MIXED: a load report or a booking of another moment).

Cause: nothing was learnt from bytes that belong to no call. The next connection was kept like the last one. Class: a fault that is told and forgotten.

Change: unsolicited bytes, a reply to another request, and a malformed reply on a connection that had carried a call are signs. After one the endpoint's kept connections are closed, and for 30 s each call has a connection of its own, on which there is no earlier reply to repeat.

Not kept: telling a booking's copy by its id, as one that is used twice is rejected by the engine as not run.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -68,6 +68,7 @@
     private final IdleLimit idleLimit = new IdleLimit();
     private final KeptConnections connections = new KeptConnections(idleLimit);
     private final KeptConnections controlConnections = new KeptConnections(idleLimit);
+    private final ConnectionReuse reuse = new ConnectionReuse();
     private final PeerDisconnects peerDisconnects = new PeerDisconnects();
     private final Set<EndpointCall> callsInFlight = new HashSet<>();
     private final Misdirection misdirection = new Misdirection();
@@ -307,6 +308,7 @@
 
     /** Takes note of how a connection was closed. */
     private void learnFrom(HttpConnection connection) {
+        checkStrayBytes(connection);
         if (connection.closedByPeer()) {
             peerDisconnects.record(System.nanoTime());
         }
@@ -326,8 +328,16 @@
         keepIdle(connection, controlConnections);
     }
 
+    private void checkStrayBytes(HttpConnection connection) {
+        if (connection.receivedStrayBytes() && reuse.recordStrayBytes(timers.now())) {
+            logger.atInfo().log("event=connections-not-kept endpoint=%s", member.id());
+            close();
+        }
+    }
+
     private void keepIdle(HttpConnection connection, KeptConnections kept) {
-        if (ended || !listed) {
+        checkStrayBytes(connection);
+        if (ended || !listed || !reuse.allowed(timers.now())) {
             connection.abort();
         } else {
             kept.keep(connection);
