Stand-ins: a connection can send its last answer again, whole or cut

RawConnection keeps up to 64 KiB of the last answer and repeats its first bytes, before the next request or after it.

--- a/standins/src/main/java/org/quetzalseam/standins/raw/RawConnection.java
+++ b/standins/src/main/java/org/quetzalseam/standins/raw/RawConnection.java
@@ -16,8 +16,13 @@
     /** States that the replies that follow are written whole. */
     public static final int NO_CUT = -1;
 
+    /** Bytes of an answer that are kept for its repetition; answers without end must not fill the memory. */
+    private static final int MOST_KEPT_BYTES = 1 << 16;
+
     private final Socket socket;
     private final InputStream in;
+    private final ByteArrayOutputStream lastAnswer = new ByteArrayOutputStream();
+    private boolean answered;
     private int bytesBeforeCut = NO_CUT;
     private End cutEnd = End.CLOSED;
 
@@ -46,6 +51,7 @@
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
         String[] parts = requestLine.split(" ", -1);
+        answered = false;
         return new RawRequest(parts[0], parts[1], headers, body);
     }
 
@@ -64,6 +70,7 @@
     /** Writes text unchanged. */
     public void write(String text) throws IOException {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        keep(bytes);
         if (bytesBeforeCut == NO_CUT) {
             socket.getOutputStream().write(bytes);
             return;
@@ -78,6 +85,28 @@
         }
     }
 
+    private void keep(byte[] bytes) {
+        if (!answered) {
+            lastAnswer.reset();
+            answered = true;
+        }
+        lastAnswer.write(bytes, 0, Math.min(bytes.length, MOST_KEPT_BYTES - lastAnswer.size()));
+    }
+
+    /** Returns the length of the answer that {@link #repeat} sends, in bytes; 0 before the first answer. */
+    public int lastAnswerLength() {
+        return lastAnswer.size();
+    }
+
+    /**
+     * Sends the connection's last answer again: until the next one begins, also after the next request has been read.
+     *
+     * @param bytes the number of bytes after which the copy stops; the connection stays open
+     */
+    public void repeat(int bytes) throws IOException {
+        socket.getOutputStream().write(lastAnswer.toByteArray(), 0, Math.min(bytes, lastAnswer.size()));
+    }
+
     /** Writes a complete reply with its Content-Length; each header is a line without the line break. */
     public void reply(int status, String body, String... headers) throws IOException {
         StringBuilder head = new StringBuilder("HTTP/1.1 " + status + (status == 200 ? " OK" : " Other") + "\r\n");
