Read each item of the list of VMs by itself

What was seen: with one item in quetzalseamd's list of VMs that is nested deeply, has a number of 100,000 digits or bytes that are not UTF-8, the whole list counted as not JSON: an entry that started found no endpoints, and a running one kept an old list without a line in the log. An item with a port out of range or an unknown role was taken for an endpoint.

Cause: HttpObjectStore parsed the answer as one document, and replaced what an item lacks by 0, an empty text or a role.

OddVmsTest failed before: 199 of 199 odd items were used or made the list unreadable, and the watch did not follow the list. It passes now, in 5 s.

Why it holds: items are cut out of the answer before they are parsed, as the streaming entry does it; an item that lacks a valid field is left aside and logged once for each fault (object-unreadable). JsonSplitter and UnreadableException move to core, which both programs use; they need no library. A resourceVersion out of range, which the store itself writes, makes the answer unusable, as it would have raised the era.

The stand-in for the platform holds items of any bytes (listRaw).

--- a/gateway/src/main/java/org/quetzalseam/gateway/store/JsonSplitter.java
+++ b/core/src/main/java/org/quetzalseam/core/store/JsonSplitter.java
@@ -1,10 +1,9 @@
-package org.quetzalseam.gateway.store;
+package org.quetzalseam.core.store;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.quetzalseam.gateway.store.UnreadableException.Code;
 
 /**
  * Splits JSON text into the raw texts of its values without parsing them, so that a value that a parser rejects, or that would
@@ -82,7 +81,8 @@
 
     private UnreadableException syntaxError(String expected) {
         String found = position < text.length() ? text.substring(position) : "the end";
-        return new UnreadableException(Code.NOT_ALLOWED, "character " + position + " of a response", expected, found);
+        return new UnreadableException(
+                UnreadableException.Code.NOT_ALLOWED, "character " + position + " of a response", expected, found);
     }
 
     private void skipSpace() {
--- a/core/src/main/java/org/quetzalseam/core/store/StorePosition.java
+++ b/core/src/main/java/org/quetzalseam/core/store/StorePosition.java
@@ -19,6 +19,9 @@
     /** Number of bits for the revision in {@link #number}: enough for 30 years at 1000 changes per second. */
     private static final int REVISION_BITS = 40;
 
+    /** Last revision whose positions have unique numbers. */
+    public static final long MAX_REVISION = (1L << REVISION_BITS) - 1;
+
     /** Last era whose positions have unique numbers. */
     public static final long MAX_ERA = (1L << (Long.SIZE - 1 - REVISION_BITS)) - 1;
 
@@ -32,7 +35,7 @@
 
     /** Returns the position decoded from its number. */
     public static StorePosition ofNumber(long number) {
-        return new StorePosition(number >> REVISION_BITS, number & ((1L << REVISION_BITS) - 1));
+        return new StorePosition(number >> REVISION_BITS, number & MAX_REVISION);
     }
 
     /** Returns whether this position is before another. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/UnreadableException.java
+++ b/core/src/main/java/org/quetzalseam/core/store/UnreadableException.java
@@ -1,4 +1,4 @@
-package org.quetzalseam.gateway.store;
+package org.quetzalseam.core.store;
 
 /** Signals that a value from the store is not what was expected there. */
 public final class UnreadableException extends RuntimeException {
@@ -55,7 +55,7 @@
     }
 
     /** Returns the beginning of a text, with a question mark in place of each character that could break a log line. */
-    static String printable(String text) {
+    public static String printable(String text) {
         StringBuilder shown = new StringBuilder();
         for (int i = 0; i < Math.min(text.length(), MAX_SHOWN_CHARS); i++) {
             char next = text.charAt(i);
--- a/core/src/main/java/org/quetzalseam/core/store/package-info.java
+++ b/core/src/main/java/org/quetzalseam/core/store/package-info.java
@@ -1,4 +1,4 @@
-/** Positions in the history of a shared store. */
+/** Positions in the history of a shared store, and the reading of its answers. */
 @NullMarked
 package org.quetzalseam.core.store;
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/JsonSplitterTest.java
+++ b/core/src/test/java/org/quetzalseam/core/store/JsonSplitterTest.java
@@ -1,4 +1,4 @@
-package org.quetzalseam.gateway.store;
+package org.quetzalseam.core.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
@@ -9,18 +9,18 @@
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
-import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
+import org.quetzalseam.core.store.JsonSplitter;
 import org.quetzalseam.core.store.StorePosition;
+import org.quetzalseam.core.store.UnreadableException;
 import org.quetzalseam.daemon.HttpClients;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.platform.StoreException.Code;
-import org.quetzalseam.wire.message.Role;
-import org.quetzalseam.wire.message.Vm;
 
 /**
  * A client of the platform's store over HTTP and JSON: {@code GET}, {@code POST} and {@code PUT} of objects that carry a
@@ -42,6 +42,7 @@
     private final String base;
     private final HttpClient client;
     private final StoreEraTracker era = new StoreEraTracker();
+    private final VmItems vmItems = new VmItems();
 
     /** Creates a client of the store at a base address such as {@code http://10.0.0.5:8001}. */
     public HttpObjectStore(String base) {
@@ -76,23 +77,40 @@
     }
 
     private static StoredObject object(HttpResponse<byte[]> response) {
-        JsonNode node = json(response);
+        Map<String, String> fields = fields(response);
+        JsonNode metadata = json(fields, "metadata");
         return new StoredObject(
-                node.path("metadata").path("name").asText(),
-                version(response, node),
-                Base64.getDecoder().decode(node.path("data").asText()));
+                metadata.path("name").asText(),
+                version(response, metadata),
+                Base64.getDecoder().decode(json(fields, "data").asText()));
+    }
+
+    /** Returns the version, which the store itself writes: without it, nothing shows how old the answer is. */
+    private static long version(HttpResponse<byte[]> response, JsonNode metadata) {
+        JsonNode revision = metadata.path("resourceVersion");
+        if (!revision.isIntegralNumber()
+                || !revision.canConvertToLong()
+                || revision.longValue() < 0
+                || revision.longValue() > StorePosition.MAX_REVISION) {
+            throw new StoreException(Code.UNAVAILABLE, "the store's response has no valid resourceVersion", null);
+        }
+        return new StorePosition(StoreEraTracker.of(response), revision.longValue()).number();
     }
 
-    private static long version(HttpResponse<byte[]> response, JsonNode node) {
-        long revision = node.path("metadata").path("resourceVersion").asLong();
-        return new StorePosition(StoreEraTracker.of(response), revision).number();
+    /** Returns the raw texts of an answer's fields, so that one that can't be parsed does not affect the others. */
+    private static Map<String, String> fields(HttpResponse<byte[]> response) {
+        try {
+            return JsonSplitter.fields(new String(response.body(), StandardCharsets.UTF_8));
+        } catch (UnreadableException e) {
+            throw new StoreException(Code.UNAVAILABLE, "the store's response is not JSON", e);
+        }
     }
 
-    private static JsonNode json(HttpResponse<byte[]> response) {
+    private static JsonNode json(Map<String, String> fields, String name) {
         try {
-            return Json.read(response.body());
+            return Json.read(fields.getOrDefault(name, "").getBytes(StandardCharsets.UTF_8));
         } catch (IOException e) {
-            throw new StoreException(Code.UNAVAILABLE, "the store's response is not JSON", e);
+            throw new StoreException(Code.UNAVAILABLE, "the store's response has no readable " + name, e);
         }
     }
 
@@ -183,27 +201,20 @@
         if (response.statusCode() != OK) {
             throw new StoreException(Code.REFUSED, "the store responded with status " + response.statusCode(), null);
         }
-        JsonNode node = json(response);
-        List<Vm> vms = new ArrayList<>();
-        node.path("items").forEach(item -> vms.add(vm(item)));
-        return new MemberList(version(response, node), vms);
+        Map<String, String> fields = fields(response);
+        return new MemberList(version(response, json(fields, "metadata")), vmItems.read(items(fields)));
+    }
+
+    private static List<String> items(Map<String, String> fields) {
+        try {
+            return JsonSplitter.elements(fields.getOrDefault("items", ""));
+        } catch (UnreadableException e) {
+            throw new StoreException(Code.UNAVAILABLE, "the store's response has no list of items", e);
+        }
     }
 
     @Override
     public long era() {
         return era.newest();
     }
-
-    private static Vm vm(JsonNode item) {
-        String role = item.path("role").asText().toUpperCase(Locale.ROOT);
-        return new Vm(
-                item.path("name").asText(),
-                role.equals(Role.ENTRY.name()) ? Role.ENTRY : Role.ENDPOINT,
-                item.path("zone").asText(),
-                item.path("pool").asText(),
-                item.path("host").asText(),
-                item.path("port").asInt(),
-                item.path("operatorPort").asInt(),
-                item.path("state").asText().equals("leaving"));
-    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReportObject.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReportObject.java
@@ -44,7 +44,7 @@
     /**
      * Parses a report.
      *
-     * @throws org.quetzalseam.gateway.store.UnreadableException if no entry can have written it
+     * @throws org.quetzalseam.core.store.UnreadableException if no entry can have written it
      */
     static CrashReport of(JsonNode spec) {
         ObjectFields fields = new ObjectFields("crashes", spec);
--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReports.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/CrashReports.java
@@ -10,13 +10,13 @@
 import org.quetzalseam.core.crash.CrashLedger;
 import org.quetzalseam.core.crash.CrashReport;
 import org.quetzalseam.core.store.StorePosition;
+import org.quetzalseam.core.store.UnreadableException;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectFaults;
 import org.quetzalseam.gateway.store.ObjectStore;
 import org.quetzalseam.gateway.store.PagedList;
 import org.quetzalseam.gateway.store.StoreFailure;
 import org.quetzalseam.gateway.store.StoredObject;
-import org.quetzalseam.gateway.store.UnreadableException;
 
 /**
  * Exchanges crash reports with the other entries through the platform's store: one object for each entry, which only that entry
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/LeaseRecord.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/LeaseRecord.java
@@ -21,7 +21,7 @@
     /**
      * Parses a record.
      *
-     * @throws org.quetzalseam.gateway.store.UnreadableException if no entry can have written it
+     * @throws org.quetzalseam.core.store.UnreadableException if no entry can have written it
      */
     static LeaseRecord of(JsonNode spec) {
         ObjectFields fields = new ObjectFields("lease", spec);
--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
@@ -4,12 +4,12 @@
 import org.quetzalseam.core.generation.OrderEpoch;
 import org.quetzalseam.core.generation.OrderLease;
 import org.quetzalseam.core.store.StorePosition;
+import org.quetzalseam.core.store.UnreadableException;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectFaults;
 import org.quetzalseam.gateway.store.ObjectStore;
 import org.quetzalseam.gateway.store.StoreFailure;
 import org.quetzalseam.gateway.store.StoredObject;
-import org.quetzalseam.gateway.store.UnreadableException;
 
 /**
  * The lease, in the platform's store, that permits an entry to order one service's engines between stages. Used on the event loop
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectFaults.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectFaults.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.quetzalseam.core.store.UnreadableException;
 
 /**
  * Logs which objects of a kind cannot be read, and why: once for each fault of an object, however often it is read again, until
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectFields.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectFields.java
@@ -4,7 +4,8 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.util.ArrayList;
 import java.util.List;
-import org.quetzalseam.gateway.store.UnreadableException.Code;
+import org.quetzalseam.core.store.UnreadableException;
+import org.quetzalseam.core.store.UnreadableException.Code;
 
 /**
  * Reads the fields of an object strictly: a value that is missing, of another type or out of range raises an {@link
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/BuildsObject.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/BuildsObject.java
@@ -70,7 +70,7 @@
     /**
      * Parses the content of the object.
      *
-     * @throws org.quetzalseam.gateway.store.UnreadableException if no entry can have written it
+     * @throws org.quetzalseam.core.store.UnreadableException if no entry can have written it
      */
     static BuildsObject of(JsonNode spec) {
         ObjectFields fields = new ObjectFields("builds", spec);
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/SharedBuilds.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/SharedBuilds.java
@@ -7,12 +7,12 @@
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.store.StorePosition;
+import org.quetzalseam.core.store.UnreadableException;
 import org.quetzalseam.core.stream.BuildHistory;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectStore;
 import org.quetzalseam.gateway.store.StoreFailure;
 import org.quetzalseam.gateway.store.StoredObject;
-import org.quetzalseam.gateway.store.UnreadableException;
 
 /**
  * Keeps in the platform's store which builds have served, so that a process that has just started knows it too: one object for the
--- a/gateway/src/test/java/org/quetzalseam/gateway/crash/CrashReportObjectTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/crash/CrashReportObjectTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.quetzalseam.core.crash.CrashReport;
 import org.quetzalseam.core.crash.CrashReport.Fact;
-import org.quetzalseam.gateway.store.UnreadableException;
+import org.quetzalseam.core.store.UnreadableException;
 
 class CrashReportObjectTest {
     private static final CrashReport REPORT = new CrashReport(
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/ObjectFaultsTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/ObjectFaultsTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.quetzalseam.core.store.UnreadableException;
 
 class ObjectFaultsTest {
     private static final Logger LOG = Logger.getLogger(ObjectFaults.class.getName());
--- a/standins/src/main/java/org/quetzalseam/standins/PlatformStandIn.java
+++ b/standins/src/main/java/org/quetzalseam/standins/PlatformStandIn.java
@@ -1,13 +1,13 @@
 package org.quetzalseam.standins;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -42,7 +42,7 @@
     /** A copy of the contents of the store at one moment. Immutable. */
     public static final class Copy {
         private final Map<String, Stored> objects;
-        private final Map<String, ListedVm> vms;
+        private final Map<String, byte[]> vms;
         private final long version;
         private final long vmsVersion;
 
@@ -56,7 +56,9 @@
 
     private final Object lock = new Object();
     private final Map<String, Stored> objects = new HashMap<>();
-    private final Map<String, ListedVm> vms = new LinkedHashMap<>();
+    /** Items of the list of VMs by name, as they are sent. */
+    private final Map<String, byte[]> vms = new LinkedHashMap<>();
+
     private final AtomicLong reads = new AtomicLong();
     private final AtomicLong writes = new AtomicLong();
     private long version;
@@ -74,8 +76,13 @@
 
     /** Adds a VM to the list or replaces it. */
     public void list(ListedVm vm) {
+        listRaw(vm.name(), bytes(json(vm).toString()));
+    }
+
+    /** Adds an item to the list of VMs or replaces it, whatever its bytes are, as another writer may leave it. */
+    public void listRaw(String name, byte[] item) {
         synchronized (lock) {
-            vms.put(vm.name(), vm);
+            vms.put(name, item);
             vmsVersion++;
             lock.notifyAll();
         }
@@ -287,23 +294,32 @@
 
     private void watchVms(HttpExchange exchange) throws IOException {
         reads.incrementAndGet();
-        ObjectNode node = StandInServer.JSON.createObjectNode();
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
         boolean available;
         synchronized (lock) {
             await(query(exchange), () -> vmsVersion);
             available = !down;
             setEraHeader(exchange);
-            node.putObject("metadata").put("resourceVersion", vmsVersion);
-            ArrayNode items = node.putArray("items");
-            List.copyOf(vms.values()).forEach(vm -> items.add(json(vm)));
+            body.writeBytes(bytes("{\"metadata\":{\"resourceVersion\":" + vmsVersion + "},\"items\":["));
+            String separator = "";
+            for (byte[] item : vms.values()) {
+                body.writeBytes(bytes(separator));
+                body.writeBytes(item);
+                separator = ",";
+            }
+            body.writeBytes(bytes("]}"));
         }
         if (available) {
-            StandInServer.answer(exchange, 200, node);
+            StandInServer.answer(exchange, 200, body.toByteArray());
         } else {
             StandInServer.answerEmpty(exchange, 503);
         }
     }
 
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
     private static ObjectNode json(ListedVm vm) {
         return StandInServer.JSON
                 .createObjectNode()
--- a/standins/src/main/java/org/quetzalseam/standins/StandInServer.java
+++ b/standins/src/main/java/org/quetzalseam/standins/StandInServer.java
@@ -59,11 +59,14 @@
     }
 
     static void answer(HttpExchange exchange, int status, JsonNode body) throws IOException {
-        byte[] bytes = JSON.writeValueAsBytes(body);
+        answer(exchange, status, JSON.writeValueAsBytes(body));
+    }
+
+    static void answer(HttpExchange exchange, int status, byte[] body) throws IOException {
         exchange.getResponseHeaders().set("Content-Type", "application/json");
-        exchange.sendResponseHeaders(status, bytes.length);
+        exchange.sendResponseHeaders(status, body.length);
         try (OutputStream out = exchange.getResponseBody()) {
-            out.write(bytes);
+            out.write(body);
         }
     }
 
