Retry a dial that fails with an unchecked exception

What was seen: a link to an address with a port that no socket has (70000, from a peer's list of VMs) was tried once; the thread ended with an IllegalArgumentException, and its socket stayed open.

Cause: the dialer scheduled the next attempt only after an IOException or a WireException.

Why it holds: every exception of an attempt leads to the next one, and closes the socket.

--- a/wire/src/main/java/org/quetzalseam/wire/connection/Dialer.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Dialer.java
@@ -128,7 +128,8 @@
             if (stopped) {
                 connection.close();
             }
-        } catch (IOException | WireException e) {
+        } catch (IOException | RuntimeException e) {
+            // Any failure is retried: an address that no socket has raises an unchecked exception.
             logger.atFine().log("event=dial-failed peer=%s:%d reason=%s", host, port, e.getMessage());
             if (isRefusal(e)) {
                 refusedAttempts.incrementAndGet();
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Transport.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Transport.java
@@ -64,7 +64,7 @@
             socket.setSoTimeout((int) timeout.toMillis());
             socket.connect(new InetSocketAddress(host, port), (int) timeout.toMillis());
             return socket;
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             Sockets.close(socket);
             throw e;
         }
--- a/wire/src/test/java/org/quetzalseam/wire/connection/DialerTest.java
+++ b/wire/src/test/java/org/quetzalseam/wire/connection/DialerTest.java
@@ -102,4 +102,25 @@
         assertThat(arrived.await(LIMIT_SECONDS, TimeUnit.SECONDS)).isTrue();
         dialer.stop();
     }
+
+    // Guards against a list with a port that no socket has, after which the dialer's thread ends and nothing is tried
+    // again.
+    @Test
+    void anAddressThatNoSocketHasIsTriedAgain() throws InterruptedException {
+        Dialer dialer = new Dialer(
+                "127.0.0.1",
+                70_000,
+                Identity.start(Role.ENTRY, "entry", "zone"),
+                SiteKey.loopback(),
+                Transport.plain(),
+                timers,
+                new SlowListener());
+        dialer.start();
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+        while (dialer.refusedAttempts() < 2 && System.nanoTime() - end < 0) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        dialer.stop();
+        assertThat(dialer.refusedAttempts()).isGreaterThanOrEqualTo(2);
+    }
 }
