Take a spoilt record of an incarnation for that of a crash

What was seen: an endpoint of a plain service whose record (tenure-NAME) holds data that is not Base64 ended at each start with an IllegalArgumentException; with other unreadable content it went on without ever writing a record of its own.

Cause: HttpObjectStore decoded the data outside of what it handles, and the reader repeated the read of a record that no repetition makes readable.

IncarnationRecordsTest.aRecordThatCannotBeReadCountsAsThatOfACrash failed before with that exception, and passes now.

Why it holds: data that can't be decoded is empty, which its reader finds unreadable, and its version is known. A spoilt record says nothing about keys, so the predecessor may have seen any, as after a crash; the start replaces the record. A planned stop in a later era leaves one that can't be read, since it may be a successor's.

--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/IncarnationRecords.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/IncarnationRecords.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.quetzalseam.core.store.StorePosition;
+import org.quetzalseam.core.store.UnreadableException;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.platform.ObjectStore;
 import org.quetzalseam.daemon.platform.StoreException;
@@ -64,17 +65,16 @@
         }
         try {
             Optional<StoredObject> previous = store.read(name);
-            Optional<IncarnationRecord> record =
-                    previous.isPresent() ? Optional.of(parse(previous.get())) : Optional.empty();
+            Optional<IncarnationRecord> record = previous.flatMap(IncarnationRecords::parse);
             if (record.isPresent() && record.get().incarnation() == incarnation) {
-                storeVersion = previous.get().version();
+                storeVersion = previous.map(StoredObject::version).orElse(0L);
             } else {
-                predecessorKeys = keysSeenBy(record);
+                predecessorKeys = previous.isPresent() && record.isEmpty() ? Optional.empty() : keysSeenBy(record);
                 storeVersion = write(newRecord(false, List.of()), previous);
             }
             startRecorded = true;
             return true;
-        } catch (StoreException | IOException e) {
+        } catch (StoreException e) {
             logger.atInfo().log("event=tenure-unknown name=%s reason=\"%s\"", name, e.getMessage());
             return false;
         }
@@ -92,8 +92,16 @@
         return new IncarnationRecord(incarnation, left, System.currentTimeMillis(), store.era(), keys);
     }
 
-    private static IncarnationRecord parse(StoredObject object) throws IOException {
-        return Json.read(object.value(), IncarnationRecord.class);
+    /** Returns a record, or empty if another writer has spoilt it: the predecessor may then have seen any key. */
+    private static Optional<IncarnationRecord> parse(StoredObject object) {
+        try {
+            return Optional.of(Json.read(object.value(), IncarnationRecord.class));
+        } catch (IOException e) {
+            logger.atWarning().log(
+                    "event=object-unreadable kind=objects name=%s version=%d cause=\"%s\"",
+                    object.name(), object.version(), UnreadableException.printable(String.valueOf(e.getMessage())));
+            return Optional.empty();
+        }
     }
 
     private long write(IncarnationRecord record, Optional<StoredObject> previous) {
@@ -110,7 +118,7 @@
         }
         try {
             writePlannedStop(keys);
-        } catch (StoreException | IOException e) {
+        } catch (StoreException e) {
             logger.atWarning().log("event=tenure-not-ended name=%s reason=\"%s\"", name, e.getMessage());
         }
     }
@@ -119,7 +127,7 @@
      * Writes the record of a planned stop. Reads the current record first, because only a response shows whether the
      * store was restored, and after a restore the version known from before may be that of another process's record.
      */
-    private void writePlannedStop(List<String> keys) throws IOException {
+    private void writePlannedStop(List<String> keys) {
         Optional<StoredObject> current = store.read(name);
         if (StorePosition.ofNumber(storeVersion).era() == store.era()) {
             store.replace(name, Json.write(newRecord(true, keys)), storeVersion);
@@ -130,11 +138,13 @@
         }
     }
 
-    private boolean isFromSuccessor(Optional<StoredObject> current) throws IOException {
+    /** Returns whether a successor may have written a record; one that can't be read may be a successor's. */
+    private boolean isFromSuccessor(Optional<StoredObject> current) {
         if (current.isEmpty()) {
             return false;
         }
-        IncarnationRecord record = parse(current.get());
-        return record.incarnation() != incarnation && record.era() == store.era();
+        return parse(current.get())
+                .map(record -> record.incarnation() != incarnation && record.era() == store.era())
+                .orElse(true);
     }
 }
--- a/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
@@ -76,13 +76,20 @@
         }
     }
 
+    /** Returns the object that is the whole answer; data that can't be decoded is empty, which its reader finds unreadable. */
     private static StoredObject object(HttpResponse<byte[]> response) {
         Map<String, String> fields = fields(response);
         JsonNode metadata = json(fields, "metadata");
         return new StoredObject(
-                metadata.path("name").asText(),
-                version(response, metadata),
-                Base64.getDecoder().decode(json(fields, "data").asText()));
+                metadata.path("name").asText(), version(response, metadata), data(fields.getOrDefault("data", "")));
+    }
+
+    private static byte[] data(String field) {
+        try {
+            return Json.read(field.getBytes(StandardCharsets.UTF_8)).binaryValue();
+        } catch (IOException expected) {
+            return new byte[0];
+        }
     }
 
     /** Returns the version, which the store itself writes: without it, nothing shows how old the answer is. */
--- a/daemon/src/test/java/org/quetzalseam/daemon/endpoint/IncarnationRecordsTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/endpoint/IncarnationRecordsTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -136,4 +138,17 @@
         third.recordStart();
         assertThat(third.mayHaveBeenSeen("k")).isTrue();
     }
+
+    // Guards against a spoilt record that ends the process at each start, or leaves it without a record of its own.
+    @Test
+    void aRecordThatCannotBeReadCountsAsThatOfACrash() {
+        String deep = "[".repeat(100_000) + "]".repeat(100_000);
+        for (String content :
+                List.of("?", "", Base64.getEncoder().encodeToString(deep.getBytes(StandardCharsets.UTF_8)))) {
+            platform.overwrite("tenure-odd", content);
+            IncarnationRecords records = new IncarnationRecords(new HttpObjectStore(platform.url()), "odd", 2);
+            assertThat(records.recordStart()).as(content).isTrue();
+            assertThat(records.mayHaveBeenSeen("key")).isTrue();
+        }
+    }
 }
