Replace a proposal or verdict that cannot be read

What was seen: after another writer spoilt the object proposal or verdict, each `apply` failed, and each entry read the object again every half second to second for good, without a line in the log. A digest that is no name of an object raised an IllegalArgumentException in the review.

Cause: an unreadable object of any name raised the same exception, also where nothing rests on its content.

Why it holds: a proposal that can't be read proposes nothing and a verdict refuses nothing; their versions are known, so that the next write replaces them, and the watch waits for it. The accepted manifest still counts as broken, since the catalogue in force must not be guessed. Each version is logged once (object-unreadable).

--- a/core/src/main/java/org/quetzalseam/core/catalogue/Manifest.java
+++ b/core/src/main/java/org/quetzalseam/core/catalogue/Manifest.java
@@ -1,6 +1,7 @@
 package org.quetzalseam.core.catalogue;
 
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 
 /**
@@ -14,11 +15,12 @@
  * @param files SHA-256 digests by file name
  */
 public record Manifest(long version, long writer, String author, Map<String, String> files) {
-    /** Checks the version and copies the map. */
+    /** Checks the version and the author, and copies the map. */
     public Manifest {
         if (version < 0) {
             throw new IllegalArgumentException("version: expected at least 0, got " + version);
         }
+        Objects.requireNonNull(author, "author");
         files = Map.copyOf(files);
     }
 
--- a/daemon/src/main/java/org/quetzalseam/daemon/catalogue/CatalogueStore.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/catalogue/CatalogueStore.java
@@ -1,16 +1,20 @@
 package org.quetzalseam.daemon.catalogue;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 import org.quetzalseam.core.catalogue.CatalogueInForce.Accepted;
 import org.quetzalseam.core.catalogue.CatalogueParser;
 import org.quetzalseam.core.catalogue.CatalogueParser.Parsed;
 import org.quetzalseam.core.catalogue.Manifest;
+import org.quetzalseam.core.store.UnreadableException;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.catalogue.CatalogueException.Code;
 import org.quetzalseam.daemon.platform.ObjectStore;
@@ -25,6 +29,8 @@
  * concurrent reviewers, or a reviewer that reads stale data, cannot put a wrong change in force.
  */
 public final class CatalogueStore {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     /** Name of the object that holds the manifest in force. */
     public static final String ACCEPTED = "accepted";
 
@@ -44,6 +50,8 @@
     public record Versioned<T>(T value, long storeVersion) {}
 
     private final ObjectStore store;
+    /** Versions of the objects whose latest content could not be read, by name; each is logged once. */
+    private final Map<String, Long> unreadableVersions = new ConcurrentHashMap<>();
     /** Texts of the last loaded manifest by digest. Texts never change, so only those missing here are read from the store. */
     private volatile Map<String, String> loaded = Map.of();
 
@@ -57,26 +65,49 @@
         return manifest(store.read(ACCEPTED));
     }
 
-    /** Returns the last proposed manifest. */
+    /** Returns the last proposed manifest; one that can't be read proposes nothing, and the next proposal replaces it. */
     public Versioned<Manifest> proposal() {
-        return manifest(store.read(PROPOSAL));
+        return proposal(store.read(PROPOSAL));
+    }
+
+    /** Waits for the accepted manifest to change and returns it, or nothing when the wait times out. */
+    public Optional<Versioned<Manifest>> watchAccepted(long storeVersion, Duration wait) {
+        return store.watch(ACCEPTED, storeVersion, wait).map(object -> manifest(Optional.of(object)));
     }
 
-    /** Waits for a manifest object to change and returns it, or nothing when the wait times out. */
-    public Optional<Versioned<Manifest>> watch(String name, long storeVersion, Duration wait) {
-        return store.watch(name, storeVersion, wait).map(object -> manifest(Optional.of(object)));
+    /** Waits for the proposal to change and returns it as {@link #proposal} does, or nothing when the wait times out. */
+    public Optional<Versioned<Manifest>> watchProposal(long storeVersion, Duration wait) {
+        return store.watch(PROPOSAL, storeVersion, wait).map(object -> proposal(Optional.of(object)));
     }
 
-    /** Returns the last refusal. */
+    /** Returns the last refusal; one that can't be read refuses nothing. */
     public Versioned<Verdict> verdict() {
-        return value(store.read(VERDICT), Verdict.class, Verdict.none());
+        Optional<StoredObject> object = store.read(VERDICT);
+        return orNone(object, () -> value(object, Verdict.class, Verdict.none()), Verdict.none());
     }
 
-    private static Versioned<Manifest> manifest(Optional<StoredObject> object) {
-        return value(object, Manifest.class, Manifest.none());
+    private Versioned<Manifest> proposal(Optional<StoredObject> object) {
+        return orNone(object, () -> manifest(object), Manifest.none());
+    }
+
+    private static <T> Versioned<T> orNone(Optional<StoredObject> object, Supplier<Versioned<T>> reader, T none) {
+        try {
+            return reader.get();
+        } catch (CatalogueException e) {
+            return new Versioned<>(none, object.map(StoredObject::version).orElse(0L));
+        }
     }
 
-    private static <T> Versioned<T> value(Optional<StoredObject> object, Class<T> type, T none) {
+    /** Returns a manifest; its digests are names of objects, so each has to be one. */
+    private Versioned<Manifest> manifest(Optional<StoredObject> object) {
+        Versioned<Manifest> read = value(object, Manifest.class, Manifest.none());
+        if (!read.value().files().values().stream().allMatch(Digests::isDigest)) {
+            throw unreadable(object.orElseThrow(), new IOException("files: expected digests"));
+        }
+        return read;
+    }
+
+    private <T> Versioned<T> value(Optional<StoredObject> object, Class<T> type, T none) {
         if (object.isEmpty()) {
             return new Versioned<>(none, 0);
         }
@@ -84,8 +115,19 @@
             return new Versioned<>(
                     Json.read(object.get().value(), type), object.get().version());
         } catch (IOException e) {
-            throw new CatalogueException(Code.BROKEN, "object " + object.get().name() + " isn't readable", e);
+            throw unreadable(object.get(), e);
+        }
+    }
+
+    /** Logs each version of an object once. */
+    private CatalogueException unreadable(StoredObject object, IOException cause) {
+        Long logged = unreadableVersions.put(object.name(), object.version());
+        if (logged == null || logged != object.version()) {
+            logger.atWarning().log(
+                    "event=object-unreadable kind=objects name=%s version=%d cause=\"%s\"",
+                    object.name(), object.version(), UnreadableException.printable(String.valueOf(cause.getMessage())));
         }
+        return new CatalogueException(Code.BROKEN, "object " + object.name() + " isn't readable", cause);
     }
 
     /** Writes a manifest or verdict on condition that the object has not changed since it was read. */
--- a/daemon/src/main/java/org/quetzalseam/daemon/catalogue/CatalogueWatch.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/catalogue/CatalogueWatch.java
@@ -35,7 +35,7 @@
 
     private void poll(Duration wait) {
         long askedAt = System.nanoTime();
-        store.watch(CatalogueStore.ACCEPTED, storeVersion, wait).ifPresent(this::apply);
+        store.watchAccepted(storeVersion, wait).ifPresent(this::apply);
         inForce.confirm(askedAt);
     }
 
--- a/daemon/src/main/java/org/quetzalseam/daemon/catalogue/ProposalReview.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/catalogue/ProposalReview.java
@@ -46,7 +46,7 @@
     }
 
     private void poll(Duration wait) {
-        store.watch(CatalogueStore.PROPOSAL, storeVersion, wait).ifPresent(this::reviewInRankOrder);
+        store.watchProposal(storeVersion, wait).ifPresent(this::reviewInRankOrder);
     }
 
     private void reviewInRankOrder(Versioned<Manifest> proposal) {
