A watch that the store ends early proves no time that is yet to come

An answer without changes counted as of the end of the watch's wait, also when the store had ended the watch sooner. For up to 2 s after it an entry that lost the store held its list of the endpoints for newer than any request, and took a stream up without asking.

Now such an answer counts as of its question unless the whole wait has passed. KindWatchTest failed before.

--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -222,8 +222,9 @@
             listAll();
             return;
         }
-        // The store gives an answer without changes only after the whole wait.
-        long waited = changes.changes().isEmpty() ? waitMillis : 0;
+        // The store gives an answer without changes after the whole wait, but may end a watch early.
+        long waitNanos = TimeUnit.MILLISECONDS.toNanos(waitMillis);
+        boolean waited = changes.changes().isEmpty() && timers.elapsed() - sentAt >= waitNanos;
         recordAvailable();
         for (ObjectChanges.Change change : changes.changes()) {
             if (listedLater(change.object())) {
@@ -235,7 +236,7 @@
                 notifyListener(change.object().name(), () -> listener.changed(change.object()));
             }
         }
-        lastResponse.recordResponse(sentAt + TimeUnit.MILLISECONDS.toNanos(waited));
+        lastResponse.recordResponse(waited ? sentAt + waitNanos : sentAt);
         newest = StorePosition.later(from, changes.position());
         if (!newest.isBefore(lastListed)) {
             listedPositions.clear();
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -87,6 +87,15 @@
         assertThat(watch.current()).isTrue();
     }
 
+    // Guards against a watch that the store ends early proving a time that is yet to come.
+    @Test
+    void aWatchThatEndsBeforeItsWaitProvesNoMoreThanTheTimeOfItsRequest() {
+        store.listed.accept(new ObjectPage(List.of(), false, at(6)));
+        pass(100);
+        store.changed.accept(new ObjectChanges(List.of(), at(6)));
+        assertThat(watch.ageMillis()).isEqualTo(100);
+    }
+
     @Test
     void anUnresponsiveStoreIsAskedForAnImmediateAnswerUntilItRecovers() {
         store.listed.accept(new ObjectPage(List.of(), false, at(6)));
