Builds are recorded of all registrations, not only of those that this entry uses

Callers could receive a stream of two builds. Endpoints of a service that an entry's desired state didn't name yet were left out of its record of the builds that have served. If one of another build came and went meanwhile, while entries with a newer desired state began streams there, the entry later held that one build only had served.

Now the record is fed with all readable registrations, before they are checked against the desired state.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -76,10 +76,17 @@
         return loaded;
     }
 
+    /**
+     * Records the builds of all registrations, also of those that this entry does not use: another one may, whose desired state is
+     * newer.
+     */
+    public void recordBuilds(Collection<Member> registered) {
+        buildHistory.update(registered, System.nanoTime());
+    }
+
     /** Updates the directory to the given registrations and removes all endpoints that are not among them. */
     public void update(Collection<Member> members) {
         loaded = true;
-        buildHistory.update(members, System.nanoTime());
         Set<String> listed = new HashSet<>();
         for (Member member : members) {
             listed.add(member.id());
