An entry that stood still doesn't remove a build from the record that has come back

Callers could receive a stream of two builds. An entry removes a build from the store's record when it hasn't seen it for a window. One that stood still did so by its list from before, though the build had come back at the others; these don't write it again, for to them it is in the record. An entry that starts after the build has left then took the other build for the only one.

A record is now shortened only with a list of the endpoints that is proved to be newer than the record that was read; else what it has is kept. SharedBuildsTest failed before. What was removed for good reason still is (aBuildIsRemovedIf...).

--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -140,6 +140,7 @@
     /** Sets the source that states how current the known endpoints are. */
     public void endpointKnowledge(KindFreshness endpoints) {
         takenUpStreams.knowledge(endpoints);
+        builds.knowledge(endpoints);
     }
 
     /** Applies settings that were read again. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindFreshness.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindFreshness.java
@@ -1,5 +1,7 @@
 package org.quetzalseam.gateway.store;
 
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.quetzalseam.core.store.StorePosition;
 
 /** Reports how current the known state of one kind of objects is. Used on the event loop only. */
@@ -20,4 +22,20 @@
      *     known now
      */
     void refresh(Runnable answered);
+
+    /**
+     * Requests a state that is at least as recent as a given moment; once more if the answer is to a question from before it.
+     *
+     * @param sinceMillis states how long ago that moment was, in milliseconds
+     * @param answered receives whether the known state is proved to be as recent
+     */
+    default void refreshSince(LongSupplier sinceMillis, Consumer<Boolean> answered) {
+        refresh(() -> {
+            if (ageMillis() <= sinceMillis.getAsLong()) {
+                answered.accept(true);
+            } else {
+                refresh(() -> answered.accept(ageMillis() <= sinceMillis.getAsLong()));
+            }
+        });
+    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/BuildsObject.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/BuildsObject.java
@@ -43,6 +43,11 @@
         return rest;
     }
 
+    /** Returns whether another object has all these builds. */
+    boolean within(BuildsObject other) {
+        return without(other).values().stream().allMatch(Set::isEmpty);
+    }
+
     /** Returns these builds and the given ones. */
     Map<String, Set<String>> with(Map<String, Set<String>> others) {
         Map<String, Set<String>> all = new TreeMap<>();
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/SharedBuilds.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/SharedBuilds.java
@@ -4,11 +4,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.core.stream.BuildHistory;
 import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.KindFreshness;
 import org.quetzalseam.gateway.store.ObjectStore;
 import org.quetzalseam.gateway.store.StoreFailure;
 import org.quetzalseam.gateway.store.StoredObject;
@@ -40,6 +42,7 @@
     private final BuildHistory history;
     private final LongSupplier windowNanos;
     private @Nullable ObjectStore store;
+    private @Nullable KindFreshness endpoints;
     private BuildsObject noted = BuildsObject.NONE;
     private @Nullable StorePosition notedAt;
     private boolean siteIsNew;
@@ -66,6 +69,11 @@
         timers.every(CHECK_MILLIS, this::check);
     }
 
+    /** Sets the source that states how current the known endpoints are. */
+    public void knowledge(KindFreshness knownEndpoints) {
+        endpoints = knownEndpoints;
+    }
+
     /** Sets this entry's rank among the entries. */
     public void rank(int newRank) {
         rank = newRank;
@@ -169,20 +177,45 @@
                 NAME,
                 object -> {
                     learn(object);
-                    write(used);
+                    writeAfter(used, timers.elapsed());
                 },
                 failure -> {
                     if (failure.kind() == StoreFailure.Kind.NOT_FOUND) {
                         notedAt = null;
-                        write(used);
+                        write(used, wanted(used));
                     } else {
                         later();
                     }
                 });
     }
 
-    private void write(ObjectStore used) {
+    /**
+     * Writes the record, without what has left only if a list of the endpoints is proved to be as recent as the record that was read:
+     * a build may have come back while this process stood still, and the others do not write one again that is in the record.
+     */
+    private void writeAfter(ObjectStore used, long readAt) {
+        KindFreshness known = endpoints;
+        if (noted.within(wanted(used))) {
+            write(used, wanted(used));
+        } else if (known == null) {
+            writeAll(used);
+        } else {
+            known.refreshSince(() -> TimeUnit.NANOSECONDS.toMillis(timers.elapsed() - readAt), proved -> {
+                if (proved) {
+                    write(used, wanted(used));
+                } else {
+                    writeAll(used);
+                }
+            });
+        }
+    }
+
+    private void writeAll(ObjectStore used) {
         BuildsObject wanted = wanted(used);
+        write(used, new BuildsObject(noted.with(wanted.builds()), wanted.complete(), wanted.era()));
+    }
+
+    private void write(ObjectStore used, BuildsObject wanted) {
         StorePosition position = notedAt;
         if (position != null && wanted.equals(noted)) {
             busy = false;
--- a/gateway/src/test/java/org/quetzalseam/gateway/stream/SharedBuildsTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stream/SharedBuildsTest.java
@@ -19,8 +19,10 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalseam.core.fleet.Member;
 import org.quetzalseam.core.fleet.Stage;
+import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.core.stream.BuildHistory;
 import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.gateway.store.KindFreshness;
 import org.quetzalseam.gateway.store.MemoryStore;
 
 /** Tests what entries note in the store of the builds that have served, and what they learn from it after a start. */
@@ -29,8 +31,9 @@
     private static final long WRITTEN_MILLIS = 300;
     private static final String SERVICE = "s";
 
+    private volatile long aheadNanos;
     private final DefaultEventLoop loop = new DefaultEventLoop();
-    private final Timers timers = new Timers(loop);
+    private final Timers timers = new Timers(loop, () -> System.nanoTime() + aheadNanos, System::currentTimeMillis);
     private final MemoryStore store = new MemoryStore();
 
     @AfterEach
@@ -76,6 +79,30 @@
         }
     }
 
+    /** Answers each question with a list of the endpoints at once. */
+    private record ProvedList(Runnable update) implements KindFreshness {
+        @Override
+        public long ageMillis() {
+            return 0;
+        }
+
+        @Override
+        public StorePosition position() {
+            return StorePosition.NONE;
+        }
+
+        @Override
+        public boolean current() {
+            return true;
+        }
+
+        @Override
+        public void refresh(Runnable answered) {
+            update.run();
+            answered.run();
+        }
+    }
+
     private static List<Member> members(String... builds) {
         return List.of(builds).stream().map(SharedBuildsTest::member).toList();
     }
@@ -142,6 +169,42 @@
         assertThat(lagging.onlyBuild()).isEmpty();
     }
 
+    // Guards against an entry that stood still removing a build that has come back at the others meanwhile.
+    @Test
+    void anEntryThatStoodStillRemovesNoBuildThatHasComeBackMeanwhile() {
+        Entry stopped = new Entry(true, 1);
+        stopped.list("v1", "v2");
+        awaitWritten();
+        stopped.update("v1");
+        Entry other = new Entry(false, 0);
+        other.list("v1");
+        awaitWritten();
+        other.update("v1", "v2");
+        aheadNanos = WINDOW_NANOS + 1;
+        onLoop(stopped.builds::check);
+        awaitWritten();
+        Entry later = new Entry(false, 0);
+        later.list("v1");
+        awaitWritten();
+        assertThat(later.onlyBuild()).isEmpty();
+    }
+
+    // Guards against a build that has left being kept for good, so that streams of unknown origin are refused for ever.
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aBuildIsRemovedIfTheNewestListShowsThatItHasNotComeBack(boolean back) {
+        Entry entry = new Entry(true, 0);
+        entry.list("v1", "v2");
+        awaitWritten();
+        entry.update("v1");
+        onLoop(() -> entry.builds.knowledge(
+                new ProvedList(() -> entry.history.update(back ? members("v1", "v2") : members("v1"), timers.now()))));
+        aheadNanos = WINDOW_NANOS + 1;
+        onLoop(entry.builds::check);
+        awaitWritten();
+        assertThat(noted()).isEqualTo(back ? Set.of("v1", "v2") : Set.of("v1"));
+    }
+
     @Test
     void whatIsNotKnownFromTheStartProvesNothing() {
         new Entry(false, 0).list("v1");
