A stream of unknown origin doesn't go on at a service to which its route was moved, at another build

Callers received streams of two builds. Without a record of where a stream began, an entry asked which builds had served the service that its own route names now. After a release by moving the route to a service of another build, or at an entry whose desired state was out of step, this isn't the service that began the stream.

Now no other build may have served any service to which the path led within the window (RouteHistory), and the desired state is asked for after the request arrived, as the list of the endpoints is. Services of the same build count as one, as before. The event stream-taken-up states the services (path_services). MovedRouteStreamsTest, four real entries, failed before: streams with events of v1 and v2, both where the route had moved and at an entry that didn't know of it yet.

--- a/core/src/main/java/org/quetzalseam/core/stream/BuildHistory.java
+++ b/core/src/main/java/org/quetzalseam/core/stream/BuildHistory.java
@@ -110,6 +110,11 @@
                 : Optional.empty();
     }
 
+    /** Returns whether no other build than the given one is known to have served a service in the given time, in nanoseconds. */
+    public boolean noneBut(String build, String service, long window, long now) {
+        return Set.of(build).containsAll(listed(service, window, now));
+    }
+
     /** Returns the builds that this process has seen to serve a service in the given time, in nanoseconds; there may be others. */
     public Set<String> builds(String service, long window, long now) {
         Set<String> builds = new HashSet<>(listed(service, window, now));
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -95,6 +95,7 @@
             return;
         }
         routes = table;
+        takenUpStreams.record(table, takeUpWindowNanos());
         context.services(table.services());
         allowances.update(table.access());
         logger.atInfo().log(
@@ -110,6 +111,7 @@
     public void knowledge(KindFreshness desiredState) {
         knowledge = desiredState;
         proof.start(desiredState);
+        takenUpStreams.desiredState(desiredState);
     }
 
     /** Returns what decides on requests to endpoints that state limits. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/TakenUpStreams.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/TakenUpStreams.java
@@ -1,12 +1,15 @@
 package org.quetzalseam.gateway.route;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.routing.RouteHistory;
 import org.quetzalseam.core.routing.RouteRule;
+import org.quetzalseam.core.routing.RouteTable;
 import org.quetzalseam.core.stream.BuildHistory;
 import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.caller.Exchange;
@@ -16,8 +19,9 @@
 
 /**
  * Decides where streams go on that callers take up. A stream goes on at the service and build that began it, as the entries' records
- * state. Without a record, it goes on only if one build has served the service for as long as a stream may last, by a list of
- * the endpoints that is proved to be as recent as the request; else the caller is refused and may begin anew.
+ * state. Without a record, it goes on only if one build has served the services to which the route led for as long as a stream may
+ * last, by lists of the endpoints and routes that are proved to be as recent as the request; else the caller is refused and may
+ * begin anew.
  *
  * <p>Older callers do not name the attempt that began their stream, so that no record can be found. They go on under the same
  * condition. Used on the event loop only.
@@ -40,7 +44,9 @@
     private final RunContext context;
     private final SharedOrigins origins;
     private final BuildHistory builds;
+    private final RouteHistory routes = new RouteHistory();
     private @Nullable KindFreshness endpoints;
+    private @Nullable KindFreshness desiredState;
 
     TakenUpStreams(RunContext context, SharedOrigins origins, BuildHistory builds) {
         this.context = context;
@@ -53,6 +59,16 @@
         endpoints = knownEndpoints;
     }
 
+    /** Sets the source that states how current the known desired state is. */
+    void desiredState(KindFreshness knownState) {
+        desiredState = knownState;
+    }
+
+    /** Records a desired state that comes into force. */
+    void record(RouteTable table, long window) {
+        routes.record(table, window, context.now());
+    }
+
     /** Calls {@code goOn} with where the stream may go on, or refuses the request. */
     void locate(Exchange exchange, RouteRule route, Consumer<StreamOrigin> goOn) {
         String begunBy = exchange.facts().begunBy();
@@ -88,40 +104,50 @@
             refuse(exchange, route, why, finding);
             return;
         }
-        refresh(known, exchange, () -> {
-            Optional<String> only = provedSince(known, exchange)
-                    ? builds.onlyBuild(services.get(0), windowNanos(route), context.now())
-                    : Optional.empty();
-            only.ifPresentOrElse(
-                    build -> goOn(
-                            exchange,
-                            route,
-                            named ? "only-build" : "not-named",
-                            finding,
-                            StreamOrigin.atBuild(services.get(0), build),
-                            goOn),
-                    () -> refuse(exchange, route, why, finding));
-        });
+        known.refreshSince(
+                exchange::ageMillis,
+                proved -> proveRoutes(exchange, proved, allProved -> {
+                    String service = services.get(0);
+                    Optional<String> only = allProved ? onlyBuild(exchange, route, service) : Optional.empty();
+                    only.ifPresentOrElse(
+                            build -> goOn(
+                                    exchange,
+                                    route,
+                                    named ? "only-build" : "not-named",
+                                    finding,
+                                    StreamOrigin.atBuild(service, build),
+                                    goOn),
+                            () -> refuse(exchange, route, why, finding));
+                }));
     }
 
-    /** Asks for the newest list; once more if the answer is to a question from before the request arrived. */
-    private static void refresh(KindFreshness known, Exchange exchange, Runnable refreshed) {
-        Runnable unlessEnded = () -> {
+    /** Asks for the newest desired state, too: it may lead to other services, where other entries have begun streams. */
+    private void proveRoutes(Exchange exchange, boolean endpointsProved, Consumer<Boolean> proved) {
+        Consumer<Boolean> unlessEnded = routesProved -> {
             if (!exchange.ended()) {
-                refreshed.run();
+                proved.accept(endpointsProved && routesProved);
             }
         };
-        known.refresh(() -> {
-            if (provedSince(known, exchange)) {
-                unlessEnded.run();
-            } else {
-                known.refresh(unlessEnded);
-            }
-        });
+        KindFreshness state = desiredState;
+        if (state == null || !endpointsProved) {
+            unlessEnded.accept(false);
+        } else {
+            state.refreshSince(exchange::ageMillis, unlessEnded);
+        }
     }
 
-    private static boolean provedSince(KindFreshness known, Exchange exchange) {
-        return known.ageMillis() <= exchange.ageMillis();
+    /** Returns the only build that has served any of the services to which the request's path led lately. */
+    private Optional<String> onlyBuild(Exchange exchange, RouteRule route, String service) {
+        String host = exchange.request().headers().get(HttpHeaderNames.HOST, "");
+        String target = exchange.request().uri();
+        long now = context.now();
+        long window = windowNanos(route);
+        if (routes.newest(host, target).filter(rule -> rule.leadsTo(service)).isEmpty()) {
+            return Optional.empty();
+        }
+        return builds.onlyBuild(service, window, now)
+                .filter(build -> routes.services(host, target, window, now).stream()
+                        .allMatch(other -> builds.noneBut(build, other, window, now)));
     }
 
     private static long windowNanos(RouteRule route) {
@@ -154,7 +180,7 @@
         KindFreshness known = endpoints;
         logger.atInfo().log(
                 "event=stream-taken-up request=%s begun_by=%s after=%s route=%s outcome=%s %s builds=%s"
-                        + " served=%s known_ms=%d list_age_ms=%d age_ms=%d",
+                        + " served=%s path_services=%s known_ms=%d list_age_ms=%d age_ms=%d",
                 exchange.facts().id(),
                 exchange.facts().begunBy(),
                 exchange.facts().resumesAfter(),
@@ -167,6 +193,11 @@
                 route.services().stream()
                         .flatMap(service -> builds.builds(service, windowNanos(route), context.now()).stream())
                         .toList(),
+                routes.services(
+                        exchange.request().headers().get(HttpHeaderNames.HOST, ""),
+                        exchange.request().uri(),
+                        windowNanos(route),
+                        context.now()),
                 TimeUnit.NANOSECONDS.toMillis(builds.knownNanos(context.now())),
                 known == null ? 0 : known.ageMillis(),
                 exchange.ageMillis());
