--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -95,6 +95,7 @@
             return;
         }
         routes = table;
+        takenUpStreams.record(table, takeUpWindowNanos());
         context.services(table.services());
         allowances.update(table.access());
         logger.atInfo().log(
@@ -110,6 +111,7 @@
     public void knowledge(KindFreshness desiredState) {
         knowledge = desiredState;
         proof.start(desiredState);
+        takenUpStreams.desiredState(desiredState);
     }
 
     /** Returns what decides on requests to endpoints that state limits. */
@@ -140,6 +142,7 @@
     /** Sets the source that states how current the known endpoints are. */
     public void endpointKnowledge(KindFreshness endpoints) {
         takenUpStreams.knowledge(endpoints);
+        builds.knowledge(endpoints);
     }
 
     /** Applies settings that were read again. */
