Streams go on at their build after all entries were killed at once

While two builds of a service served and all entries were killed, every stream that its caller took up again by name was refused until the caller gave up: the records of where streams began are in the memory of the entries, and were gone.

While several builds of a service serve, or have within the window of a take-up, each entry now writes the origins of its streams to the platform's store, in batches (kind quetzalseam-origins, an object an entry). An entry that finds no record in memory and whose service had several builds reads the objects of all entries before it refuses: one list for all that wait. A note is true for good, also in an older copy of the store. The log line stream-taken-up states outcome=noted and the entry that noted it. With one build there is no call.

--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -32,6 +32,7 @@
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.KindFreshness;
 import org.quetzalseam.gateway.store.ObjectStore;
+import org.quetzalseam.gateway.stream.NotedOrigins;
 import org.quetzalseam.gateway.stream.SharedBuilds;
 import org.quetzalseam.gateway.stream.SharedOrigins;
 
@@ -59,6 +60,7 @@
     private final SharedOrigins origins;
     private final TakenUpStreams takenUpStreams;
     private final SharedBuilds builds;
+    private final NotedOrigins notedOrigins;
     private final WaitingRequests earlyRequests;
     private final WaitingRequests requestsInDoubt;
     private final WaitingRequests keysInDoubt;
@@ -78,7 +80,10 @@
         this.context = new RunContext(timers, protocol, directory, settings, metrics, peers);
         this.origins = new SharedOrigins(timers, peers);
         this.builds = new SharedBuilds(timers, directory.buildHistory(), this::takeUpWindowNanos);
-        this.takenUpStreams = new TakenUpStreams(context, origins, directory.buildHistory());
+        this.notedOrigins =
+                new NotedOrigins(timers, directory.buildHistory(), this::takeUpWindowNanos, settings.name());
+        origins.noteIn(notedOrigins);
+        this.takenUpStreams = new TakenUpStreams(context, origins, notedOrigins, directory.buildHistory());
         this.accessControl = accessControl;
         this.allowances = allowances;
         this.proof = new SharedProof(timers, peers, this::version, this::requiresKeys);
@@ -137,6 +142,11 @@
         return builds;
     }
 
+    /** Returns where streams began, as the entries note it in the store. */
+    public NotedOrigins notedOrigins() {
+        return notedOrigins;
+    }
+
     /** Sets the source that states how current the known endpoints are. */
     public void endpointKnowledge(KindFreshness endpoints) {
         takenUpStreams.knowledge(endpoints);
@@ -151,6 +161,7 @@
     public void entries(EntryCount counted) {
         context.entries(counted);
         builds.rank(counted.rank());
+        notedOrigins.entries(counted.entries());
     }
 
     /** Returns what this entry knows of the desired state from the store itself. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/TakenUpStreams.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/TakenUpStreams.java
@@ -11,13 +11,15 @@
 import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.store.KindFreshness;
+import org.quetzalseam.gateway.stream.NotedOrigins;
 import org.quetzalseam.gateway.stream.OriginFinding;
 import org.quetzalseam.gateway.stream.SharedOrigins;
 
 /**
  * Decides where streams go on that callers take up. A stream goes on at the service and build that began it, as the entries' records
  * state. Without a record, it goes on only if one build has served the service for as long as a stream may last, by a list of
- * the endpoints that is proved to be as recent as the request; else the caller is refused and may begin anew.
+ * the endpoints that is proved to be as recent as the request, or where an entry has noted in the store; else the caller is refused
+ * and may begin anew.
  *
  * <p>Older callers do not name the attempt that began their stream, so that no record can be found. They go on under the same
  * condition. Used on the event loop only.
@@ -39,12 +41,14 @@
 
     private final RunContext context;
     private final SharedOrigins origins;
+    private final NotedOrigins notes;
     private final BuildHistory builds;
     private @Nullable KindFreshness endpoints;
 
-    TakenUpStreams(RunContext context, SharedOrigins origins, BuildHistory builds) {
+    TakenUpStreams(RunContext context, SharedOrigins origins, NotedOrigins notes, BuildHistory builds) {
         this.context = context;
         this.origins = origins;
+        this.notes = notes;
         this.builds = builds;
     }
 
@@ -85,7 +89,7 @@
         KindFreshness known = endpoints;
         List<String> services = route.services();
         if (known == null || services.size() != 1) {
-            refuse(exchange, route, why, finding);
+            locateByNotes(exchange, route, why, finding, goOn);
             return;
         }
         refresh(known, exchange, () -> {
@@ -100,7 +104,30 @@
                             finding,
                             StreamOrigin.atBuild(services.get(0), build),
                             goOn),
-                    () -> refuse(exchange, route, why, finding));
+                    () -> locateByNotes(exchange, route, why, finding, goOn));
+        });
+    }
+
+    /** Decides by what the entries have noted in the store, which is all that is left after all of them were killed. */
+    private void locateByNotes(
+            Exchange exchange, RouteRule route, String why, OriginFinding finding, Consumer<StreamOrigin> goOn) {
+        String begunBy = exchange.facts().begunBy();
+        if (begunBy == null) {
+            refuse(exchange, route, why, finding);
+            return;
+        }
+        notes.find(begunBy, noted -> {
+            Optional<StreamOrigin> origin = noted.origin();
+            if (exchange.ended()) {
+                return;
+            }
+            if (origin.isEmpty()) {
+                refuse(exchange, route, why, finding);
+            } else if (route.leadsTo(origin.get().service())) {
+                goOn(exchange, route, "noted", noted, origin.get(), goOn);
+            } else {
+                refuse(exchange, route, OTHER_SERVICE, noted);
+            }
         });
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/SharedOrigins.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/SharedOrigins.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.core.stream.StreamOrigins;
 import org.quetzalseam.gateway.peer.OriginKeeper;
@@ -27,6 +28,7 @@
     private final Timers timers;
     private final Peers peers;
     private final StreamOrigins origins = new StreamOrigins();
+    private @Nullable NotedOrigins notes;
     /** Copies of the records that this entry made, oldest first. */
     private final Map<String, OriginCopies> copies = new LinkedHashMap<>();
 
@@ -38,6 +40,11 @@
         peers.onLost(this::replaceCopies);
     }
 
+    /** Has the records that this entry makes noted in the store too. */
+    public void noteIn(NotedOrigins noted) {
+        notes = noted;
+    }
+
     /**
      * Records where an attempt began a stream, and tells other entries.
      *
@@ -47,6 +54,9 @@
      */
     public void record(String attempt, StreamOrigin origin, long keepMillis) {
         keep(attempt, origin, keepMillis);
+        if (notes != null) {
+            notes.record(attempt, origin, keepMillis);
+        }
         copy(attempt, origin, timers.now() + TimeUnit.MILLISECONDS.toNanos(keepMillis));
     }
 
