--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/NotedOriginSearch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/NotedOriginSearch.java
@@ -8,13 +8,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.store.UnreadableException;
 import org.quetzalseam.core.stream.NotedOrigin;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectFaults;
 import org.quetzalseam.gateway.store.ObjectPage;
 import org.quetzalseam.gateway.store.ObjectStore;
 import org.quetzalseam.gateway.store.StoredObject;
-import org.quetzalseam.gateway.store.UnreadableException;
 
 /**
  * Searches the notes of all entries for the origins of streams. One list answers all questions that wait when it begins; it is read
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/NotedOriginSweep.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/NotedOriginSweep.java
@@ -6,11 +6,11 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.core.store.UnreadableException;
 import org.quetzalseam.core.stream.NotedOrigin;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectStore;
 import org.quetzalseam.gateway.store.StoredObject;
-import org.quetzalseam.gateway.store.UnreadableException;
 
 /**
  * Empties the notes of entries once the streams in them have expired, also those of entries that are gone. Some entries drawn at random
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/NotedOrigins.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/NotedOrigins.java
@@ -7,6 +7,7 @@
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.store.StorePosition;
+import org.quetzalseam.core.store.UnreadableException;
 import org.quetzalseam.core.stream.BuildHistory;
 import org.quetzalseam.core.stream.NotedOrigin;
 import org.quetzalseam.core.stream.OriginNotes;
@@ -15,7 +16,6 @@
 import org.quetzalseam.gateway.store.ObjectStore;
 import org.quetzalseam.gateway.store.StoreFailure;
 import org.quetzalseam.gateway.store.StoredObject;
-import org.quetzalseam.gateway.store.UnreadableException;
 
 /**
  * Notes in the platform's store where this entry's streams began, while several builds of a service serve, so that the streams can go
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/OriginsObject.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/OriginsObject.java
@@ -49,7 +49,7 @@
     /**
      * Parses the content of the object.
      *
-     * @throws org.quetzalseam.gateway.store.UnreadableException if no entry can have written it
+     * @throws org.quetzalseam.core.store.UnreadableException if no entry can have written it
      */
     static List<NotedOrigin> of(JsonNode spec) {
         List<NotedOrigin> notes = new ArrayList<>();
