A second copy of a service's answer is not the answer to the next call

What callers of quetzalseamd saw: an idempotent call got the answer of the call before on its connection, its status with another answer's body, or a body joined of both (MIXED).

Cause: idempotent calls share kept connections, answers carry no id, and bytes that belong to no call were kept by the decoder until the next answer.

Change: connections to services are read by ReplyDecoder, so that parts of two answers are never joined, and a connection with any byte that belongs to no call is closed. Each request carries Quetzalseam-Call-Id, new for each sending, which services are asked to echo. A connection is used again only if the answer echoed it, and a later answer with another id, several or none fails the call as NO_ANSWER: its outcome is unknown, not "not run". The header is not forwarded to or from callers. The stand-ins echo it.

Why it holds: the true answer begins with its status line, so a cut copy before it is told by ReplyDecoder, and a whole copy, or one cut in its body, by the id in its head. The first answer on a connection can only be that of its only call.

Cost: a service that does not echo gets a connection for each idempotent call, as other calls have already. A copy on a kept connection fails the call that it arrives for. One random UUID for each call.

--- a/daemon/src/main/java/org/quetzalseam/daemon/service/HttpServiceClient.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/HttpServiceClient.java
@@ -20,6 +20,7 @@
             "expect",
             "host",
             "keep-alive",
+            "quetzalseam-call-id",
             "te",
             "trailer",
             "transfer-encoding",
--- a/daemon/src/main/java/org/quetzalseam/daemon/service/SendOnceClient.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/SendOnceClient.java
@@ -12,16 +12,17 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.Deque;
 import java.util.Set;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.Future;
@@ -31,13 +32,14 @@
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.daemon.HttpClients;
 import org.quetzalseam.daemon.service.ServiceException.Code;
+import org.quetzalseam.http.ReplyDecoder;
 import org.quetzalseam.wire.message.Call;
 import org.quetzalseam.wire.runtime.Service;
 import org.quetzalseam.wire.runtime.Threads;
 
 /**
- * Makes HTTP calls and never repeats one. An idempotent call may use a connection that an earlier one has left open; any other
- * call has a connection of its own. Thread-safe.
+ * Makes HTTP calls and never repeats one. An idempotent call may use a connection that an earlier one has left open, if the service
+ * echoes the ids of calls; any other call has a connection of its own. Thread-safe.
  *
  * <p>The JDK's client cannot do this. It keeps a connection open unless the answer announces that it will be closed,
  * whatever the request asked for: a call that is then sent while the service closes the connection gets no answer
@@ -122,6 +124,7 @@
                 Unpooled.wrappedBuffer(call.body()));
         HttpServiceClient.forwardedHeaders(call).forEach(request.headers()::set);
         request.headers().set(HttpHeaderNames.HOST, host);
+        request.headers().set(ServiceConnection.CALL_ID, UUID.randomUUID().toString());
         if (call.body().length > 0 || METHODS_WITH_BODY.contains(call.method())) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
         }
@@ -132,8 +135,9 @@
     }
 
     private void connect(FullHttpRequest request, CompletableFuture<ServiceAnswer> answer, boolean reusable) {
+        ReplyDecoder decoder = new ReplyDecoder(DECODER_CONFIG);
         ServiceConnection connection =
-                new ServiceConnection(reusable ? idle::addLast : ServiceConnection::close, idle::remove);
+                new ServiceConnection(decoder, reusable ? idle::addLast : ServiceConnection::close, idle::remove);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -143,7 +147,8 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
-                                .addLast(new HttpClientCodec(DECODER_CONFIG, false, false))
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(decoder)
                                 .addLast(connection);
                     }
                 });
--- a/daemon/src/main/java/org/quetzalseam/daemon/service/ServiceConnection.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/ServiceConnection.java
@@ -16,6 +16,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -23,14 +24,22 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.daemon.service.ServiceException.Code;
+import org.quetzalseam.http.ReplyDecoder;
 
 /**
  * A connection to a service that carries one call at a time. An answer counts only if it is whole: a connection that ends within a head,
  * or before the end that the head states, fails the call. Used on its event loop only, except where stated otherwise.
+ *
+ * <p>A faulty service may send an answer twice. The connection is used again only if the answer echoed the call's id, and an answer to
+ * a later call counts only if it does, too. Data that belongs to no call closes the connection.
  */
 // A write or close that fails is reported through the channel's pipeline, where it is handled.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class ServiceConnection extends ChannelInboundHandlerAdapter {
+    /** The header with the id of a sending, which the service is asked to echo. */
+    static final String CALL_ID = "Quetzalseam-Call-Id";
+
+    private final ReplyDecoder decoder;
     private final Consumer<ServiceConnection> onIdle;
     private final Consumer<ServiceConnection> onClosed;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -39,10 +48,19 @@
     private @Nullable ChannelFuture written;
     private @Nullable HttpResponse head;
     private @Nullable ServiceAnswer received;
+    private String callId = "";
+    private boolean usedBefore;
     private boolean skipping;
 
-    /** Creates a connection; {@code onIdle} is called when it could carry another call, {@code onClosed} when it has closed. */
-    ServiceConnection(Consumer<ServiceConnection> onIdle, Consumer<ServiceConnection> onClosed) {
+    /**
+     * Creates a connection.
+     *
+     * @param decoder decodes the connection's answers
+     * @param onIdle called when the connection could carry another call
+     * @param onClosed called when the connection has closed
+     */
+    ServiceConnection(ReplyDecoder decoder, Consumer<ServiceConnection> onIdle, Consumer<ServiceConnection> onClosed) {
+        this.decoder = decoder;
         this.onIdle = onIdle;
         this.onClosed = onClosed;
     }
@@ -85,6 +103,8 @@
                 close();
             }
         });
+        decoder.expectReplyTo(request.method());
+        callId = request.headers().get(CALL_ID, "");
         head = null;
         body.reset();
         written = opened.writeAndFlush(request);
@@ -111,8 +131,7 @@
                 return;
             }
             if (message instanceof HttpResponse response) {
-                skipping = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-                head = skipping ? head : response;
+                receiveHead(response);
             }
             if (message instanceof HttpContent content) {
                 receive(content);
@@ -122,6 +141,27 @@
         }
     }
 
+    private void receiveHead(HttpResponse response) {
+        skipping = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (skipping) {
+            decoder.skipMessage();
+            return;
+        }
+        boolean withoutId = !response.headers().contains(CALL_ID);
+        if (echoesId(response) || (withoutId && !usedBefore)) {
+            head = response;
+        } else {
+            fail(
+                    "expected the answer to call " + callId + ", found "
+                            + response.headers().getAll(CALL_ID),
+                    null);
+        }
+    }
+
+    private boolean echoesId(HttpResponse response) {
+        return response.headers().getAll(CALL_ID).equals(List.of(callId));
+    }
+
     private void receive(HttpContent content) throws IOException {
         HttpResponse whole = head;
         boolean last = content instanceof LastHttpContent;
@@ -167,13 +207,20 @@
         CompletableFuture<ServiceAnswer> waiting = answer;
         ServiceAnswer whole = received;
         HttpResponse wholeHead = head;
+        if (waiting == null && !decoder.betweenMessages()) {
+            // The beginning of data that belongs to no call.
+            close();
+        }
         if (waiting == null || whole == null || wholeHead == null) {
             return;
         }
         answer = null;
         received = null;
+        usedBefore = true;
         if (HttpUtil.isKeepAlive(wholeHead)
                 && isDelimited(wholeHead)
+                && echoesId(wholeHead)
+                && decoder.betweenMessages()
                 && requestWritten()
                 && ctx.channel().isActive()) {
             onIdle.accept(this);
--- a/standins/src/main/java/org/quetzalseam/standins/ServiceStandIn.java
+++ b/standins/src/main/java/org/quetzalseam/standins/ServiceStandIn.java
@@ -100,6 +100,10 @@
         if (breaksOff) {
             throw new IOException("broken off on purpose");
         }
+        String callId = exchange.getRequestHeaders().getFirst("Quetzalseam-Call-Id");
+        if (callId != null) {
+            exchange.getResponseHeaders().set("Quetzalseam-Call-Id", callId);
+        }
         ObjectNode answer = StandInServer.JSON.createObjectNode();
         answer.put("method", exchange.getRequestMethod())
                 .put("path", exchange.getRequestURI().toString())
--- a/standins/src/main/java/org/quetzalseam/standins/raw/RawConnection.java
+++ b/standins/src/main/java/org/quetzalseam/standins/raw/RawConnection.java
@@ -20,6 +20,7 @@
     private final InputStream in;
     private int bytesBeforeCut = NO_CUT;
     private End cutEnd = End.CLOSED;
+    private @Nullable String callId;
 
     RawConnection(Socket socket) throws IOException {
         this.socket = socket;
@@ -43,6 +44,7 @@
                     header.substring(colon + 1).strip());
             header = readLine();
         }
+        callId = headers.get("quetzalseam-call-id");
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
         String[] parts = requestLine.split(" ", -1);
@@ -78,12 +80,15 @@
         }
     }
 
-    /** Writes a complete reply with its Content-Length; each header is a line without the line break. */
+    /** Writes a complete reply with its Content-Length and the call's id, if any; each header is a line without the line break. */
     public void reply(int status, String body, String... headers) throws IOException {
         StringBuilder head = new StringBuilder("HTTP/1.1 " + status + (status == 200 ? " OK" : " Other") + "\r\n");
         for (String header : headers) {
             head.append(header).append("\r\n");
         }
+        if (callId != null) {
+            head.append("Quetzalseam-Call-Id: ").append(callId).append("\r\n");
+        }
         int length = body.getBytes(StandardCharsets.UTF_8).length;
         write(head + "Content-Length: " + length + "\r\n\r\n" + body);
     }
