--- a/standins/src/main/java/org/quetzalseam/standins/ServiceStandIn.java
+++ b/standins/src/main/java/org/quetzalseam/standins/ServiceStandIn.java
@@ -97,6 +97,10 @@
         int length = exchange.getRequestBody().readAllBytes().length;
         String id = exchange.getRequestHeaders().getFirst("X-Business-Id");
         String path = exchange.getRequestURI().toString();
+        String callId = exchange.getRequestHeaders().getFirst("Quetzalseam-Call-Id");
+        if (callId != null) {
+            exchange.getResponseHeaders().set("Quetzalseam-Call-Id", callId);
+        }
         StandInServer.answer(exchange, 200, execute(exchange.getRequestMethod(), path, id, length));
     }
 
@@ -123,10 +127,6 @@
         if (breaksOff) {
             throw new IOException("broken off on purpose");
         }
-        String callId = exchange.getRequestHeaders().getFirst("Quetzalseam-Call-Id");
-        if (callId != null) {
-            exchange.getResponseHeaders().set("Quetzalseam-Call-Id", callId);
-        }
         ObjectNode answer = StandInServer.JSON.createObjectNode();
         answer.put("method", method)
                 .put("path", path)
