Each call to an engine or the store has a connection of its own

What quetzalseamd got wrong: a prefill got the KV handle of another request, and a read another object or an older list, and a 500 counted as a success (MIXED), if the engine or the store sent an answer again, whole or in part.

Cause: HttpEngine and HttpObjectStore used the JDK's client, which keeps connections and takes what arrives on one for the answer to the next call.

Change: OneCallClient, on Netty and ReplyDecoder, opens a connection for each call, states "Connection: close", and closes it at the end of the answer. It takes the JDK's requests and body handlers, so that its users keep their code. Parts of a body are handled one after the other by a cached pool, as before, because handlers may wait.

Why it holds: no connection carries a second call, so that a copy has no other call's answer to take the place of. A JDK client for each call was rejected: in Java 17 a client can't be closed, and its selector thread stays until it is collected.

Evidence: RepeatedAnswerTest (prefill, read and list; each byte of the copy and the whole copy, lengths and chunks, 200 then 200 and 200 then 500, with the first answer and before the next). StreamedAnswerTest covers the order of a stream's parts.

Cost: a connection for each call; a long watch holds one, as before. A request's timeout now covers the whole answer, not only its head. A connection that can't be opened in time is told as NOT_RUN by the engine, no longer as FAILED.

--- a/daemon/src/main/java/org/quetzalseam/daemon/engine/HttpEngine.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/engine/HttpEngine.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
@@ -18,6 +17,7 @@
 import org.quetzalseam.daemon.HttpClients;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.engine.EngineException.Code;
+import org.quetzalseam.daemon.http.OneCallClient;
 
 /**
  * An engine over HTTP: completions in the usual JSON form with {@code request_id}, {@code priority} and
@@ -36,14 +36,14 @@
 
     private final URI completions;
     private final String requestsUrl;
-    private final HttpClient client;
+    private final OneCallClient client;
     private final Map<String, EventStreamParser> streams = new ConcurrentHashMap<>();
 
     /** Creates a client of the engine at a base address such as {@code http://127.0.0.1:9000}. */
     public HttpEngine(String base) {
         this.completions = URI.create(base + "/v1/completions");
         this.requestsUrl = base + "/v1/requests/";
-        this.client = HttpClients.create();
+        this.client = new OneCallClient(base);
     }
 
     private static ObjectNode body(EngineRequest request) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/package-info.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/package-info.java
@@ -1,4 +1,4 @@
-/** The HTTP server of the product's own processes. */
+/** The HTTP server of the product's own processes, and a client that uses each connection once. */
 @NullMarked
 package org.quetzalseam.daemon.http;
 
--- a/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
@@ -16,8 +15,8 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.quetzalseam.core.store.StorePosition;
-import org.quetzalseam.daemon.HttpClients;
 import org.quetzalseam.daemon.Json;
+import org.quetzalseam.daemon.http.OneCallClient;
 import org.quetzalseam.daemon.platform.StoreException.Code;
 import org.quetzalseam.wire.message.Role;
 import org.quetzalseam.wire.message.Vm;
@@ -40,13 +39,13 @@
     private static final int SERVER_ERROR = 500;
 
     private final String base;
-    private final HttpClient client;
+    private final OneCallClient client;
     private final StoreEraTracker era = new StoreEraTracker();
 
     /** Creates a client of the store at a base address such as {@code http://10.0.0.5:8001}. */
     public HttpObjectStore(String base) {
         this.base = base;
-        this.client = HttpClients.create();
+        this.client = new OneCallClient(base);
     }
 
     private HttpRequest.Builder request(String path, Duration timeout) {
