--- a/daemon/src/main/java/org/quetzalseam/daemon/engine/HttpEngine.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/engine/HttpEngine.java
@@ -36,13 +36,14 @@
 
     private final URI completions;
     private final String requestsUrl;
-    private final OneCallClient client = new OneCallClient();
+    private final OneCallClient client;
     private final Map<String, EventStreamParser> streams = new ConcurrentHashMap<>();
 
     /** Creates a client of the engine at a base address such as {@code http://127.0.0.1:9000}. */
     public HttpEngine(String base) {
         this.completions = URI.create(base + "/v1/completions");
         this.requestsUrl = base + "/v1/requests/";
+        this.client = new OneCallClient(base);
     }
 
     private static ObjectNode body(EngineRequest request) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/OneCallClient.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/OneCallClient.java
@@ -56,6 +56,17 @@
 
     private static final Executor HANDLERS = Executors.newCachedThreadPool(Threads.named("answer-handler"));
 
+    /**
+     * Creates a client of the server at a base address.
+     *
+     * @throws IllegalArgumentException if the address requires TLS
+     */
+    public OneCallClient(String base) {
+        if (!"http".equalsIgnoreCase(URI.create(base).getScheme())) {
+            throw new IllegalArgumentException("expected an address that begins with http://, found " + base);
+        }
+    }
+
     /** Makes a call and waits for its answer. */
     public <T> HttpResponse<T> send(HttpRequest request, BodyHandler<T> handler)
             throws IOException, InterruptedException {
@@ -106,9 +117,6 @@
     }
 
     private static InetSocketAddress address(URI uri) {
-        if (!"http".equalsIgnoreCase(uri.getScheme())) {
-            throw new IllegalArgumentException("expected an address that begins with http://, found " + uri);
-        }
         return new InetSocketAddress(uri.getHost(), uri.getPort() < 0 ? HTTP_PORT : uri.getPort());
     }
 
--- a/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
@@ -39,13 +39,14 @@
     private static final int SERVER_ERROR = 500;
 
     private final String base;
-    private final OneCallClient client = new OneCallClient();
+    private final OneCallClient client;
     private final StoreEraTracker era = new StoreEraTracker();
     private final VmItems vmItems = new VmItems();
 
     /** Creates a client of the store at a base address such as {@code http://10.0.0.5:8001}. */
     public HttpObjectStore(String base) {
         this.base = base;
+        this.client = new OneCallClient(base);
     }
 
     private HttpRequest.Builder request(String path, Duration timeout) {
