Pipelined requests are answered in the order of their arrival

What callers saw: with three requests or more in flight on a connection, the answer to the third where that to the second was due (MIXED); the refusal of the third in its place, while the second then ran (REFUSED); an answer in progress that was cut because the next request's body was refused for want of memory.

Cause: when an answer ends, the next waiting request begins in a task of its own; until then nothing was in progress, so that a request read in between was begun, or refused, ahead of those that waited. Class: a queue that is asked by the state of its head only.

Change: a request waits while others wait. A refusal behind waiting requests closes the connection after what has been written; the end of a refused body does not close the connection while an answer is in progress.

--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
@@ -182,8 +182,8 @@
         ByteBuf received = body;
         if (discarding || request == null || received == null) {
             content.release();
-            if (closingAtBodyEnd && content instanceof LastHttpContent) {
-                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            if (closingAtBodyEnd && content instanceof LastHttpContent && current == null) {
+                closeWhenWritten();
             }
             return;
         }
@@ -216,7 +216,8 @@
             exchange.discard();
             return;
         }
-        if (current != null) {
+        // The next waiting request begins in a task of its own, which one that arrives before it must not overtake.
+        if (current != null || !pipelined.isEmpty()) {
             pipelined.addLast(exchange);
             if (pipelined.size() >= MAX_PIPELINED) {
                 channel.config().setAutoRead(false);
@@ -312,6 +313,11 @@
             current.closeAfterAnswer();
             return;
         }
+        if (!pipelined.isEmpty()) {
+            // An answer now would be taken for that to the first waiting request, which has not begun.
+            closeWhenWritten();
+            return;
+        }
         DefaultFullHttpResponse answer = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 status,
@@ -327,6 +333,11 @@
         }
     }
 
+    private void closeWhenWritten() {
+        dropPipelined();
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         Exchange exchange = current;
