A copy of an earlier answer of the store does not confirm the renewal of a lease

Found by the review: no answer of the store states its call, and any success confirmed the renewal.

Change: a renewal counts only if the record that the store answers is the one that was sent, which no earlier answer holds, as its number rises.

Evidence: StageLeaseTest#aRenewalThatACopyOfAnEarlierAnswerSeemsToConfirmDoesNotCount failed before and passes now, StageLeaseTest 11 of 11.

--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
@@ -178,15 +178,19 @@
         callInFlight = true;
         long steadyNanos = timers.now();
         long wallMillis = timers.wallMillis();
+        LeaseRecord renewed = record.renewed();
         store.replace(
                 KIND,
                 service,
                 lease.position(),
-                record.renewed().toJson(),
+                renewed.toJson(),
                 object -> {
                     onRecord(object);
-                    lease.renewed(steadyNanos, wallMillis);
-                    confirmed.run();
+                    // Answers of the store state no request, so this one may be a copy of an earlier answer.
+                    if (lease.isHeld() && record.equals(renewed)) {
+                        lease.renewed(steadyNanos, wallMillis);
+                        confirmed.run();
+                    }
                 },
                 this::writeFailed);
     }
--- a/gateway/src/test/java/org/quetzalseam/gateway/stage/StageLeaseTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/StageLeaseTest.java
@@ -73,6 +73,22 @@
         assertThat(secondLease.held()).isFalse();
     }
 
+    // Guards against an entry ordering on the word of an earlier answer of the store, while another one holds the
+    // lease.
+    @Test
+    void aRenewalThatACopyOfAnEarlierAnswerSeemsToConfirmDoesNotCount() {
+        round(firstLease, secondLease);
+        round(firstLease, secondLease);
+        orders.set(0);
+        store.repeatLastWrite(true);
+        orderBy(firstLease);
+        assertThat(orders.get()).isZero();
+        store.repeatLastWrite(false);
+        round(firstLease, secondLease);
+        round(firstLease, secondLease);
+        assertThat(firstLease.held()).isTrue();
+    }
+
     @Test
     void aLeaseThatIsNotRenewedIsTakenOverUnderAHigherEpoch() {
         round(firstLease, secondLease);
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
@@ -12,6 +12,7 @@
 
 /** A store in memory that answers at once, unless a test makes it decline calls or lose the answers to writes. */
 public final class MemoryStore implements ObjectStore {
+    private boolean repeatingAnswers;
     private final Map<String, StoredObject> objects = new TreeMap<>();
     private StorePosition shown = StorePosition.NONE;
     private long era;
@@ -231,6 +232,12 @@
             failed.accept(new StoreFailure(StoreFailure.Kind.CONFLICT, "status 409"));
             return;
         }
-        written(put(kind, name, spec), done, failed);
+        StoredObject replaced = put(kind, name, spec);
+        written(repeatingAnswers ? present : replaced, done, failed);
+    }
+
+    /** Sets whether a replacement is answered by what the write before it was answered. */
+    public void repeatLastWrite(boolean now) {
+        repeatingAnswers = now;
     }
 }
