A second status line is told in each form that the decoder takes

Change: the scanner takes letters of either case and any blanks; a head without one status line in its form fails.

--- a/gateway/src/test/java/org/quetzalseam/gateway/http/SecondCopyTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/http/SecondCopyTest.java
@@ -22,6 +22,7 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalseam.http.ReplyDecoder;
 
 /**
@@ -118,6 +119,23 @@
         assertThat(mixed).isEmpty();
     }
 
+    // Guards against a second status line that passes for a part of the first one because it is spelled otherwise.
+    @ParameterizedTest
+    @ValueSource(strings = {"http/1.1 ", "Http/1.1 ", "HTTP/1.1  ", "HTTP/1.1\t"})
+    void theBeginningOfASecondCopyIsNotJoinedThoughItsStatusLineIsSpelledOtherwise(String spelling) {
+        for (int bytes = 1;
+                bytes < pair(200, 500, "sfi", "a length", true).first().length();
+                bytes++) {
+            Pair usual = pair(200, 500, "sfi", "a length", true);
+            Pair other =
+                    new Pair(spelling, usual.first(), usual.second().replace("HTTP/1.1 ", spelling), usual.withId());
+            String result = secondExchange(other, bytes, Moment.BEFORE_THE_NEXT_REPLY, new int[0]);
+            assertThat(isMixed(result, usual))
+                    .as("%s after byte %d", result, bytes)
+                    .isFalse();
+        }
+    }
+
     // Guards against a whole second copy being taken for the reply to another request.
     @ParameterizedTest
     @MethodSource("pairs")
@@ -135,7 +153,7 @@
     private static boolean isMixed(String result, Pair pair) {
         String status = pair.second().substring("HTTP/1.1 ".length(), "HTTP/1.1 500".length());
         boolean whole = result.equals(status + " of-second second");
-        // Without an id a body may be joined of both; no reader of such a reply takes that for a document.
+        // Without an id a body may be joined of both; such replies are read as JSON objects, which a joined one is not.
         boolean joinedBody = !pair.withId()
                 && result.startsWith("200 of-first! ")
                 && pair.first().startsWith("HTTP/1.1 200");
--- a/http/src/main/java/org/quetzalseam/http/ReplyDecoder.java
+++ b/http/src/main/java/org/quetzalseam/http/ReplyDecoder.java
@@ -77,12 +77,14 @@
             skipping = false;
             statusLines.reset();
         }
+        boolean isHead = false;
         int bodyBytes = 0;
         String problem = null;
         for (int index = decodedBefore; index < out.size(); index++) {
             Object decoded = out.get(index);
             if (decoded instanceof HttpResponse head) {
                 problem = problem(head);
+                isHead = head.decoderResult().isSuccess();
             }
             if (decoded instanceof HttpContent part) {
                 bodyBytes += part.content().readableBytes();
@@ -92,6 +94,8 @@
         statusLines.add(buffer, start, buffer.readerIndex() - (skipping ? 0 : bodyBytes));
         if (statusLines.count() > 1) {
             problem = "expected the end of a reply, found another status line";
+        } else if (isHead && statusLines.count() == 0) {
+            problem = "expected a status line such as HTTP/1.1 200, found another form";
         }
         if (problem != null) {
             buffer.skipBytes(buffer.readableBytes());
--- a/http/src/main/java/org/quetzalseam/http/StatusLineScanner.java
+++ b/http/src/main/java/org/quetzalseam/http/StatusLineScanner.java
@@ -2,10 +2,15 @@
 
 import io.netty.buffer.ByteBuf;
 
-/** Counts the status lines in a sequence of bytes, however the bytes are split. Not thread-safe. */
+/**
+ * Counts the status lines in a sequence of bytes, however the bytes are split. Like the decoder, it takes letters of either case and
+ * any number of blanks, because a line that only one of the two takes for a status line would go untold. Not thread-safe.
+ */
 final class StatusLineScanner {
-    /** The beginning of a status line; {@code 0} stands for any digit. */
-    private static final String PATTERN = "HTTP/0.0 000";
+    /** The beginning of a status line; {@code 0} stands for any digit, and a blank for one or more. */
+    private static final String PATTERN = "http/0.0 000";
+
+    private static final int AFTER_BLANK = PATTERN.indexOf(' ') + 1;
 
     private int matched;
     private int count;
@@ -31,9 +36,9 @@
     private void add(byte next) {
         if (matches(next, PATTERN.charAt(matched))) {
             matched++;
-        } else {
+        } else if (matched != AFTER_BLANK || !isBlank(next)) {
             // No other character of the pattern is its first one, so a match can only begin anew here.
-            matched = next == PATTERN.charAt(0) ? 1 : 0;
+            matched = matches(next, PATTERN.charAt(0)) ? 1 : 0;
         }
         if (matched == PATTERN.length()) {
             count++;
@@ -42,6 +47,15 @@
     }
 
     private static boolean matches(byte next, char expected) {
-        return expected == '0' ? next >= '0' && next <= '9' : next == expected;
+        return switch (expected) {
+            case '0' -> next >= '0' && next <= '9';
+            case ' ' -> isBlank(next);
+            default -> Character.toLowerCase((char) next) == expected;
+        };
+    }
+
+    /** Returns whether a byte is white space within a line: a blank, or a character from tab to carriage return except the line feed. */
+    private static boolean isBlank(byte next) {
+        return next == ' ' || (next >= '\t' && next <= '\r' && next != '\n');
     }
 }
