--- a/daemon/src/test/java/org/quetzalseam/daemon/http/RepeatedAnswerTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/http/RepeatedAnswerTest.java
@@ -72,8 +72,11 @@
                 HttpObjectStore store = new HttpObjectStore(base);
                 return id -> store.read(id).orElseThrow().name();
             });
+    private static final String VM =
+            "{\"name\":\"%s\",\"role\":\"entry\",\"zone\":\"z\",\"pool\":\"\",\"host\":\"127.0.0.1\","
+                    + "\"port\":1,\"operatorPort\":2,\"state\":\"live\"}";
     private static final Caller MEMBERS =
-            new Caller("members", "{\"metadata\":{\"resourceVersion\":12},\"items\":[{\"name\":\"%s\"}]}", base -> {
+            new Caller("members", "{\"metadata\":{\"resourceVersion\":12},\"items\":[" + VM + "]}", base -> {
                 HttpObjectStore store = new HttpObjectStore(base);
                 return id -> store.members(0, Duration.ZERO).vms().get(0).name();
             });
