Requests that share an id open no more connections to an endpoint than it accepts

Callers saw: nothing, until the entry had no descriptor left; then 503 from then on, also for ordinary callers, since the JVM remembers that a class could not be loaded. Cause: a connection carries an id only once. While an idle connection existed, a request counted as one that has a free connection, though none of the idle ones had not carried its id, and opened one more. Fix: at the maximum, the connection that has been idle for longest is closed before another one is opened.

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -193,6 +193,10 @@
             call.begin(reused);
             return call;
         }
+        if (connections.open() + controlConnections.open() >= maxConnections) {
+            // None of the idle ones suits this request, which would otherwise add one to the maximum.
+            connections.closeLongestIdle();
+        }
         openConnection(call);
         return call;
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/KeptConnections.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/KeptConnections.java
@@ -103,6 +103,14 @@
         return Math.max(timeoutNanos - IDLE_TIMEOUT_MARGIN_NANOS, timeoutNanos / 2);
     }
 
+    /** Closes the connection that has been idle for longest, if there is one. */
+    void closeLongestIdle() {
+        HttpConnection longest = idle.pollLast();
+        if (longest != null) {
+            longest.abort();
+        }
+    }
+
     /** Closes the idle connections; those in use continue. */
     void closeIdle() {
         List.copyOf(idle).forEach(HttpConnection::abort);
--- a/gateway/src/test/java/org/quetzalseam/gateway/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/ScriptedEndpoint.java
@@ -46,6 +46,11 @@
         return server.connections();
     }
 
+    /** Returns the number of connections that are open now. */
+    int openConnections() {
+        return server.openConnections();
+    }
+
     List<RawRequest> requests() {
         return requests;
     }
--- a/standins/src/main/java/org/quetzalseam/standins/raw/RawServer.java
+++ b/standins/src/main/java/org/quetzalseam/standins/raw/RawServer.java
@@ -57,6 +57,11 @@
         return accepted.get();
     }
 
+    /** Returns the number of connections that are open now. */
+    public int openConnections() {
+        return open.size();
+    }
+
     /** Resets all connections. */
     public void resetAll() {
         open.forEach(RawConnection::reset);
