--- a/http/src/main/java/org/quetzalseam/http/package-info.java
+++ b/http/src/main/java/org/quetzalseam/http/package-info.java
@@ -1,4 +1,4 @@
-/** Which bytes of a kept HTTP connection are the reply to the request in progress. */
+/** How HTTP connections are read: which bytes are the reply to the request in progress, and one request after the other. */
 @NullMarked
 package org.quetzalseam.http;
 
