--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerCodec.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.CorruptedFrameException;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.MessageToByteEncoder;
 import io.netty.handler.codec.MessageToMessageDecoder;
 import java.io.IOException;
@@ -24,10 +23,6 @@
  * and the rest of the message's components.
  */
 final class PeerCodec {
-    /** Longest message, in bytes; the longest ones tell of crashes, with all parts of the prompts that were lost. */
-    private static final int MAX_FRAME_BYTES = 16_384;
-
-    private static final int LENGTH_BYTES = 2;
     private static final int ASK = 1;
     private static final int GRANT = 2;
     private static final int ASK_STATE = 3;
@@ -50,9 +45,11 @@
     private PeerCodec() {}
 
     static void addTo(ChannelPipeline pipeline) {
-        pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
-                .addLast(new Decoder())
-                .addLast(new Encoder());
+        addTo(pipeline, new MessageFrames());
+    }
+
+    static void addTo(ChannelPipeline pipeline, MessageFrames frames) {
+        pipeline.addLast(frames).addLast(new Decoder()).addLast(new Encoder());
     }
 
     private static final class Decoder extends MessageToMessageDecoder<ByteBuf> {
@@ -128,7 +125,7 @@
         @Override
         protected void encode(ChannelHandlerContext ctx, PeerMessage message, ByteBuf out) throws IOException {
             int start = out.writerIndex();
-            out.writeZero(LENGTH_BYTES);
+            out.writeZero(MessageFrames.LENGTH_BYTES);
             try (MessagePacker packer = MessagePack.newDefaultPacker(new ByteBufOutputStream(out))) {
                 if (message instanceof PeerMessage.Ask ask) {
                     packer.packArrayHeader(4).packInt(ASK).packLong(ask.id());
@@ -163,7 +160,7 @@
                     encodeOrigins(message, packer);
                 }
             }
-            out.setShort(start, out.writerIndex() - start - LENGTH_BYTES);
+            out.setShort(start, out.writerIndex() - start - MessageFrames.LENGTH_BYTES);
         }
 
         /** Encodes a message about places. Returns false if it is another one. */
