Status checks and metrics are answered one at a time, once the answer before is written

Callers saw: no answer for 30 s and more (eight clients at the metrics page), or few (at the path that says ready). Cause: each request was answered when it was read, into a buffer without bound; there was no limit of time or of connections. Fix: the next request of a connection is decoded when the answer has been written; each address has a limit of connections, of which the one whose last answer was read longest ago gives way, so that a new status check gets in; without an answer read for 60 s a connection is closed.

--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -14,6 +14,7 @@
 import org.quetzalseam.gateway.entry.EntryCount;
 import org.quetzalseam.gateway.entry.EntryList;
 import org.quetzalseam.gateway.entry.EntryListener;
+import org.quetzalseam.gateway.http.ConnectionLimits;
 import org.quetzalseam.gateway.http.Connector;
 import org.quetzalseam.gateway.operator.GatewayMetrics;
 import org.quetzalseam.gateway.operator.OperatorServer;
@@ -59,8 +60,14 @@
         this(protocol, settings, AccessSettings.DEFAULT);
     }
 
-    /** Creates an entry that listens nowhere until {@link #start} is called. */
+    /** Creates an entry with the default limits on connections. It listens nowhere until {@link #start} is called. */
     public EntryProcess(Protocol protocol, EntrySettings settings, AccessSettings accessSettings) {
+        this(protocol, settings, accessSettings, ConnectionLimits.ofProcess());
+    }
+
+    /** Creates an entry that listens nowhere until {@link #start} is called. */
+    public EntryProcess(
+            Protocol protocol, EntrySettings settings, AccessSettings accessSettings, ConnectionLimits limits) {
         firstStart = settings.firstStart();
         group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
         loop = group.next();
@@ -80,8 +87,10 @@
                 router.crashListener(),
                 router.endpointLimits());
         peerServer.places(router.dispatchers().issuer());
-        callerServer = new CallerServer(loop, protocol, router::limits, router::route);
-        operatorServer = new OperatorServer(loop, () -> router.ready() && !draining);
+        peerServer.limit(limits, metrics::limitReached);
+        callerServer =
+                CallerServer.limited(loop, protocol, router::limits, router::route, limits, metrics::limitReached);
+        operatorServer = new OperatorServer(loop, () -> router.ready() && !draining, limits, metrics::limitReached);
     }
 
     /** Returns the timers of the event loop that everything runs on. */
@@ -124,6 +133,8 @@
         metrics.gauge("quetzalseam.requests.in.progress", callerServer::inProgress);
         metrics.gauge("quetzalseam.caller.connections", callerServer::connections);
         metrics.gauge("quetzalseam.bodies.kept.bytes", callerServer::bodyBytes);
+        metrics.gauge("quetzalseam.connections.held.bytes", callerServer::heldBytes);
+        metrics.gauge("quetzalseam.heads.kept.bytes", callerServer::headBytes);
         metrics.gauge("quetzalseam.desired.state.version", router::version);
         metrics.gauge("quetzalseam.memory.used.bytes", EntryProcess::memoryUsed);
         metrics.gauge("quetzalseam.loop.delay.ms", () -> loopDelayMillis);
--- a/gateway/src/main/java/org/quetzalseam/gateway/operator/GatewayMetrics.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/operator/GatewayMetrics.java
@@ -144,6 +144,11 @@
         count("quetzalseam.places", "service", service, "decision", decision);
     }
 
+    /** Counts what a limit on connections or their memory has closed or refused; limits are of a fixed set. */
+    public void limitReached(String limit) {
+        count("quetzalseam.limits.reached", "entry", "all", "limit", limit);
+    }
+
     /** Registers a gauge, whose value is read whenever the metrics are requested. */
     public void gauge(String metric, Supplier<Number> value) {
         Gauge.builder(metric, value).strongReference(true).register(registry);
