Callers that don't read their answers can't fill an entry's memory

Callers saw: no answer; the process ended with OutOfMemoryError. Cause: reading stopped at 8 waiting requests, but all requests of one read were decoded and kept, and each answer that had been written turned reading on again whatever waited. Heads were kept as objects line by line, without a bound over all connections, and so were unread answers. Fix: RequestDecoder, one request a connection; heads of requests in progress have a budget, beyond which a request is refused as not run (503, Retry-After); what all connections hold undecoded or unread has a budget, beyond which the one that holds most for longest is closed; the number of connections has a limit that follows from the descriptors, beyond which the one without a whole request for longest is closed.

--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -20,28 +21,28 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.http.HeadMemory;
+import org.quetzalseam.http.RequestDecoder;
 
 /**
  * A caller's connection. Each request is read completely before it is routed, and requests are answered one after the other.
  * Used on its event loop only.
  *
  * <p>It keeps reading while an answer is in progress, because only then does it notice at once that the caller has
- * disconnected.
+ * disconnected; what it reads meanwhile is decoded when the answer has been written.
  */
 // A write or close that fails is reported through the channel's pipeline, where it is handled.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** Pipelined requests that may wait behind the one in progress; at this number reading stops until one is answered. */
-    private static final int MAX_PIPELINED = 8;
+    /** Added to the time without progress when connections are compared by what they hold, so that what has just arrived counts too. */
+    private static final long LEAST_HELD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final CallerServer server;
-    private final Deque<Exchange> pipelined = new ArrayDeque<>();
     private final Channel channel;
+    private final RequestDecoder decoder;
     private @Nullable Exchange current;
     private @Nullable HttpRequest head;
     private @Nullable ByteBuf body;
@@ -50,15 +51,24 @@
     private boolean closingAtBodyEnd;
     /** Bytes reserved for the body that is being received. */
     private long reserved;
+    /** Bytes reserved for the head of the request that is being received. */
+    private long reservedHead;
+    /** Bytes that have been received and not decoded, or written and not read, when they were measured last. */
+    private long held;
+
+    private long unread;
+    private long progressAt;
 
     private boolean processStopping;
     private final long openedAt = System.nanoTime();
     private long idleSince = openedAt;
     private boolean receiving;
 
-    CallerConnection(CallerServer server, Channel channel) {
+    CallerConnection(CallerServer server, Channel channel, RequestDecoder decoder) {
         this.server = server;
         this.channel = channel;
+        this.decoder = decoder;
+        this.progressAt = openedAt;
     }
 
     @Override
@@ -84,9 +94,6 @@
             closeIfAnswerUnread(exchange, now);
             return;
         }
-        if (!pipelined.isEmpty()) {
-            return;
-        }
         long limitMillis =
                 receiving ? server.limits().headerMillis() : server.limits().idleMillis();
         if (now - idleSince > TimeUnit.MILLISECONDS.toNanos(limitMillis)) {
@@ -99,21 +106,76 @@
     private void closeIfAnswerUnread(Exchange exchange, long now) {
         long limit = TimeUnit.MILLISECONDS.toNanos(server.limits().idleMillis());
         if (exchange.ended() && now - exchange.endedAt() > limit) {
+            logger.atInfo().log(
+                    "event=answer-unread request=%s %s", exchange.facts().id(), describeHeld(now));
             channel.close();
         }
     }
 
     /** Returns whether no request has been in progress, waiting or being received for longer than the given time. */
     boolean idleFor(long nanos, long now) {
-        boolean idle = current == null && pipelined.isEmpty() && !receiving && head == null;
+        boolean idle = !busy() && !receiving && head == null;
         return idle && now - idleSince > nanos;
     }
 
+    /** Returns whether a request is in progress. */
+    boolean busy() {
+        return current != null;
+    }
+
+    /** Returns since when no request has been in progress, in monotonic nanoseconds. */
+    long idleSince() {
+        return idleSince;
+    }
+
+    long idleMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSince);
+    }
+
+    /** Returns what the connection held when it was measured last, in bytes. */
+    long held() {
+        return held;
+    }
+
+    /** Measures what the connection holds. Returns by how much that has changed, in bytes. */
+    long measureHeld() {
+        ChannelOutboundBuffer written = channel.unsafe().outboundBuffer();
+        long before = held;
+        long unreadBefore = unread;
+        unread = written == null ? 0 : written.totalPendingWriteBytes();
+        held = decoder.undecodedBytes() + unread;
+        if (unread < unreadBefore || before == 0) {
+            progressAt = System.nanoTime();
+        }
+        return held - before;
+    }
+
+    /** Returns what the connection holds, and regards this as released. */
+    long takeHeld() {
+        long released = held;
+        held = 0;
+        return released;
+    }
+
+    /** Returns a measure of how much memory is held for how long. */
+    double heldFor(long now) {
+        return (double) held * (now - progressAt + LEAST_HELD_NANOS);
+    }
+
+    String describeHeld(long now) {
+        return "undecoded=" + (held - unread) + " unread=" + unread + " without_progress_ms="
+                + TimeUnit.NANOSECONDS.toMillis(now - progressAt);
+    }
+
     /** Returns whether a request has been received in part but not completely. */
     boolean receiving() {
         return receiving;
     }
 
+    boolean isOpen() {
+        return channel.isActive();
+    }
+
     void close() {
         channel.close();
     }
@@ -138,6 +200,9 @@
         if (discarding) {
             return;
         }
+        if (!reserveHead(request)) {
+            return;
+        }
         long length = HttpUtil.getContentLength(request, 0L);
         if (length > server.limits().bodyBytes()) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is longer than allowed");
@@ -153,6 +218,25 @@
         }
     }
 
+    /** Reserves memory for the head of a request until the request ends; refuses the request if there is none. */
+    private boolean reserveHead(HttpRequest request) {
+        long bytes = HeadMemory.bytes(request);
+        if (server.heads().tryReserve(bytes)) {
+            reservedHead = bytes;
+            return true;
+        }
+        logger.atInfo().log(
+                "event=head-refused request=%s bytes=%d used=%d most=%d",
+                server.facts(request).id(),
+                bytes,
+                server.heads().used(),
+                server.heads().limit());
+        server.limitReached("head-bytes");
+        closingAtBodyEnd = true;
+        refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests are in progress");
+        return false;
+    }
+
     /** Reserves memory for a body of the given length so far; refuses the request if there is none. */
     private boolean reserveBody(long length) {
         long missing = Math.max(0, length - reserved);
@@ -162,12 +246,13 @@
         }
         logger.atInfo().log(
                 "event=body-refused length=%d used=%d", length, server.bodies().used());
+        server.limitReached("body-bytes");
         closingAtBodyEnd = true;
         refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many bodies are being read");
         return false;
     }
 
-    private void releaseBody() {
+    private void releaseRequest() {
         ByteBuf unused = body;
         if (unused != null) {
             unused.release();
@@ -175,6 +260,8 @@
         body = null;
         server.bodies().release(reserved);
         reserved = 0;
+        server.heads().release(reservedHead);
+        reservedHead = 0;
     }
 
     private void receiveContent(HttpContent content) {
@@ -208,26 +295,20 @@
     }
 
     private void requestReceived(HttpRequest request, ByteBuf received) {
-        Exchange exchange = new Exchange(channel, request, received, server.facts(request), this::exchangeEnded);
-        long bytes = reserved;
+        Exchange exchange = new Exchange(
+                channel, request, received, server.facts(request), decoder.arrivedAt(), this::exchangeEnded);
+        long bodyBytes = reserved;
+        long headBytes = reservedHead;
         reserved = 0;
-        exchange.onBodyReleased(() -> server.bodies().release(bytes));
+        reservedHead = 0;
+        exchange.onReleased(() -> {
+            server.bodies().release(bodyBytes);
+            server.heads().release(headBytes);
+        });
         if (processStopping) {
             exchange.discard();
             return;
         }
-        // The next waiting request begins in a task of its own, which one that arrives before it must not overtake.
-        if (current != null || !pipelined.isEmpty()) {
-            pipelined.addLast(exchange);
-            if (pipelined.size() >= MAX_PIPELINED) {
-                channel.config().setAutoRead(false);
-            }
-            return;
-        }
-        begin(exchange);
-    }
-
-    private void begin(Exchange exchange) {
         current = exchange;
         if (server.draining()) {
             exchange.closeAfterAnswer();
@@ -244,13 +325,10 @@
     }
 
     /**
-     * Ends the request in progress because the process ends. Requests that wait behind it or arrive later are discarded
-     * unanswered.
+     * Ends the request in progress because the process ends. Requests that were sent ahead or arrive later are discarded unanswered.
      */
     void endForShutdown() {
         processStopping = true;
-        // Waiting requests are discarded without closing the connection, because the answer in progress still needs it.
-        dropPipelined();
         Exchange exchange = current;
         if (exchange == null) {
             channel.close();
@@ -259,11 +337,6 @@
         }
     }
 
-    private void dropPipelined() {
-        pipelined.forEach(Exchange::discard);
-        pipelined.clear();
-    }
-
     private void exchangeEnded() {
         if (current == null) {
             return;
@@ -271,24 +344,8 @@
         current = null;
         idleSince = System.nanoTime();
         server.exchangeEnded();
-        if (discarding) {
-            channel.close();
-            return;
-        }
-        // Runs as a task of its own, because the answer may be given while the next request is being received.
-        channel.eventLoop().execute(this::beginNext);
-    }
-
-    private void beginNext() {
-        if (current != null || !channel.isActive()) {
-            return;
-        }
-        Exchange next = pipelined.pollFirst();
-        if (next == null) {
-            return;
-        }
-        channel.config().setAutoRead(true);
-        begin(next);
+        receiving = decoder.undecodedBytes() > 0;
+        decoder.next();
     }
 
     private void refuseMalformed(Throwable cause) {
@@ -301,23 +358,12 @@
     }
 
     private void refuse(HttpResponseStatus status, String text) {
-        releaseBody();
+        releaseRequest();
         head = null;
         if (discarding) {
             return;
         }
         discarding = true;
-        if (current != null) {
-            // The answer in progress is completed first. The caller learns of this request's failure from the closed
-            // connection.
-            current.closeAfterAnswer();
-            return;
-        }
-        if (!pipelined.isEmpty()) {
-            // An answer now would be taken for that to the first waiting request, which has not begun.
-            closeWhenWritten();
-            return;
-        }
         DefaultFullHttpResponse answer = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 status,
@@ -334,7 +380,6 @@
     }
 
     private void closeWhenWritten() {
-        dropPipelined();
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
 
@@ -357,11 +402,10 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.connectionClosed(this);
-        releaseBody();
+        releaseRequest();
         Exchange exchange = current;
         if (exchange != null) {
             exchange.callerDisconnected();
         }
-        dropPipelined();
     }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
@@ -4,27 +4,29 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.routing.CallerLimits;
+import org.quetzalseam.gateway.http.ConnectionLimits;
+import org.quetzalseam.gateway.http.LimitListener;
 import org.quetzalseam.gateway.http.ListeningSockets;
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.protocol.RequestFacts;
 import org.quetzalseam.gateway.runtime.Timers;
+import org.quetzalseam.http.AnswerEncoder;
+import org.quetzalseam.http.MemoryBudget;
+import org.quetzalseam.http.RequestDecoder;
 
 /** Accepts callers' connections on one address. Used on its event loop only, except for {@link #start}. */
 public final class CallerServer {
@@ -50,7 +52,9 @@
     private final CallerLimitsSupplier limits;
     private final Consumer<Exchange> router;
     private final BodyMemory bodies;
-    private final Set<CallerConnection> connections = new HashSet<>();
+    private final MemoryBudget heads;
+    private final LimitListener onLimit;
+    private final CallerConnections connections;
     private @Nullable Channel listener;
     private boolean draining;
     private long drainingSince;
@@ -74,11 +78,41 @@
             CallerLimitsSupplier limits,
             Consumer<Exchange> router,
             BodyMemory bodies) {
+        this(loop, protocol, limits, router, bodies, ConnectionLimits.ofProcess(), LimitListener.NONE);
+    }
+
+    private CallerServer(
+            EventLoop loop,
+            Protocol protocol,
+            CallerLimitsSupplier limits,
+            Consumer<Exchange> router,
+            BodyMemory bodies,
+            ConnectionLimits connectionLimits,
+            LimitListener onLimit) {
         this.bodies = bodies;
         this.loop = loop;
         this.protocol = protocol;
         this.limits = limits;
         this.router = router;
+        this.heads = new MemoryBudget(connectionLimits.headBytes());
+        this.onLimit = onLimit;
+        this.connections = new CallerConnections(connectionLimits, onLimit);
+    }
+
+    /**
+     * Creates a server whose connections are limited.
+     *
+     * @param connectionLimits bounds the connections and their memory
+     * @param onLimit is told when one of these limits is reached
+     */
+    public static CallerServer limited(
+            EventLoop loop,
+            Protocol protocol,
+            CallerLimitsSupplier limits,
+            Consumer<Exchange> router,
+            ConnectionLimits connectionLimits,
+            LimitListener onLimit) {
+        return new CallerServer(loop, protocol, limits, router, BodyMemory.ofProcess(), connectionLimits, onLimit);
     }
 
     /** Starts to listen on the address. Blocks until the socket is bound, and returns the address with the bound port. */
@@ -91,6 +125,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ListeningSockets.receiveBuffers())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -104,24 +139,52 @@
     }
 
     private void initPipeline(Channel channel) {
-        CallerConnection connection = new CallerConnection(this, channel);
+        RequestDecoder decoder = new RequestDecoder(new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_FIRST_LINE_BYTES)
+                .setMaxHeaderSize(limits().headerBytes())
+                .setMaxChunkSize(MAX_CHUNK_BYTES));
+        CallerConnection connection = new CallerConnection(this, channel, decoder);
         channel.pipeline()
-                .addLast(new ChannelInboundHandlerAdapter() {
-                    @Override
-                    public void channelRead(ChannelHandlerContext ctx, Object message) {
-                        if (message instanceof ByteBuf) {
-                            connection.bytesArrived();
-                        }
-                        ctx.fireChannelRead(message);
-                    }
-                })
-                .addLast(new HttpServerCodec(MAX_FIRST_LINE_BYTES, limits().headerBytes(), MAX_CHUNK_BYTES))
+                .addLast(new BytesObserver(connection))
+                .addLast(new AnswerEncoder(decoder))
+                .addLast(decoder)
                 .addLast(connection);
     }
 
+    /** Tells a connection when bytes have arrived, and measures what it holds whenever that may have grown. */
+    private final class BytesObserver extends ChannelDuplexHandler {
+        private final CallerConnection connection;
+
+        BytesObserver(CallerConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (message instanceof ByteBuf) {
+                connection.bytesArrived();
+            }
+            ctx.fireChannelRead(message);
+            measure();
+        }
+
+        @Override
+        public void flush(ChannelHandlerContext ctx) {
+            ctx.flush();
+            measure();
+        }
+
+        private void measure() {
+            if (connection.isOpen()) {
+                connections.heldChanged(connection.measureHeld());
+            }
+        }
+    }
+
     private void closeTimedOut() {
         long now = System.nanoTime();
-        for (CallerConnection connection : List.copyOf(connections)) {
+        for (CallerConnection connection : connections.all()) {
+            connections.heldChanged(connection.measureHeld());
             connection.closeIfTimedOut(now);
         }
     }
@@ -142,17 +205,35 @@
         return bodies;
     }
 
+    MemoryBudget heads() {
+        return heads;
+    }
+
+    void limitReached(String limit) {
+        onLimit.reached(limit);
+    }
+
+    /** Returns how many bytes connections hold that have been received and not decoded, or written and not read. */
+    public long heldBytes() {
+        return connections.held();
+    }
+
+    /** Returns how many bytes the heads of all requests in progress take, as estimated. */
+    public long headBytes() {
+        return heads.used();
+    }
+
     /** Returns how many bytes the bodies of all requests take, those that are still arriving included. */
     public long bodyBytes() {
         return bodies.used();
     }
 
     void connectionOpened(CallerConnection connection) {
-        connections.add(connection);
+        connections.opened(connection);
     }
 
     void connectionClosed(CallerConnection connection) {
-        connections.remove(connection);
+        connections.closed(connection);
     }
 
     void beginExchange(Exchange exchange, long connectionOpenedAt) {
@@ -187,12 +268,12 @@
 
     /** Returns how many requests have been received only in part. */
     public int arriving() {
-        return (int) connections.stream().filter(CallerConnection::receiving).count();
+        return connections.arriving();
     }
 
     /** Returns how many connections are open. */
     public int connections() {
-        return connections.size();
+        return connections.count();
     }
 
     /** Starts to drain: each connection closes after its next answer, which announces this in its head. */
@@ -202,7 +283,7 @@
         }
         draining = true;
         drainingSince = System.nanoTime();
-        connections.forEach(CallerConnection::closeAfterCurrent);
+        connections.all().forEach(CallerConnection::closeAfterCurrent);
     }
 
     /**
@@ -211,7 +292,7 @@
      */
     public void closeIdle() {
         long now = System.nanoTime();
-        for (CallerConnection connection : List.copyOf(connections)) {
+        for (CallerConnection connection : connections.all()) {
             if (connection.idleFor(IDLE_WHILE_DRAINING_NANOS, now)) {
                 connection.close();
             }
@@ -220,7 +301,7 @@
 
     /** Ends all requests in progress, because the process ends. */
     public void endAll() {
-        for (CallerConnection connection : List.copyOf(connections)) {
+        for (CallerConnection connection : connections.all()) {
             try {
                 connection.endForShutdown();
             } catch (RuntimeException e) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/Exchange.java
@@ -53,16 +53,16 @@
     private @Nullable Runnable onWritable;
     private @Nullable Runnable onShutdown;
     private @Nullable Runnable onNotRun;
-    private Runnable onBodyReleased = () -> {};
+    private Runnable onReleased = () -> {};
     private @Nullable Team team;
     private boolean identified;
 
-    Exchange(Channel channel, HttpRequest request, ByteBuf body, RequestFacts facts, Runnable onEnd) {
+    Exchange(Channel channel, HttpRequest request, ByteBuf body, RequestFacts facts, long arrivedAt, Runnable onEnd) {
         this.channel = channel;
         this.request = request;
         this.body = body;
         this.facts = facts;
-        this.arrivedAt = System.nanoTime();
+        this.arrivedAt = arrivedAt;
         this.onEnd = onEnd;
         this.keepAlive = HttpUtil.isKeepAlive(request);
     }
@@ -325,14 +325,14 @@
         releaseBody();
     }
 
-    /** Sets the callback that runs once the body is not needed any more. */
-    void onBodyReleased(Runnable call) {
-        onBodyReleased = call;
+    /** Sets the callback that runs once the head and the body are not needed any more. */
+    void onReleased(Runnable call) {
+        onReleased = call;
     }
 
     private void releaseBody() {
         body.release();
-        onBodyReleased.run();
+        onReleased.run();
     }
 
     private void markEnded() {
