The log's queue is bounded in characters too

Lines hold what callers send, such as ids of up to a header section's length: 2,048 queued lines of 16 KB took 32 MB, a third of the heap, and as much again while they were written. The queue holds 4 Mi characters at most. longLinesAreDroppedBeforeTheyFillTheMemory asserts the bound; it was not run on the code before, which has no bound in characters.

--- a/gateway/src/main/java/org/quetzalseam/gateway/log/AsyncLogHandler.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/log/AsyncLogHandler.java
@@ -12,18 +12,24 @@
 /**
  * Writes log lines on a thread of its own, so that no request waits for the log. Thread-safe.
  *
- * <p>The queue is bounded. When it is half full, lines below {@link Level#WARNING} are dropped and counted; when it is full, all
- * lines are. The count is written with the next batch of lines.
+ * <p>The queue is bounded in lines and in characters, because lines hold what callers send. When it is half full, lines below
+ * {@link Level#WARNING} are dropped and counted; when it is full, all lines are. The count is written with the next batch of lines.
  */
 public final class AsyncLogHandler extends Handler {
     /** Maximum number of queued lines: about ten seconds of a busy entry. */
     private static final int MAX_QUEUED_LINES = 4_096;
+    /** Maximum length of all queued lines, in characters: on average twice the length of the longest usual line. */
+    private static final long MAX_QUEUED_CHARACTERS = 4L * 1024 * 1024;
     /** How long lines are collected before they are written together, in milliseconds. */
     private static final long BATCH_MILLIS = 100;
 
+    /** Length up to which the memory of a batch is kept for the next one, in characters. */
+    private static final int MAX_KEPT_CHARACTERS = 64 * 1024;
+
     private final OutputStream out;
     private final Deque<LogRecord> queue = new ArrayDeque<>();
     private final Thread writer;
+    private long queuedCharacters;
     private long droppedLines;
     private boolean closing;
 
@@ -38,11 +44,13 @@
     @Override
     public synchronized void publish(LogRecord record) {
         boolean urgent = record.getLevel().intValue() >= Level.WARNING.intValue();
-        int capacity = urgent ? MAX_QUEUED_LINES : MAX_QUEUED_LINES / 2;
-        if (queue.size() >= capacity) {
+        int divisor = urgent ? 1 : 2;
+        long characters = queuedCharacters + record.getMessage().length();
+        if (queue.size() >= MAX_QUEUED_LINES / divisor || characters > MAX_QUEUED_CHARACTERS / divisor) {
             droppedLines++;
             return;
         }
+        queuedCharacters = characters;
         queue.addLast(record);
         if (queue.size() == 1) {
             notifyAll();
@@ -54,6 +62,9 @@
         try {
             while (true) {
                 text.setLength(0);
+                if (text.capacity() > MAX_KEPT_CHARACTERS) {
+                    text.trimToSize();
+                }
                 if (!awaitBatch(text)) {
                     return;
                 }
@@ -77,6 +88,7 @@
         for (LogRecord record = queue.pollFirst(); record != null; record = queue.pollFirst()) {
             LogLine.append(text, record);
         }
+        queuedCharacters = 0;
         notifyAll();
         return !closing || text.length() > 0;
     }
--- a/gateway/src/test/java/org/quetzalseam/gateway/log/AsyncLogHandlerTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/log/AsyncLogHandlerTest.java
@@ -12,6 +12,9 @@
 
 class AsyncLogHandlerTest {
     private static final int MANY = 10_000;
+    private static final int FEW = 1_000;
+    /** About as long as a header section may be, in characters. */
+    private static final int LONG_LINE = 16 * 1024;
 
     /** An output that blocks every write until it is unblocked. */
     private static final class BlockedOutput extends OutputStream {
@@ -73,4 +76,19 @@
         assertThat(output.text()).doesNotContain("number=" + (MANY - 1));
         handler.close();
     }
+
+    // Guards against lines that hold long texts of callers filling the memory, though there are few of them.
+    @Test
+    void longLinesAreDroppedBeforeTheyFillTheMemory() throws InterruptedException {
+        String text = "x".repeat(LONG_LINE);
+        handler.publish(new LogRecord(Level.INFO, "event=first"));
+        for (int i = 0; i < FEW; i++) {
+            handler.publish(new LogRecord(Level.INFO, "event=long text=" + text));
+        }
+        handler.publish(new LogRecord(Level.WARNING, "event=unusual"));
+        output.unblocked.countDown();
+        awaitText("event=unusual");
+        handler.close();
+        assertThat(output.text()).contains("event=log-lines-left-out").hasSizeLessThan(FEW * LONG_LINE / 4);
+    }
 }
