Peers that don't go on can't hold an endpoint's memory or keep others out

Cause: an endpoint read and answered on until 16 MB were queued on each connection; a frame's stated length was allocated before its bytes came; 16 handshakes at a time, 3 s a read, kept others waiting behind silent sockets without a bound on their number; after a failed accept the loop spun. Fix: an accepted connection reads no further message while 1 MiB of its answers is unread, and is closed if nothing of it is read for 6 s; one that was opened reads on, since both sides would otherwise wait for each other. Memory for a frame is taken as its bytes arrive. 128 sockets may be in the handshake, the oldest gives way. The number of connections can be limited.

--- a/wire/src/main/java/org/quetzalseam/wire/FrameCodec.java
+++ b/wire/src/main/java/org/quetzalseam/wire/FrameCodec.java
@@ -11,8 +11,8 @@
 /**
  * Reads and writes frames. A frame is a length of four bytes, big-endian, followed by that many bytes. Stateless.
  *
- * <p>The length is checked before anything is allocated, so a peer cannot make this process reserve an arbitrary amount
- * of memory.
+ * <p>The length is checked before anything is read, and memory is allocated only as the bytes arrive, so a peer cannot make this
+ * process reserve memory for what it does not send.
  */
 public final class FrameCodec {
     /** Longest frame accepted, in bytes. */
@@ -37,8 +37,11 @@
             if (length <= 0 || length > maxLength) {
                 throw new WireException(Code.BAD_FRAME, "length: expected 1 to " + maxLength + " bytes, got " + length);
             }
-            byte[] content = new byte[length];
-            in.readFully(content);
+            // Memory is taken as the bytes arrive, because a peer may state a length and send nothing.
+            byte[] content = in.readNBytes(length);
+            if (content.length < length) {
+                throw new EOFException();
+            }
             return content;
         } catch (EOFException e) {
             throw new WireException(Code.BAD_FRAME, "the stream ended inside a frame", e);
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Acceptor.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Acceptor.java
@@ -8,12 +8,16 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.Comparator;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.wire.WireException;
@@ -26,7 +30,12 @@
 public final class Acceptor implements Service {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(3);
-    private static final int MAX_CONCURRENT_HANDSHAKES = 16;
+    /** Most sockets whose handshake has not finished; beyond it the oldest is closed, because a handshake takes some round trips. */
+    private static final int MAX_CONCURRENT_HANDSHAKES = 128;
+
+    private static final long THREAD_IDLE_SECONDS = 10;
+    /** Pause after a socket could not be accepted, as when no descriptor is left. */
+    private static final long ACCEPT_RETRY_MILLIS = 50;
 
     private final String host;
     private final int port;
@@ -35,8 +44,10 @@
     private final Transport transport;
     private final Connection.Listener listener;
     private final Consumer<Connection> onOpened;
-    /** Accepted sockets whose handshake has not finished. */
-    private final Set<Socket> handshaking = ConcurrentHashMap.newKeySet();
+    private int maxConnections = Integer.MAX_VALUE;
+    private Consumer<String> onLimit = limit -> {};
+    /** Accepted sockets whose handshake has not finished, and when they were accepted, in monotonic nanoseconds. */
+    private final Map<Socket, Long> handshaking = new ConcurrentHashMap<>();
 
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
     private final ExecutorService handshakes;
@@ -70,8 +81,25 @@
         this.transport = transport;
         this.listener = listener;
         this.onOpened = onOpened;
-        this.handshakes =
-                Executors.newFixedThreadPool(MAX_CONCURRENT_HANDSHAKES, Threads.named(self.name() + "-handshake"));
+        // Twice as many threads as sockets, because the thread of a socket that was closed ends a little later.
+        this.handshakes = new ThreadPoolExecutor(
+                0,
+                2 * MAX_CONCURRENT_HANDSHAKES,
+                THREAD_IDLE_SECONDS,
+                TimeUnit.SECONDS,
+                new SynchronousQueue<>(),
+                Threads.named(self.name() + "-handshake"));
+    }
+
+    /**
+     * Limits the number of connections. To be called before {@link #start}.
+     *
+     * @param connections most open connections; further ones are closed after their handshake
+     * @param reached receives the name of a limit that closes a connection
+     */
+    public void limit(int connections, Consumer<String> reached) {
+        maxConnections = connections;
+        onLimit = reached;
     }
 
     @Override
@@ -110,13 +138,50 @@
             try {
                 startHandshake(serverSocket.accept());
             } catch (IOException e) {
-                logger.atFine().log("event=accept-failed reason=%s", e.getMessage());
+                if (!serverSocket.isClosed()) {
+                    logger.atWarning().log("event=accept-failed reason=%s", e.getMessage());
+                    pause();
+                }
             }
         }
     }
 
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(ACCEPT_RETRY_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Closes the sockets whose handshake takes too long, and the oldest one if there are too many. */
+    private void makeRoom() {
+        long now = System.nanoTime();
+        handshaking.forEach((socket, since) -> {
+            if (now - since > HANDSHAKE_TIMEOUT.toNanos()) {
+                Sockets.close(socket);
+            }
+        });
+        if (handshaking.size() >= MAX_CONCURRENT_HANDSHAKES) {
+            handshaking.entrySet().stream()
+                    .min(Comparator.comparingLong(candidate -> candidate.getValue() - now))
+                    .ifPresent(oldest -> {
+                        logger.atInfo().log(
+                                "event=connection-closed limit=handshakes handshakes=%d most=%d peer=%s age_ms=%d",
+                                handshaking.size(),
+                                MAX_CONCURRENT_HANDSHAKES,
+                                oldest.getKey().getRemoteSocketAddress(),
+                                TimeUnit.NANOSECONDS.toMillis(now - oldest.getValue()));
+                        onLimit.accept("handshakes");
+                        handshaking.remove(oldest.getKey());
+                        Sockets.close(oldest.getKey());
+                    });
+        }
+    }
+
     private void startHandshake(Socket socket) {
-        handshaking.add(socket);
+        makeRoom();
+        handshaking.put(socket, System.nanoTime());
         try {
             handshakes.execute(() -> handshake(socket));
         } catch (RejectedExecutionException e) {
@@ -133,7 +198,7 @@
             DataInputStream in = Connection.input(socket);
             OutputStream out = Connection.output(socket);
             Handshake.Peer peer = Handshake.answer(in, out, self, key);
-            Connection connection = new Connection(socket, in, out, peer, new RemovingListener());
+            Connection connection = new Connection(socket, in, out, peer, true, new RemovingListener());
             if (!admit(socket, connection)) {
                 Sockets.close(socket);
                 return;
@@ -156,6 +221,13 @@
                 return false;
             }
             handshaking.remove(socket);
+            if (connections.size() >= maxConnections) {
+                logger.atWarning().log(
+                        "event=connection-closed limit=peer-connections connections=%d most=%d peer=%s",
+                        connections.size(), maxConnections, connection.peer().name());
+                onLimit.accept("peer-connections");
+                return false;
+            }
             connections.add(connection);
             return true;
         }
@@ -195,7 +267,7 @@
         handshakes.shutdownNow();
         synchronized (stopLock) {
             stopping = true;
-            handshaking.forEach(Sockets::close);
+            handshaking.keySet().forEach(Sockets::close);
         }
     }
 
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
@@ -24,12 +24,19 @@
  *
  * <p>{@link #send} never blocks. If a peer does not read, the bounded queue fills and the connection is closed; attempts
  * in flight on it are then handled as after any other loss of a connection.
+ *
+ * <p>A connection that was accepted reads no further message while much of what it has answered lies unread. One that was opened reads
+ * on, because the two sides would otherwise wait for each other.
  */
 public final class Connection {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MAX_QUEUED_FRAMES = 8192;
     private static final long MAX_QUEUED_BYTES = 16L << 20;
+    /** Queued bytes at which an accepted connection stops to read. */
+    static final long MAX_UNREAD_BYTES = 1L << 20;
+
     private static final Duration READ_TIMEOUT = Duration.ofSeconds(6);
+    private static final long PROGRESS_CHECK_MILLIS = 500;
     private static final byte[] END_MARKER = new byte[0];
 
     /** Receives the events of a connection. Messages are delivered one at a time, on the connection's reading thread. */
@@ -48,16 +55,26 @@
     private final Listener listener;
     private final BlockingQueue<byte[]> queue = new LinkedBlockingQueue<>(MAX_QUEUED_FRAMES);
     private final AtomicLong queuedBytes = new AtomicLong();
+    private final QueueMemory memory = QueueMemory.ofProcess();
+    private final boolean accepted;
     private final AtomicBoolean closed = new AtomicBoolean();
     private final CompletableFuture<Void> whenClosed = new CompletableFuture<>();
+    private final Object progress = new Object();
     private volatile boolean closingGracefully;
 
-    Connection(Socket socket, DataInputStream in, OutputStream out, Handshake.Peer peer, Listener listener)
+    Connection(
+            Socket socket,
+            DataInputStream in,
+            OutputStream out,
+            Handshake.Peer peer,
+            boolean accepted,
+            Listener listener)
             throws IOException {
         this.socket = socket;
         this.in = in;
         this.out = out;
         this.peer = peer;
+        this.accepted = accepted;
         this.listener = listener;
         socket.setSoTimeout((int) READ_TIMEOUT.toMillis());
     }
@@ -71,6 +88,10 @@
     }
 
     void start() {
+        memory.opened(this);
+        if (closed.get()) {
+            memory.closed(this);
+        }
         String name = peer.identity().name();
         Threads.daemon("read-" + name, this::readAll).start();
         Threads.daemon("write-" + name, this::writeAll).start();
@@ -106,6 +127,7 @@
             return false;
         }
         long bytes = queuedBytes.addAndGet(frame.length);
+        memory.add(frame.length);
         if (bytes > MAX_QUEUED_BYTES || !queue.offer(frame)) {
             logger.atWarning().log(
                     "event=peer-too-slow peer=%s queued_bytes=%d",
@@ -143,19 +165,55 @@
             if (frame == END_MARKER) {
                 endReached = true;
             } else {
-                queuedBytes.addAndGet(-frame.length);
                 FrameCodec.write(out, frame);
+                written(frame.length);
             }
         }
         out.flush();
         return endReached;
     }
 
+    private void written(int bytes) {
+        queuedBytes.addAndGet(-bytes);
+        memory.remove(bytes);
+        synchronized (progress) {
+            progress.notifyAll();
+        }
+    }
+
+    /** Returns how many bytes wait to be written. */
+    long queuedBytes() {
+        return queuedBytes.get();
+    }
+
+    /** Waits until the peer has read enough of what it was sent. Fails if it reads nothing for the read timeout. */
+    private void awaitProgress() throws IOException, InterruptedException {
+        long before = Long.MAX_VALUE;
+        long waitedSince = System.nanoTime();
+        synchronized (progress) {
+            long queued = queuedBytes.get();
+            while (queued > MAX_UNREAD_BYTES && !closed.get()) {
+                if (queued < before) {
+                    waitedSince = System.nanoTime();
+                } else if (System.nanoTime() - waitedSince > READ_TIMEOUT.toNanos()) {
+                    throw new IOException("the peer has read nothing of " + queued + " queued bytes for "
+                            + READ_TIMEOUT.toSeconds() + " s");
+                }
+                before = queued;
+                progress.wait(PROGRESS_CHECK_MILLIS);
+                queued = queuedBytes.get();
+            }
+        }
+    }
+
     private void readAll() {
         try {
             byte[] frame = FrameCodec.read(in, FrameCodec.MAX_FRAME_BYTES);
             while (frame != null && !closed.get()) {
                 listener.received(this, MessageCodec.decode(frame));
+                if (accepted) {
+                    awaitProgress();
+                }
                 frame = FrameCodec.read(in, FrameCodec.MAX_FRAME_BYTES);
             }
         } catch (IOException e) {
@@ -164,6 +222,8 @@
         } catch (WireException e) {
             logger.atWarning().log(
                     "event=bad-frame peer=%s code=%s reason=%s", peer.identity().name(), e.code(), e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         } catch (RuntimeException e) {
             logger.atSevere().withCause(e).log(
                     "event=message-failed peer=%s", peer.identity().name());
@@ -191,10 +251,19 @@
         if (!closed.compareAndSet(false, true)) {
             return;
         }
-        queue.clear();
+        memory.closed(this);
+        dropQueued();
         queue.offer(END_MARKER);
         Sockets.close(socket);
         listener.closed(this);
         whenClosed.complete(null);
     }
+
+    private void dropQueued() {
+        for (byte[] frame = queue.poll(); frame != null; frame = queue.poll()) {
+            if (frame != END_MARKER) {
+                written(frame.length);
+            }
+        }
+    }
 }
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Dialer.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Dialer.java
@@ -144,7 +144,7 @@
             DataInputStream in = Connection.input(socket);
             OutputStream out = Connection.output(socket);
             Handshake.Peer peer = Handshake.open(in, out, self, key, connectionNumbers.incrementAndGet());
-            return new Connection(socket, in, out, peer, new RedialingListener());
+            return new Connection(socket, in, out, peer, false, new RedialingListener());
         } catch (IOException | RuntimeException e) {
             Sockets.close(socket);
             throw e;
