quetzalseamd: clients that don't read can't keep others out or fill the memory

Callers saw: an operators' port that answered nobody, status checks included, while eight clients read nothing. Cause: two threads answered the operators' port, and each waited without limit until its answer was read. Connections had no limit; decoded parts of requests, bodies and heads were bounded one by one and not together. Fix: one request a connection is decoded at a time (RequestDecoder); an answer of which nothing is read for 60 s (operators: 10 s) ends its connection; each port has a limit of connections; heads and bodies of all requests in progress have a budget, beyond which a request is refused as not run (503, Retry-After; `no-memory`). Settings `connections` and `operator-connections` are checked.

--- a/daemon/src/main/java/org/quetzalseam/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/EntryDaemon.java
@@ -54,8 +54,7 @@
         Metrics metrics = new Metrics();
         this.router = new EntryRouter(settings, inForce, store, metrics, timers);
         this.callers = new CallerServer(settings.listen(), inForce, metrics, timers, router);
-        this.operators = new OperatorServer(
-                settings.listen().host(), settings.listen().operatorPort(), metrics, new StatusSource());
+        this.operators = new OperatorServer(settings.listen(), metrics, new StatusSource());
         CatalogueStore catalogue = new CatalogueStore(store);
         this.watches = List.of(
                 new CatalogueWatch(catalogue, inForce, settings.name()),
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/BodyReader.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/BodyReader.java
@@ -1,14 +1,17 @@
 package org.quetzalseam.daemon.caller;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.io.InputStream;
 import java.time.Duration;
+import org.quetzalseam.daemon.http.NoMemoryException;
 import org.quetzalseam.daemon.http.ServerExchange;
 import org.quetzalseam.wire.runtime.TimerService;
 import org.quetzalseam.wire.runtime.TimerService.Subscription;
 
 /** Reads request bodies within limits of size and time. Thread-safe. */
 final class BodyReader {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Size of the longest accepted body, in bytes. */
     static final int MAX_BYTES = 2 << 20;
     /** Limit of what is read and discarded of a body that is too large, so that a caller cannot keep an entry busy without end. */
@@ -44,6 +47,10 @@
                         Statuses.CONTENT_TOO_LARGE, "too-large", "the body is longer than " + MAX_BYTES + " bytes");
             }
             return body;
+        } catch (NoMemoryException e) {
+            logger.atInfo().log("event=body-refused limit=request-memory reason=\"%s\"", e.getMessage());
+            throw CallerException.retryable(
+                    Statuses.UNAVAILABLE, "no-memory", "the requests in progress use the memory for bodies", 1_000);
         } catch (IOException e) {
             if (limit.finish()) {
                 throw new IOException("the body did not arrive in time", e);
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/CallerServer.java
@@ -14,6 +14,7 @@
 import org.quetzalseam.daemon.entry.RequestId;
 import org.quetzalseam.daemon.http.ExchangeServer;
 import org.quetzalseam.daemon.http.ServerExchange;
+import org.quetzalseam.daemon.http.ServerLimits;
 import org.quetzalseam.daemon.operator.Metrics;
 import org.quetzalseam.daemon.settings.Settings.Listen;
 import org.quetzalseam.wire.runtime.Service;
@@ -55,7 +56,11 @@
                 TimeUnit.SECONDS,
                 new SynchronousQueue<>(),
                 Threads.named("caller"));
-        this.server = new ExchangeServer(listen.host(), listen.port(), executor);
+        this.server = new ExchangeServer(
+                listen.host(),
+                listen.port(),
+                executor,
+                ServerLimits.ofCallers(listen.connections(), metrics::limitReached));
         RequestAdmission admittance = new RequestAdmission(inForce, new EntryLimiter(), router, metrics);
         BodyReader bodies = new BodyReader(timers);
         CompletionHandler completions = new CompletionHandler(admittance, bodies, router, metrics);
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
@@ -87,6 +87,7 @@
                 timers::now);
         this.handler = createHandler(settings);
         this.serviceBackend = handler instanceof ServiceBackend known ? Optional.of(known) : Optional.empty();
+        Metrics metrics = new Metrics();
         this.acceptor = new Acceptor(
                 settings.listen().host(),
                 settings.listen().port(),
@@ -95,13 +96,12 @@
                 ProcessSecurity.transport(settings.security()),
                 new Receiver(),
                 this::opened);
-        Metrics metrics = new Metrics();
+        acceptor.limit(settings.listen().connections(), metrics::limitReached);
         metrics.gauge(
                 "quetzalseam.endpoint.free", () -> handler.admission().load().free());
         metrics.gauge(
                 "quetzalseam.endpoint.queued", () -> handler.admission().load().queued());
-        this.operatorServer = new OperatorServer(
-                settings.listen().host(), settings.listen().operatorPort(), metrics, new StatusSource());
+        this.operatorServer = new OperatorServer(settings.listen(), metrics, new StatusSource());
     }
 
     private AttemptHandler createHandler(Settings from) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/ExchangeServer.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/ExchangeServer.java
@@ -1,6 +1,7 @@
 package org.quetzalseam.daemon.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -11,7 +12,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
@@ -23,6 +24,9 @@
 import java.util.concurrent.TimeUnit;
 import org.quetzalseam.daemon.DaemonException;
 import org.quetzalseam.daemon.DaemonException.Code;
+import org.quetzalseam.http.AnswerEncoder;
+import org.quetzalseam.http.MemoryBudget;
+import org.quetzalseam.http.RequestDecoder;
 import org.quetzalseam.wire.runtime.Service;
 import org.quetzalseam.wire.runtime.Threads;
 
@@ -35,6 +39,10 @@
 public final class ExchangeServer implements Service {
     private static final int BACKLOG = 1024;
     private static final int IO_THREADS = 2;
+    private static final int LEAST_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2 * 1024;
+    /** Most bytes that are read from a connection before reading can be stopped. */
+    private static final int MOST_READ_BYTES = 16 * 1024;
     /** Longest request line, and longest header section, of a request, in bytes. */
     private static final int MAX_HEAD_BYTES = 64 * 1024;
 
@@ -54,6 +62,20 @@
      * @param executor runs the handlers
      */
     public ExchangeServer(String host, int port, Executor executor) {
+        this(host, port, executor, ServerLimits.ofCallers(ServerLimits.defaultConnections(), limit -> {}));
+    }
+
+    /**
+     * Creates a server that listens, but answers only after it is started.
+     *
+     * @param host the address to listen on
+     * @param port the port to listen on; 0 selects any free port
+     * @param executor runs the handlers
+     * @param limits bounds the connections
+     */
+    public ExchangeServer(String host, int port, Executor executor, ServerLimits limits) {
+        ServerConnections counted = new ServerConnections(limits);
+        MemoryBudget memory = MemoryBudget.ofHeap(limits.memoryShare());
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
@@ -63,13 +85,27 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // A caller may close its side after a whole request and wait for the answer.
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(LEAST_READ_BYTES, FIRST_READ_BYTES, MOST_READ_BYTES))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         connections.add(channel);
+                        RequestDecoder decoder = new RequestDecoder(DECODER_CONFIG);
                         channel.pipeline()
-                                .addLast(new HttpServerCodec(DECODER_CONFIG))
-                                .addLast(new ServerConnection(ExchangeServer.this::handler, executor));
+                                .addLast(new IdleStateHandler(
+                                        true, 0, limits.unread().toMillis(), 0, TimeUnit.MILLISECONDS))
+                                .addLast(new AnswerEncoder(decoder))
+                                .addLast(decoder)
+                                .addLast(new ServerConnection(
+                                        channel,
+                                        decoder,
+                                        ExchangeServer.this::handler,
+                                        executor,
+                                        counted,
+                                        memory,
+                                        limits.onLimit()));
                     }
                 });
         listener = bind(bootstrap, host, port);
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/RequestBody.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/RequestBody.java
@@ -24,15 +24,22 @@
     private int waitingBytes;
     private boolean finished;
     private @Nullable String failure;
+    private boolean refused;
+    private final RequestMemory memory;
 
-    RequestBody(Channel channel) {
+    RequestBody(Channel channel, RequestMemory memory) {
         this.channel = channel;
+        this.memory = memory;
     }
 
     synchronized void add(ByteBuf part) {
         if (!part.isReadable()) {
             return;
         }
+        if (refused || !memory.tryReserve(part.readableBytes())) {
+            refuse();
+            return;
+        }
         parts.add(ByteBufUtil.getBytes(part));
         waitingBytes += part.readableBytes();
         if (waitingBytes > MAX_WAITING_BYTES) {
@@ -41,6 +48,15 @@
         notifyAll();
     }
 
+    /** Drops what has been received, and all that follows. */
+    private void refuse() {
+        refused = true;
+        parts.clear();
+        readOfFirst = 0;
+        waitingBytes = 0;
+        notifyAll();
+    }
+
     synchronized void finish() {
         finished = true;
         notifyAll();
@@ -65,6 +81,9 @@
             return 0;
         }
         awaitPart();
+        if (refused) {
+            throw new NoMemoryException("the requests in progress use the memory for bodies: " + memory.describe());
+        }
         byte[] first = parts.peek();
         if (first == null) {
             if (failure != null) {
@@ -92,7 +111,7 @@
     }
 
     private void awaitPart() throws IOException {
-        while (parts.isEmpty() && !finished && failure == null) {
+        while (parts.isEmpty() && !finished && !refused && failure == null) {
             try {
                 wait();
             } catch (InterruptedException e) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/ServerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -18,19 +19,22 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.URI;
 import java.net.URISyntaxException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.http.HeadMemory;
+import org.quetzalseam.http.MemoryBudget;
+import org.quetzalseam.http.RequestDecoder;
 
 /** One caller's connection, which carries one exchange at a time. Used on its event loop only. */
 // A write or close that fails is reported through the channel's pipeline, where it is handled.
@@ -41,15 +45,18 @@
     private static final long REQUEST_SECONDS = 60;
     /** How long a connection that is being closed still reads, so that the last answer is not lost by a reset, in seconds. */
     private static final long LINGER_SECONDS = 2;
-    /** Most parts of further requests that are kept while an exchange is in progress. */
-    private static final int MAX_WAITING_PARTS = 64;
     /** Longest rest of a request's body that is read after the answer, so that the connection can carry another, in bytes. */
     private static final int MAX_DISCARDED_BYTES = 64 * 1024;
 
     private final Function<String, Optional<ExchangeHandler>> handlers;
     private final Executor executor;
-    private final Deque<HttpObject> waiting = new ArrayDeque<>();
-    private @Nullable ServerExchange exchange;
+    private final Channel channel;
+    private final RequestDecoder decoder;
+    private final ServerConnections connections;
+    private final MemoryBudget memory;
+    private final Consumer<String> onLimit;
+    private volatile @Nullable ServerExchange exchange;
+    private volatile long progressAt = System.nanoTime();
     private @Nullable RequestBody body;
     private @Nullable ScheduledFuture<?> requestTimer;
     private boolean answered;
@@ -60,13 +67,41 @@
     private boolean closing;
     private int discardedBytes;
 
-    ServerConnection(Function<String, Optional<ExchangeHandler>> handlers, Executor executor) {
+    ServerConnection(
+            Channel channel,
+            RequestDecoder decoder,
+            Function<String, Optional<ExchangeHandler>> handlers,
+            Executor executor,
+            ServerConnections connections,
+            MemoryBudget memory,
+            Consumer<String> onLimit) {
+        this.channel = channel;
+        this.decoder = decoder;
         this.handlers = handlers;
         this.executor = executor;
+        this.connections = connections;
+        this.memory = memory;
+        this.onLimit = onLimit;
+    }
+
+    /** Returns whether a request is in progress. May be called by any thread. */
+    boolean busy() {
+        return exchange != null;
+    }
+
+    /** Returns when the connection was opened or its last answer was written, in monotonic nanoseconds. May be called by any thread. */
+    long progressAt() {
+        return progressAt;
+    }
+
+    /** Closes the connection at once. May be called by any thread. */
+    void close() {
+        channel.close();
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
+        connections.opened(this);
         awaitRequest(ctx.channel());
     }
 
@@ -85,24 +120,10 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        waiting.add(part);
-        handleParts(ctx.channel());
-        if (waiting.size() > MAX_WAITING_PARTS) {
-            ctx.channel().config().setAutoRead(false);
-        }
-    }
-
-    private void handleParts(Channel channel) {
-        while (!closing && !waiting.isEmpty()) {
-            if (waiting.peek() instanceof HttpRequest && exchange != null) {
-                return;
-            }
-            HttpObject part = waiting.remove();
-            try {
-                handlePart(channel, part);
-            } finally {
-                ReferenceCountUtil.release(part);
-            }
+        try {
+            handlePart(ctx.channel(), part);
+        } finally {
+            ReferenceCountUtil.release(part);
         }
     }
 
@@ -136,6 +157,9 @@
         response.headers()
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
                 .set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, 1);
+        }
         closeAfter(channel, channel.writeAndFlush(response));
     }
 
@@ -157,25 +181,41 @@
             channel.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
-        RequestBody newBody = new RequestBody(channel);
+        RequestMemory reserved = new RequestMemory(memory);
+        if (!reserved.tryReserve(HeadMemory.bytes(request))) {
+            refuseForMemory(channel, reserved);
+            return;
+        }
+        RequestBody newBody = new RequestBody(channel, reserved);
         ServerExchange newExchange = new ServerExchange(channel, request, uri, newBody, () -> answered(channel));
         body = newBody;
         exchange = newExchange;
         answered = false;
         discardedBytes = 0;
         try {
-            executor.execute(() -> run(handler.get(), newExchange));
+            executor.execute(() -> run(handler.get(), newExchange, reserved));
         } catch (RejectedExecutionException e) {
+            reserved.release();
             refuse(channel, HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
     }
 
-    private static void run(ExchangeHandler handler, ServerExchange exchange) {
+    /** Refuses a request that has not run because those in progress use the memory that there is. */
+    private void refuseForMemory(Channel refused, RequestMemory reserved) {
+        logger.atInfo().log(
+                "event=request-refused limit=request-memory peer=%s %s", refused.remoteAddress(), reserved.describe());
+        onLimit.accept("request-memory");
+        refuse(refused, HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
+    private static void run(ExchangeHandler handler, ServerExchange exchange, RequestMemory reserved) {
         try {
             handler.handle(exchange);
         } catch (IOException | RuntimeException e) {
             logger.atFine().withCause(e).log("event=handler-failed uri=%s", exchange.uri());
             exchange.abort();
+        } finally {
+            reserved.release();
         }
     }
 
@@ -234,13 +274,13 @@
 
     private void endExchange(Channel channel) {
         exchange = null;
-        awaitRequest(channel);
-        handleParts(channel);
-        if (inputEnded && exchange == null && !closing) {
+        progressAt = System.nanoTime();
+        if (inputEnded) {
             channel.close();
-        } else if (waiting.size() <= MAX_WAITING_PARTS) {
-            channel.config().setAutoRead(true);
+            return;
         }
+        awaitRequest(channel);
+        decoder.next();
     }
 
     /**
@@ -249,7 +289,7 @@
      */
     private void closeAfter(Channel channel, ChannelFuture lastWrite) {
         closing = true;
-        releaseWaiting();
+        decoder.discardRest();
         lastWrite.addListener(written -> {
             if (inputEnded || !written.isSuccess()) {
                 channel.close();
@@ -261,11 +301,6 @@
         });
     }
 
-    private void releaseWaiting() {
-        waiting.forEach(ReferenceCountUtil::release);
-        waiting.clear();
-    }
-
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
@@ -274,6 +309,22 @@
             if (exchange == null || closing) {
                 ctx.channel().close();
             }
+        } else if (event instanceof IdleStateEvent) {
+            closeIfUnread(ctx.channel());
+        }
+    }
+
+    /** Closes the connection if there is something to be read, of which the client has read nothing within the limit. */
+    private void closeIfUnread(Channel idle) {
+        ChannelOutboundBuffer unread = idle.unsafe().outboundBuffer();
+        if (unread != null && unread.totalPendingWriteBytes() > 0) {
+            logger.atInfo().log(
+                    "event=connection-closed limit=unread-answer peer=%s unread=%d without_progress_ms=%d",
+                    idle.remoteAddress(),
+                    unread.totalPendingWriteBytes(),
+                    TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - progressAt));
+            onLimit.accept("unread-answer");
+            idle.close();
         }
     }
 
@@ -282,7 +333,7 @@
         stopRequestTimer();
         failBody("the connection was closed within the body");
         closing = true;
-        releaseWaiting();
+        connections.closed(this);
     }
 
     @Override
--- a/daemon/src/main/java/org/quetzalseam/daemon/operator/Metrics.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/operator/Metrics.java
@@ -101,6 +101,14 @@
                 .increment();
     }
 
+    /** Counts what a limit on connections or their memory has closed or refused; limits are of a fixed set. */
+    public void limitReached(String limit) {
+        Counter.builder("quetzalseam.limits.reached")
+                .tag("limit", limit)
+                .register(registry)
+                .increment();
+    }
+
     /** Registers a gauge whose value is read at each scrape. */
     public void gauge(String name, Supplier<Number> value) {
         Gauge.builder(name, value).register(registry);
--- a/daemon/src/main/java/org/quetzalseam/daemon/operator/OperatorServer.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/operator/OperatorServer.java
@@ -7,11 +7,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.http.ExchangeServer;
 import org.quetzalseam.daemon.http.ServerExchange;
+import org.quetzalseam.daemon.http.ServerLimits;
+import org.quetzalseam.daemon.settings.Settings.Listen;
 import org.quetzalseam.wire.runtime.Service;
 import org.quetzalseam.wire.runtime.Threads;
 
@@ -21,7 +25,7 @@
  */
 public final class OperatorServer implements Service {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final int THREADS = 2;
+    private static final long THREAD_IDLE_SECONDS = 10;
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
@@ -39,25 +43,35 @@
         Optional<Object> explain(String requestId);
     }
 
-    private final String host;
-    private final int port;
+    private final Listen listen;
     private final Metrics metrics;
     private final Source source;
     private final ExecutorService executor;
     private volatile @Nullable ExchangeServer server;
 
-    /** Creates an interface on an address; port 0 selects any free port. */
-    public OperatorServer(String host, int port, Metrics metrics, Source source) {
-        this.host = host;
-        this.port = port;
+    /** Creates an interface on the operators' port; port 0 selects any free port. */
+    public OperatorServer(Listen listen, Metrics metrics, Source source) {
+        this.listen = listen;
         this.metrics = metrics;
         this.source = source;
-        this.executor = Executors.newFixedThreadPool(THREADS, Threads.named("operator"));
+        // Enough for all connections and those that are being closed, because an answer that nobody reads holds a
+        // thread.
+        this.executor = new ThreadPoolExecutor(
+                0,
+                2 * listen.operatorConnections(),
+                THREAD_IDLE_SECONDS,
+                TimeUnit.SECONDS,
+                new SynchronousQueue<>(),
+                Threads.named("operator"));
     }
 
     @Override
     public void start() {
-        ExchangeServer created = new ExchangeServer(host, port, executor);
+        ExchangeServer created = new ExchangeServer(
+                listen.host(),
+                listen.operatorPort(),
+                executor,
+                ServerLimits.ofOperators(listen.operatorConnections(), metrics::limitReached));
         created.handle("/healthz", exchange -> answer(exchange, OK, "text/plain", bytes("ok\n")));
         created.handle("/readyz", this::ready);
         created.handle("/metrics", exchange -> answer(exchange, OK, "text/plain", bytes(metrics.scrape())));
--- a/daemon/src/main/java/org/quetzalseam/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/settings/Settings.java
@@ -42,8 +42,10 @@
      * @param host IP address to listen on
      * @param port port for callers (entry) or for entries (endpoint)
      * @param operatorPort port of the operators' interface
+     * @param connections most connections to the port
+     * @param operatorConnections most connections to the operators' port
      */
-    public record Listen(String host, int port, int operatorPort) {}
+    public record Listen(String host, int port, int operatorPort, int connections, int operatorConnections) {}
 
     /**
      * Address of another process.
--- a/daemon/src/main/java/org/quetzalseam/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/settings/SettingsReader.java
@@ -11,6 +11,7 @@
 import org.quetzalseam.core.ini.IniDocument;
 import org.quetzalseam.core.ini.IniSection;
 import org.quetzalseam.core.ini.Problem;
+import org.quetzalseam.daemon.http.ServerLimits;
 import org.quetzalseam.daemon.settings.Settings.Backend;
 import org.quetzalseam.daemon.settings.Settings.BackendKind;
 import org.quetzalseam.daemon.settings.Settings.BookingOrder;
@@ -31,6 +32,7 @@
  */
 public final class SettingsReader {
     private static final int MAX_PORT = 65_535;
+    private static final int MAX_CONNECTIONS = 1_000_000;
     private static final int MAX_PLACES = 100_000;
     private static final int HOUR_SECONDS = 3_600;
     private static final int MINUTE_MILLIS = 60_000;
@@ -100,7 +102,9 @@
         return new Listen(
                 section.text("host", "127.0.0.1"),
                 section.integer("port", 0, 0, MAX_PORT),
-                section.integer("operator-port", 0, 0, MAX_PORT));
+                section.integer("operator-port", 0, 0, MAX_PORT),
+                section.integer("connections", ServerLimits.defaultConnections(), 1, MAX_CONNECTIONS),
+                section.integer("operator-connections", ServerLimits.OPERATOR_CONNECTIONS, 1, MAX_CONNECTIONS));
     }
 
     private static List<Seed> seeds(IniSection section) {
