Queued bytes of closed connections no longer count against the bound of all queues

Progress of a peer is now told by frames that leave the queue, not by its length, which grows beside a peer that reads. Limits of time are counted as the others are.

--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
@@ -108,6 +108,7 @@
         if (exchange.ended() && now - exchange.endedAt() > limit) {
             logger.atInfo().log(
                     "event=answer-unread request=%s %s", exchange.facts().id(), describeHeld(now));
+            server.limitReached("unread-answer");
             channel.close();
         }
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/BoundedConnections.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/BoundedConnections.java
@@ -79,6 +79,7 @@
             logger.atInfo().log(
                     "event=connection-closed limit=%s-time peer=%s without_progress_ms=%d",
                     limit, channel.remoteAddress(), millis);
+            onLimit.reached(limit + "-time");
             close(channel);
         }
     }
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
@@ -60,6 +60,9 @@
     private final AtomicBoolean closed = new AtomicBoolean();
     private final CompletableFuture<Void> whenClosed = new CompletableFuture<>();
     private final Object progress = new Object();
+    /** Number of frames that have left the queue. */
+    private long removals;
+
     private volatile boolean closingGracefully;
 
     Connection(
@@ -132,9 +135,14 @@
             logger.atWarning().log(
                     "event=peer-too-slow peer=%s queued_bytes=%d",
                     peer.identity().name(), bytes);
+            removed(frame.length);
             close();
             return false;
         }
+        if (closed.get()) {
+            // The close may have dropped the queue before this frame was added.
+            dropQueued();
+        }
         return true;
     }
 
@@ -165,18 +173,22 @@
             if (frame == END_MARKER) {
                 endReached = true;
             } else {
-                FrameCodec.write(out, frame);
-                written(frame.length);
+                try {
+                    FrameCodec.write(out, frame);
+                } finally {
+                    removed(frame.length);
+                }
             }
         }
         out.flush();
         return endReached;
     }
 
-    private void written(int bytes) {
+    private void removed(int bytes) {
         queuedBytes.addAndGet(-bytes);
         memory.remove(bytes);
         synchronized (progress) {
+            removals++;
             progress.notifyAll();
         }
     }
@@ -188,20 +200,18 @@
 
     /** Waits until the peer has read enough of what it was sent. Fails if it reads nothing for the read timeout. */
     private void awaitProgress() throws IOException, InterruptedException {
-        long before = Long.MAX_VALUE;
-        long waitedSince = System.nanoTime();
         synchronized (progress) {
-            long queued = queuedBytes.get();
-            while (queued > MAX_UNREAD_BYTES && !closed.get()) {
-                if (queued < before) {
-                    waitedSince = System.nanoTime();
-                } else if (System.nanoTime() - waitedSince > READ_TIMEOUT.toNanos()) {
-                    throw new IOException("the peer has read nothing of " + queued + " queued bytes for "
-                            + READ_TIMEOUT.toSeconds() + " s");
-                }
-                before = queued;
+            long before = removals;
+            long since = System.nanoTime();
+            while (queuedBytes.get() > MAX_UNREAD_BYTES && !closed.get()) {
                 progress.wait(PROGRESS_CHECK_MILLIS);
-                queued = queuedBytes.get();
+                if (removals != before) {
+                    before = removals;
+                    since = System.nanoTime();
+                } else if (System.nanoTime() - since > READ_TIMEOUT.toNanos()) {
+                    throw new IOException("expected the peer to read some of " + queuedBytes + " queued bytes within "
+                            + READ_TIMEOUT.toSeconds() + " s, found that it read nothing");
+                }
             }
         }
     }
@@ -253,17 +263,18 @@
         }
         memory.closed(this);
         dropQueued();
-        queue.offer(END_MARKER);
         Sockets.close(socket);
         listener.closed(this);
         whenClosed.complete(null);
     }
 
+    /** Empties the queue but for a mark that ends the writing thread. */
     private void dropQueued() {
         for (byte[] frame = queue.poll(); frame != null; frame = queue.poll()) {
             if (frame != END_MARKER) {
-                written(frame.length);
+                removed(frame.length);
             }
         }
+        queue.offer(END_MARKER);
     }
 }
--- a/wire/src/main/java/org/quetzalseam/wire/connection/QueueMemory.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/QueueMemory.java
@@ -48,6 +48,11 @@
         });
     }
 
+    /** Returns how many bytes are queued. */
+    long used() {
+        return used.get();
+    }
+
     /** Records that bytes have been written or dropped. */
     void remove(long bytes) {
         used.addAndGet(-bytes);
--- a/wire/src/test/java/org/quetzalseam/wire/connection/NonReadingPeerTest.java
+++ b/wire/src/test/java/org/quetzalseam/wire/connection/NonReadingPeerTest.java
@@ -111,6 +111,23 @@
         assertThat(connection.isOpen()).isTrue();
     }
 
+    // Guards against what was queued for peers that are gone counting for ever, until no other peer can be answered.
+    @Test
+    void whatWasQueuedForAClosedConnectionNoLongerCounts() throws Exception {
+        long before = QueueMemory.ofProcess().used();
+        shakeHands(connect());
+        Connection connection = accepted.poll(5, TimeUnit.SECONDS);
+        assertThat(connection).isNotNull();
+        while (connection.send(ANSWER)) {
+            // Sends until the connection is closed because its queue is full.
+        }
+        assertThat(connection.send(ANSWER)).isFalse();
+        for (int i = 0; i < 100 && QueueMemory.ofProcess().used() != before; i++) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        assertThat(QueueMemory.ofProcess().used()).isEqualTo(before);
+    }
+
     // Guards against a process being kept out for as long as others connect and never prove who they are.
     @Test
     void silentConnectionsDoNotKeepAPeerOut() throws Exception {
