--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -37,8 +36,6 @@
 @SuppressWarnings("FutureReturnValueIgnored")
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** Added to the time without progress when connections are compared by what they hold, so that what has just arrived counts too. */
-    private static final long LEAST_HELD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final CallerServer server;
     private final Channel channel;
@@ -53,11 +50,8 @@
     private long reserved;
     /** Bytes reserved for the head of the request that is being received. */
     private long reservedHead;
-    /** Bytes that have been received and not decoded, or written and not read, when they were measured last. */
-    private long held;
 
-    private long unread;
-    private long progressAt;
+    private final HeldBytes held;
 
     private boolean processStopping;
     private final long openedAt = System.nanoTime();
@@ -68,7 +62,7 @@
         this.server = server;
         this.channel = channel;
         this.decoder = decoder;
-        this.progressAt = openedAt;
+        this.held = new HeldBytes(channel, decoder);
     }
 
     @Override
@@ -107,7 +101,7 @@
         long limit = TimeUnit.MILLISECONDS.toNanos(server.limits().idleMillis());
         if (exchange.ended() && now - exchange.endedAt() > limit) {
             logger.atInfo().log(
-                    "event=answer-unread request=%s %s", exchange.facts().id(), describeHeld(now));
+                    "event=answer-unread request=%s %s", exchange.facts().id(), held.describe(now));
             server.limitReached("unread-answer");
             channel.close();
         }
@@ -133,41 +127,11 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSince);
     }
 
-    /** Returns what the connection held when it was measured last, in bytes. */
-    long held() {
+    /** Returns the bytes that the connection holds. */
+    HeldBytes held() {
         return held;
     }
 
-    /** Measures what the connection holds. Returns by how much that has changed, in bytes. */
-    long measureHeld() {
-        ChannelOutboundBuffer written = channel.unsafe().outboundBuffer();
-        long before = held;
-        long unreadBefore = unread;
-        unread = written == null ? 0 : written.totalPendingWriteBytes();
-        held = decoder.undecodedBytes() + unread;
-        if (unread < unreadBefore || before == 0) {
-            progressAt = System.nanoTime();
-        }
-        return held - before;
-    }
-
-    /** Returns what the connection holds, and regards this as released. */
-    long takeHeld() {
-        long released = held;
-        held = 0;
-        return released;
-    }
-
-    /** Returns a measure of how much memory is held for how long. */
-    double heldFor(long now) {
-        return (double) held * (now - progressAt + LEAST_HELD_NANOS);
-    }
-
-    String describeHeld(long now) {
-        return "undecoded=" + (held - unread) + " unread=" + unread + " without_progress_ms="
-                + TimeUnit.NANOSECONDS.toMillis(now - progressAt);
-    }
-
     /** Returns whether a request has been received in part but not completely. */
     boolean receiving() {
         return receiving;
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnections.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnections.java
@@ -61,14 +61,15 @@
 
     void closed(CallerConnection connection) {
         open.remove(connection);
-        held -= connection.takeHeld();
+        held -= connection.held().release();
     }
 
-    /** Records that a connection holds more or fewer bytes than before. Beyond the limit, the worst ones are closed. */
-    void heldChanged(long change) {
+    /** Measures what a connection holds. If all hold more than the limit by that, the worst ones are closed. */
+    void measure(CallerConnection connection) {
+        long change = connection.held().measure();
         held += change;
         if (change > 0 && held > limits.heldBytes()) {
-            open.forEach(connection -> held += connection.measureHeld());
+            open.forEach(other -> held += other.held().measure());
             while (held > limits.heldBytes() && closeWorst()) {
                 // One connection less in each round.
             }
@@ -79,12 +80,12 @@
     private boolean closeWorst() {
         long now = System.nanoTime();
         Optional<CallerConnection> worst = open.stream()
-                .filter(connection -> connection.held() > 0)
-                .max(Comparator.comparingDouble(connection -> connection.heldFor(now)));
+                .filter(connection -> connection.held().bytes() > 0)
+                .max(Comparator.comparingDouble(connection -> connection.held().weight(now)));
         worst.ifPresent(connection -> {
             logger.atInfo().log(
                     "event=connection-closed limit=held-bytes %s all_held=%d most=%d connections=%d",
-                    connection.describeHeld(now), held, limits.heldBytes(), open.size());
+                    connection.held().describe(now), held, limits.heldBytes(), open.size());
             close(connection, "held-bytes");
         });
         return worst.isPresent();
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
@@ -176,7 +176,7 @@
 
         private void measure() {
             if (connection.isOpen()) {
-                connections.heldChanged(connection.measureHeld());
+                connections.measure(connection);
             }
         }
     }
@@ -184,7 +184,7 @@
     private void closeTimedOut() {
         long now = System.nanoTime();
         for (CallerConnection connection : connections.all()) {
-            connections.heldChanged(connection.measureHeld());
+            connections.measure(connection);
             connection.closeIfTimedOut(now);
         }
     }
