--- a/daemon/src/test/java/org/quetzalseam/daemon/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/settings/SettingsReaderTest.java
@@ -38,6 +38,15 @@
                 .anySatisfy(problem -> assertThat(problem).contains("[polcy]", "did you mean 'policy'"));
     }
 
+    @Test
+    void limitsOnConnectionsAreChecked() {
+        String text = VALID_ENTRY_SETTINGS + "[listen]\nconnections = 0\noperator-connections = many\n";
+        assertThat(SettingsReader.read(Role.ENTRY, "f", text).problems())
+                .extracting(Problem::toString)
+                .anySatisfy(problem -> assertThat(problem).contains("[listen] connections", "from 1 to"))
+                .anySatisfy(problem -> assertThat(problem).contains("[listen] operator-connections", "'many'"));
+    }
+
     @Test
     void anEndpointNeedsABackend() {
         assertThat(SettingsReader.read(Role.ENDPOINT, "f", VALID_ENTRY_SETTINGS).problems())
