A caller that reads slowly, but reads on, receives its whole answer

Callers saw: an answer larger than the operating system's buffers was cut while they were reading it, once the desired state's idle time had passed since the entry had written it (8 MiB, idle time 2.5 s: connection closed within the body). Cause: the unread rest was limited by the time since the answer's end, whatever was read meanwhile. The time without progress, which also decides who gives way when all connections hold too much, stood still as well: a buffer counts whole until its last byte is read. Now progress within a buffer counts, and only a caller that reads nothing for the idle time is disconnected.

--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
@@ -96,10 +96,11 @@
         }
     }
 
-    /** Closes the connection if the answer has ended and the caller has not read the rest of it within the idle limit. */
+    /** Closes the connection if the answer has ended and the caller has read nothing of the rest of it within the idle limit. */
     private void closeIfAnswerUnread(Exchange exchange, long now) {
         long limit = TimeUnit.MILLISECONDS.toNanos(server.limits().idleMillis());
-        if (exchange.ended() && now - exchange.endedAt() > limit) {
+        long stalled = Math.min(now - exchange.endedAt(), held.withoutProgress(now));
+        if (exchange.ended() && stalled > limit) {
             logger.atInfo().log(
                     "event=answer-unread request=%s %s", exchange.facts().id(), held.describe(now));
             server.limitReached("unread-answer");
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/HeldBytes.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/HeldBytes.java
@@ -14,6 +14,9 @@
     private final RequestDecoder decoder;
     private long bytes;
     private long unread;
+    /** Bytes of the first unread buffer that the caller has read; the buffer counts whole until the last of them. */
+    private long read;
+
     private long progressAt = System.nanoTime();
 
     HeldBytes(Channel channel, RequestDecoder decoder) {
@@ -31,9 +34,11 @@
         ChannelOutboundBuffer written = channel.unsafe().outboundBuffer();
         long before = bytes;
         long unreadBefore = unread;
+        long readBefore = read;
         unread = written == null ? 0 : written.totalPendingWriteBytes();
+        read = written == null ? 0 : written.currentProgress();
         bytes = decoder.undecodedBytes() + unread;
-        if (unread < unreadBefore || before == 0) {
+        if (unread < unreadBefore || read != readBefore || before == 0) {
             progressAt = System.nanoTime();
         }
         return bytes - before;
@@ -51,8 +56,13 @@
         return (double) bytes * (now - progressAt + LEAST_NANOS);
     }
 
+    /** Returns for how long the caller has read nothing of what is held, in nanoseconds. */
+    long withoutProgress(long now) {
+        return now - progressAt;
+    }
+
     String describe(long now) {
         return "undecoded=" + (bytes - unread) + " unread=" + unread + " without_progress_ms="
-                + TimeUnit.NANOSECONDS.toMillis(now - progressAt);
+                + TimeUnit.NANOSECONDS.toMillis(withoutProgress(now));
     }
 }
