quetzalseamd: answers that callers don't read, or that a service sends, can't fill the memory

Callers saw: with answers of 3 MiB, 8 callers that read nothing let an ordinary caller's call fail (502, "the call may have run; its answer was lost"); the log names the cause, Java heap space. Causes: an entry copied each answer twice and held it for as long as its caller read nothing, for all callers without a bound; an endpoint collected the answers of all running calls, each in a buffer that grew by doubling and was kept with the connection. Now an entry writes an answer in slices without copying it. Answers that are being written may take a fifth of the heap together; beyond it the connection whose answer takes most for longest, unread, is closed (unread-bytes). An endpoint reserves memory for an answer before it reads on (with the queues to entries a fifth of the heap, less than that at which an entry is disconnected); an answer longer than a message between processes fails its call alone, where it broke the entry's connection.

A process's log is now kept in target/daemons.

--- a/cli/src/test/java/org/quetzalseam/cli/DaemonProcess.java
+++ b/cli/src/test/java/org/quetzalseam/cli/DaemonProcess.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.quetzalseam.standins.PlatformStandIn;
@@ -27,6 +28,7 @@
     /** Descriptors that may be open when all clients have left: as many as the platform sets aside for files. */
     static final int DESCRIPTORS_AT_REST = 200;
 
+    private static final Path LOGS = Path.of("target", "daemons");
     private static final List<String> USUAL_OPTIONS = List.of("-Xmx128m");
     private static final List<String> BOUNDED_OPTIONS = List.of("-Xmx64m", "-Xss256k", "-XX:+UseSerialGC");
 
@@ -94,7 +96,7 @@
             if (matcher.find()) {
                 port = Integer.parseInt(matcher.group(1));
                 operatorPort = Integer.parseInt(matcher.group(2));
-                discard(output);
+                writeLog(output, LOGS.resolve("daemon-" + process.pid() + ".log"));
                 return;
             }
             line = output.readLine();
@@ -102,10 +104,12 @@
         throw new IOException("the daemon process ended before it logged its start");
     }
 
-    private static void discard(BufferedReader output) {
+    private static void writeLog(BufferedReader output, Path file) throws IOException {
+        Files.createDirectories(LOGS);
+        Writer log = Files.newBufferedWriter(file);
         TestThreads.EXECUTOR.execute(() -> {
-            try {
-                output.transferTo(Writer.nullWriter());
+            try (log) {
+                output.transferTo(log);
             } catch (IOException expected) {
                 // The process has ended.
             }
@@ -131,6 +135,11 @@
         return process.waitFor();
     }
 
+    /** Waits for the end of the process. Returns whether it has ended within the time. */
+    boolean awaitEnd(long millis) throws InterruptedException {
+        return process.waitFor(millis, TimeUnit.MILLISECONDS);
+    }
+
     void kill() {
         process.destroyForcibly();
     }
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/ExchangeServer.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/ExchangeServer.java
@@ -76,6 +76,7 @@
     public ExchangeServer(String host, int port, Executor executor, ServerLimits limits) {
         ServerConnections counted = new ServerConnections(limits);
         MemoryBudget memory = MemoryBudget.ofHeap(limits.memoryShare());
+        UnreadAnswers unread = new UnreadAnswers(memory.limit(), limits.onLimit());
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
@@ -105,6 +106,7 @@
                                         executor,
                                         counted,
                                         memory,
+                                        unread,
                                         limits.onLimit()));
                     }
                 });
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/ResponseBody.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/ResponseBody.java
@@ -13,11 +13,14 @@
 /** The body of an answer. A flush returns when the bytes have been handed to the network, or fails. Used by one thread at a time. */
 final class ResponseBody extends OutputStream {
     private static final int BUFFER_BYTES = 8 * 1024;
+    /** Part of a long text that is written at once, in bytes; after each, it is known that the client reads on. */
+    private static final int SLICE_BYTES = 64 * 1024;
     /** Length of a body whose end is not stated in advance. */
     static final long UNKNOWN_LENGTH = -1;
 
     private final Channel channel;
     private final Runnable onEnd;
+    private final UnreadAnswers unread;
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
     private long remaining;
     private boolean closed;
@@ -27,9 +30,11 @@
      *
      * @param channel the connection
      * @param length the stated length in bytes, or {@link #UNKNOWN_LENGTH}
+     * @param unread bounds the memory of answers that are being written
      * @param onEnd called on the event loop when all has been written
      */
-    ResponseBody(Channel channel, long length, Runnable onEnd) {
+    ResponseBody(Channel channel, long length, UnreadAnswers unread, Runnable onEnd) {
+        this.unread = unread;
         this.channel = channel;
         this.remaining = length;
         this.onEnd = onEnd;
@@ -51,12 +56,30 @@
             }
             remaining -= length;
         }
+        if (length >= SLICE_BYTES) {
+            flush();
+            writeSlices(bytes, offset, length);
+            return;
+        }
         buffer.write(bytes, offset, length);
         if (buffer.size() >= BUFFER_BYTES) {
             flush();
         }
     }
 
+    private void writeSlices(byte[] bytes, int offset, int length) throws IOException {
+        try {
+            for (int written = 0; written < length; written += SLICE_BYTES) {
+                unread.holds(channel, length);
+                int slice = Math.min(SLICE_BYTES, length - written);
+                await(channel.writeAndFlush(
+                        new DefaultHttpContent(Unpooled.wrappedBuffer(bytes, offset + written, slice))));
+            }
+        } finally {
+            unread.released(channel);
+        }
+    }
+
     @Override
     public void flush() throws IOException {
         if (closed) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/ServerConnection.java
@@ -54,6 +54,7 @@
     private final RequestDecoder decoder;
     private final ServerConnections connections;
     private final MemoryBudget memory;
+    private final UnreadAnswers unread;
     private final Consumer<String> onLimit;
     private volatile @Nullable ServerExchange exchange;
     private volatile long progressAt = System.nanoTime();
@@ -74,7 +75,9 @@
             Executor executor,
             ServerConnections connections,
             MemoryBudget memory,
+            UnreadAnswers unread,
             Consumer<String> onLimit) {
+        this.unread = unread;
         this.channel = channel;
         this.decoder = decoder;
         this.handlers = handlers;
@@ -187,7 +190,8 @@
             return;
         }
         RequestBody newBody = new RequestBody(channel, reserved);
-        ServerExchange newExchange = new ServerExchange(channel, request, uri, newBody, () -> answered(channel));
+        ServerExchange newExchange =
+                new ServerExchange(channel, request, uri, newBody, unread, () -> answered(channel));
         body = newBody;
         exchange = newExchange;
         answered = false;
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/ServerExchange.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/ServerExchange.java
@@ -40,13 +40,21 @@
     private final HttpRequest request;
     private final URI uri;
     private final InputStream requestBody;
+    private final UnreadAnswers unread;
     private final Runnable onEnd;
     private final HttpHeaders responseHeaders = new DefaultHttpHeaders();
     private volatile @Nullable OutputStream responseBody;
     private volatile boolean keepsConnection;
     private volatile int status = NOT_ANSWERED;
 
-    ServerExchange(Channel channel, HttpRequest request, URI uri, InputStream requestBody, Runnable onEnd) {
+    ServerExchange(
+            Channel channel,
+            HttpRequest request,
+            URI uri,
+            InputStream requestBody,
+            UnreadAnswers unread,
+            Runnable onEnd) {
+        this.unread = unread;
         this.channel = channel;
         this.request = request;
         this.uri = uri;
@@ -110,7 +118,7 @@
         channel.write(head(code, length, bodiless, toHead));
         boolean empty = length == NO_BODY || bodiless || toHead;
         ResponseBody body = new ResponseBody(
-                channel, empty ? 0 : length == IN_CHUNKS ? ResponseBody.UNKNOWN_LENGTH : length, onEnd);
+                channel, empty ? 0 : length == IN_CHUNKS ? ResponseBody.UNKNOWN_LENGTH : length, unread, onEnd);
         responseBody = body;
         if (empty) {
             body.close();
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/ServerLimits.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/ServerLimits.java
@@ -11,7 +11,8 @@
  * @param connections most open connections
  * @param closesBusy whether beyond that a connection with a request in progress may be closed for a new one
  * @param unread time after which a connection is closed whose client reads nothing of an answer
- * @param memoryShare part of the heap that the heads and bodies of all requests in progress may take
+ * @param memoryShare part of the heap that the heads and bodies of all requests in progress may take, and as much again for their
+ *     answers
  * @param onLimit receives the name of a limit that has been reached
  */
 public record ServerLimits(
--- a/daemon/src/main/java/org/quetzalseam/daemon/service/SendOnceClient.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/SendOnceClient.java
@@ -33,6 +33,7 @@
 import org.quetzalseam.daemon.HttpClients;
 import org.quetzalseam.daemon.service.ServiceException.Code;
 import org.quetzalseam.http.ReplyDecoder;
+import org.quetzalseam.wire.connection.Connection;
 import org.quetzalseam.wire.message.Call;
 import org.quetzalseam.wire.runtime.Service;
 import org.quetzalseam.wire.runtime.Threads;
@@ -65,6 +66,7 @@
     private final String host;
     private final EventLoopGroup loop = new NioEventLoopGroup(IO_THREADS, Threads.named("service-client"));
     private final Deque<ServiceConnection> idle = new ConcurrentLinkedDeque<>();
+    private final AnswerMemory memory = AnswerMemory.ofProcess(Connection::queuedBytesOfProcess);
 
     SendOnceClient(URI base) {
         this.address = new InetSocketAddress(base.getHost(), base.getPort());
@@ -136,8 +138,8 @@
 
     private void connect(FullHttpRequest request, CompletableFuture<ServiceAnswer> answer, boolean reusable) {
         ReplyDecoder decoder = new ReplyDecoder(DECODER_CONFIG);
-        ServiceConnection connection =
-                new ServiceConnection(decoder, reusable ? idle::addLast : ServiceConnection::close, idle::remove);
+        ServiceConnection connection = new ServiceConnection(
+                decoder, memory, reusable ? idle::addLast : ServiceConnection::close, idle::remove);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
--- a/daemon/src/main/java/org/quetzalseam/daemon/service/ServiceConnection.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/service/ServiceConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -21,10 +22,12 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.daemon.service.ServiceException.Code;
 import org.quetzalseam.http.ReplyDecoder;
+import org.quetzalseam.wire.FrameCodec;
 
 /**
  * A connection to a service that carries one call at a time. An answer counts only if it is whole: a connection that ends within a head,
@@ -38,11 +41,23 @@
 final class ServiceConnection extends ChannelInboundHandlerAdapter {
     /** The header with the id of a sending, which the service is asked to echo. */
     static final String CALL_ID = "Quetzalseam-Call-Id";
+    /** Longest answer, in bytes: what one message to an entry carries beside the answer's headers. */
+    private static final long MOST_BYTES = FrameCodec.MAX_FRAME_BYTES - 256 * 1024L;
+
+    private static final long RESERVE_AGAIN_MILLIS = 20;
 
     private final ReplyDecoder decoder;
     private final Consumer<ServiceConnection> onIdle;
     private final Consumer<ServiceConnection> onClosed;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final AnswerMemory memory;
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    /** Bytes reserved for the answer that is being received. */
+    private long reserved;
+
+    /** Whether the answer waits for memory. */
+    private boolean paused;
+
+    private boolean toHead;
     private volatile @Nullable Channel channel;
     private @Nullable CompletableFuture<ServiceAnswer> answer;
     private @Nullable ChannelFuture written;
@@ -56,10 +71,16 @@
      * Creates a connection.
      *
      * @param decoder decodes the connection's answers
+     * @param memory bounds the memory of the answers of all connections
      * @param onIdle called when the connection could carry another call
      * @param onClosed called when the connection has closed
      */
-    ServiceConnection(ReplyDecoder decoder, Consumer<ServiceConnection> onIdle, Consumer<ServiceConnection> onClosed) {
+    ServiceConnection(
+            ReplyDecoder decoder,
+            AnswerMemory memory,
+            Consumer<ServiceConnection> onIdle,
+            Consumer<ServiceConnection> onClosed) {
+        this.memory = memory;
         this.decoder = decoder;
         this.onIdle = onIdle;
         this.onClosed = onClosed;
@@ -104,9 +125,9 @@
             }
         });
         decoder.expectReplyTo(request.method());
+        toHead = request.method().equals(HttpMethod.HEAD);
         callId = request.headers().get(CALL_ID, "");
         head = null;
-        body.reset();
         written = opened.writeAndFlush(request);
         if (!opened.isActive()) {
             fail("the connection was closed before the call was sent", null);
@@ -150,6 +171,7 @@
         boolean withoutId = !response.headers().contains(CALL_ID);
         if (echoesId(response) || (withoutId && !usedBefore)) {
             head = response;
+            reserveStatedLength(HttpUtil.getContentLength(response, 0L));
         } else {
             fail(
                     "expected the answer to call " + callId + ", found "
@@ -158,6 +180,77 @@
         }
     }
 
+    /** Reserves memory for an answer whose length is stated; until there is some, no more of it is read. */
+    private void reserveStatedLength(long length) {
+        if (toHead || length <= AnswerMemory.SMALL_BYTES) {
+            return;
+        }
+        if (length > MOST_BYTES || !memory.fits(length)) {
+            failForLength(length);
+            return;
+        }
+        paused = !memory.tryReserve(length, length);
+        if (paused) {
+            setReading(false);
+            retryLater(length);
+            return;
+        }
+        reserved = length;
+        ByteArrayOutputStream begun = body;
+        body = new ByteArrayOutputStream((int) length);
+        body.writeBytes(begun.toByteArray());
+        setReading(true);
+    }
+
+    private void retryLater(long length) {
+        Channel opened = channel;
+        if (opened != null) {
+            opened.eventLoop()
+                    .schedule(
+                            () -> {
+                                if (answer != null && open()) {
+                                    reserveStatedLength(length);
+                                }
+                            },
+                            RESERVE_AGAIN_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void setReading(boolean reading) {
+        Channel opened = channel;
+        if (opened != null) {
+            opened.config().setAutoRead(reading);
+        }
+    }
+
+    /** Reserves memory for the next part of an answer. Returns false, and fails the call, if there is none. */
+    private boolean reservePart(int bytes) {
+        long length = (long) body.size() + bytes;
+        long missing = length - reserved;
+        if (paused || missing <= 0) {
+            return true;
+        }
+        if (length <= MOST_BYTES && memory.tryReserve(missing, length)) {
+            reserved += missing;
+            return true;
+        }
+        failForLength(length);
+        return false;
+    }
+
+    private void failForLength(long length) {
+        String bound = "expected at most " + MOST_BYTES + " bytes, and memory for them, found " + length + "; ";
+        fail(bound + memory.describe(), null);
+    }
+
+    private void releaseMemory() {
+        memory.release(reserved);
+        reserved = 0;
+        paused = false;
+        body = new ByteArrayOutputStream();
+    }
+
     private boolean echoesId(HttpResponse response) {
         return response.headers().getAll(CALL_ID).equals(List.of(callId));
     }
@@ -170,6 +263,9 @@
             return;
         }
         ByteBuf part = content.content();
+        if (!reservePart(part.readableBytes())) {
+            return;
+        }
         part.readBytes(body, part.readableBytes());
         if (last && !isFramed(whole) && !requestWritten()) {
             // The decoder makes the same end of a connection that a failed write has closed.
@@ -228,6 +324,7 @@
             close();
         }
         waiting.complete(whole);
+        releaseMemory();
     }
 
     /** Returns whether the end of an answer was stated otherwise than by the end of its connection. */
@@ -252,6 +349,7 @@
         CompletableFuture<ServiceAnswer> waiting = answer;
         answer = null;
         received = null;
+        releaseMemory();
         close();
         if (waiting != null) {
             waiting.completeExceptionally(
--- a/daemon/src/test/java/org/quetzalseam/daemon/service/SecondAnswerTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/service/SecondAnswerTest.java
@@ -158,7 +158,8 @@
     private static String secondCall(Pair pair, int bytes, Moment moment, int[] splits) {
         List<ServiceConnection> idle = new ArrayList<>();
         ReplyDecoder decoder = new ReplyDecoder(new HttpDecoderConfig());
-        ServiceConnection connection = new ServiceConnection(decoder, idle::add, idle::remove);
+        ServiceConnection connection =
+                new ServiceConnection(decoder, AnswerMemory.ofProcess(() -> 0), idle::add, idle::remove);
         EmbeddedChannel channel = new EmbeddedChannel(new HttpRequestEncoder(), decoder, connection);
         String copy = pair.first().substring(0, bytes);
         CompletableFuture<ServiceAnswer> first = call(connection, channel, pair.method(), "one");
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
@@ -193,6 +193,11 @@
         }
     }
 
+    /** Returns how many bytes wait to be written on all connections of the process. */
+    public static long queuedBytesOfProcess() {
+        return QueueMemory.ofProcess().used();
+    }
+
     /** Returns how many bytes wait to be written. */
     long queuedBytes() {
         return queuedBytes.get();
