An endpoint's ended calls can't fill its memory; an error ends a connection between processes

Callers saw: after 100 calls with answers of 3 MiB, unread, no ordinary call was answered, beside these callers and for 60 s after they had left; once for the 35 s in which the entry had no connection to the endpoint. Causes: an endpoint keeps an ended call, its body and its answer, for 30 s, so that it can be sent again after a lost connection (a keyed call's answer for the key's time), whatever their size. In the entry an OutOfMemoryError ended the thread that reads from the endpoint; the connection stayed open, dead, until the next timeout. Now the body goes when the call has ended. Kept answers may take 15 in 100 of the heap; beyond it the oldest are forgotten, large ones first, counted and logged (kept-answers). Who asks for one is told backend-failed, outcome unknown: it ran, and it is not run again; a key stays claimed. A connection ends with its threads, whatever ends them. A long frame is read into memory of its length, where it had needed twice that.

--- a/core/src/main/java/org/quetzalseam/core/keyed/KeyTable.java
+++ b/core/src/main/java/org/quetzalseam/core/keyed/KeyTable.java
@@ -105,6 +105,14 @@
         complete(key, answer, true, now);
     }
 
+    /** Replaces the answer that is kept for a key, if there is one, to save its memory. The key stays claimed. */
+    public synchronized void replaceAnswer(String key, A answer) {
+        KeyRecord<A> record = records.get(key);
+        if (record != null && record.answer != null) {
+            record.answer = answer;
+        }
+    }
+
     /** Removes a claimed key whose request provably did not run; waiting requests receive {@code answer}. */
     public void release(String key, A answer, long now) {
         complete(key, answer, false, now);
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/EndpointDaemon.java
@@ -85,9 +85,9 @@
                 settings.backend().url(),
                 this::reportLost,
                 timers::now);
-        this.handler = createHandler(settings);
-        this.serviceBackend = handler instanceof ServiceBackend known ? Optional.of(known) : Optional.empty();
         Metrics metrics = new Metrics();
+        this.handler = createHandler(settings, metrics);
+        this.serviceBackend = handler instanceof ServiceBackend known ? Optional.of(known) : Optional.empty();
         this.acceptor = new Acceptor(
                 settings.listen().host(),
                 settings.listen().port(),
@@ -104,7 +104,7 @@
         this.operatorServer = new OperatorServer(settings.listen(), metrics, new StatusSource());
     }
 
-    private AttemptHandler createHandler(Settings from) {
+    private AttemptHandler createHandler(Settings from, Metrics metrics) {
         Settings.Backend backend = from.backend();
         Function<JobRunner, Admission> admission = runner -> new Admission(
                 new Admission.Rules(
@@ -131,10 +131,16 @@
                         self.incarnation(),
                         from.timing().keyRetention(),
                         crashes,
+                        KeptAnswers.ofProcess(
+                                longer(ATTEMPT_RETENTION, from.timing().keyRetention()), metrics::limitReached),
                         admission);
         };
     }
 
+    private static Duration longer(Duration first, Duration second) {
+        return first.compareTo(second) > 0 ? first : second;
+    }
+
     private static int longWindow(Settings from) {
         return (int)
                 Math.max(1, Math.round(from.backend().places() * from.policy().longWindow()));
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/Job.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/Job.java
@@ -2,12 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.admission.QueuedAttempt;
 import org.quetzalseam.core.attempt.AttemptId;
+import org.quetzalseam.wire.message.Answer;
 import org.quetzalseam.wire.message.AttemptMessage;
 import org.quetzalseam.wire.message.AttemptReply;
+import org.quetzalseam.wire.message.Call;
+import org.quetzalseam.wire.message.Failed;
 import org.quetzalseam.wire.message.Load;
 import org.quetzalseam.wire.message.Outputs;
 import org.quetzalseam.wire.message.Refused;
@@ -18,7 +22,7 @@
  */
 final class Job {
     private final QueuedAttempt queuedAttempt;
-    private final AttemptMessage request;
+    private AttemptMessage request;
     private final Sessions sessions;
     private final List<String> outputs = new ArrayList<>();
     private @Nullable AttemptReply lastReply;
@@ -41,7 +45,8 @@
         return queuedAttempt;
     }
 
-    AttemptMessage request() {
+    /** Returns the request; of a call that has ended, without its body. */
+    synchronized AttemptMessage request() {
         return request;
     }
 
@@ -98,6 +103,7 @@
             }
             complete = true;
             lastReply = reply;
+            request = withoutBody(request);
             listener = refusalListener;
             sessions.send(id().entry(), reply);
         }
@@ -107,6 +113,28 @@
         return true;
     }
 
+    private static AttemptMessage withoutBody(AttemptMessage request) {
+        return request instanceof Call call
+                ? new Call(
+                        call.attempt(),
+                        call.work(),
+                        call.method(),
+                        call.path(),
+                        Map.of(),
+                        new byte[0],
+                        call.timeoutMillis(),
+                        call.idempotent(),
+                        call.key())
+                : request;
+    }
+
+    /** Replaces the answer that is kept for repetition, to save its memory. */
+    synchronized void forgetAnswer(Failed lost) {
+        if (lastReply instanceof Answer) {
+            lastReply = lost;
+        }
+    }
+
     synchronized void sendOutput(String text, Load load) {
         if (!complete) {
             sessions.send(id().entry(), new Outputs(id(), outputs.size(), List.of(text), load));
--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/ServiceBackend.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/ServiceBackend.java
@@ -43,6 +43,7 @@
     private final IncarnationRecords incarnationRecords;
     private final long incarnation;
     private final KeyTable<AttemptReply> keys;
+    private final KeptAnswers keptAnswers;
     private final long keyRetentionNanos;
     private final long startedAtNanos = System.nanoTime();
     private volatile long membersVersion;
@@ -54,7 +55,9 @@
             long incarnation,
             Duration keyRetention,
             BackendCrashes crashes,
+            KeptAnswers keptAnswers,
             Function<JobRunner, Admission> admission) {
+        this.keptAnswers = keptAnswers;
         this.client = client;
         this.sessions = sessions;
         this.incarnationRecords = incarnationRecords;
@@ -278,6 +281,18 @@
             keys.finish(call.key().key(), reply, System.nanoTime());
         }
         job.complete(reply);
+        if (reply instanceof Answer answer) {
+            keptAnswers.add(job.id(), answer.body().length, System.nanoTime(), () -> forgetAnswer(job, call));
+        }
+    }
+
+    private void forgetAnswer(Job job, Call call) {
+        Failed lost =
+                new Failed(job.id(), FailureCode.BACKEND_FAILED, "the answer is no longer kept", admission.load());
+        job.forgetAnswer(lost);
+        if (call.key().isPresent()) {
+            keys.replaceAnswer(call.key().key(), lost);
+        }
     }
 
     /**
--- a/wire/src/main/java/org/quetzalseam/wire/FrameCodec.java
+++ b/wire/src/main/java/org/quetzalseam/wire/FrameCodec.java
@@ -5,19 +5,23 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.wire.WireException.Code;
 
 /**
  * Reads and writes frames. A frame is a length of four bytes, big-endian, followed by that many bytes. Stateless.
  *
- * <p>The length is checked before anything is read, and memory is allocated only as the bytes arrive, so a peer cannot make this
- * process reserve memory for what it does not send.
+ * <p>The length is checked before anything is read, and memory for a long frame is allocated only when its first part has arrived, so
+ * that a peer which sends nothing cannot make this process reserve it.
  */
 public final class FrameCodec {
     /** Longest frame accepted, in bytes. */
     public static final int MAX_FRAME_BYTES = 4 << 20;
 
+    /** Bytes of a long frame that arrive before memory for all of it is allocated. */
+    private static final int FIRST_PART_BYTES = 64 * 1024;
+
     private FrameCodec() {}
 
     /**
@@ -28,20 +32,24 @@
      * @throws WireException with {@code BAD_FRAME} if the length is out of bounds or the stream ends inside the frame
      */
     public static byte @Nullable [] read(DataInputStream in, int maxLength) throws IOException {
-        int first = in.read();
-        if (first < 0) {
+        int highest = in.read();
+        if (highest < 0) {
             return null;
         }
         try {
-            int length = first << 24 | in.readUnsignedByte() << 16 | in.readUnsignedShort();
+            int length = highest << 24 | in.readUnsignedByte() << 16 | in.readUnsignedShort();
             if (length <= 0 || length > maxLength) {
                 throw new WireException(Code.BAD_FRAME, "length: expected 1 to " + maxLength + " bytes, got " + length);
             }
-            // Memory is taken as the bytes arrive, because a peer may state a length and send nothing.
-            byte[] content = in.readNBytes(length);
-            if (content.length < length) {
+            byte[] first = in.readNBytes(Math.min(length, FIRST_PART_BYTES));
+            if (first.length == length) {
+                return first;
+            }
+            if (first.length < FIRST_PART_BYTES) {
                 throw new EOFException();
             }
+            byte[] content = Arrays.copyOf(first, length);
+            in.readFully(content, first.length, length - first.length);
             return content;
         } catch (EOFException e) {
             throw new WireException(Code.BAD_FRAME, "the stream ended inside a frame", e);
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
@@ -147,20 +147,26 @@
     }
 
     private void writeAll() {
+        boolean outputEnded = false;
         try {
-            while (!closed.get()) {
-                if (writeQueued(queue.take())) {
-                    socket.shutdownOutput();
-                    return;
-                }
+            while (!closed.get() && !outputEnded) {
+                outputEnded = writeQueued(queue.take());
+            }
+            if (outputEnded) {
+                socket.shutdownOutput();
             }
         } catch (IOException e) {
             logger.atFine().log(
                     "event=write-failed peer=%s reason=%s", peer.identity().name(), e.getMessage());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } finally {
+            // Also after an error such as a full heap: the peer notices at once only if the connection ends with this
+            // thread.
+            if (!outputEnded) {
+                close();
+            }
         }
-        close();
     }
 
     /**
@@ -242,8 +248,9 @@
         } catch (RuntimeException e) {
             logger.atSevere().withCause(e).log(
                     "event=message-failed peer=%s", peer.identity().name());
+        } finally {
+            close();
         }
-        close();
     }
 
     /**
