In a small heap, kept replies take a fifth of it at most

Seen in a trial (not committed: an entry with 24 MB of heap, 300 callers with answers of 1 MiB, unread): Java heap space, the log's thread ended, no status check was answered. Replies that are kept until they are complete were bounded by 16 MiB whatever the heap; the other bounds are parts of it. Now the bound is the smaller of 16 MiB and a fifth of the heap; at the deployed 96 MB it is as before.

--- a/gateway/src/main/java/org/quetzalseam/gateway/http/Connector.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/Connector.java
@@ -32,10 +32,18 @@
 
     /** Most memory for all replies that are kept until they are complete, in bytes: a sixth of the heap as deployed. */
     public static final long MAX_REPLY_MEMORY = 16 * 1024 * 1024;
+    /** Part of a smaller heap than the deployed one. */
+    private static final double REPLY_MEMORY_SHARE = 0.2;
 
     private final EventLoop loop;
     private final String idHeader;
-    private final ReplyMemory memory = new ReplyMemory(MAX_REPLY_MEMORY);
+    private final ReplyMemory memory =
+            new ReplyMemory(replyMemory(Runtime.getRuntime().maxMemory()));
+
+    /** Returns how much memory all replies may take that are kept, in a process with such a limit of the heap. */
+    static long replyMemory(long heapBytes) {
+        return Math.min(MAX_REPLY_MEMORY, (long) (heapBytes * REPLY_MEMORY_SHARE));
+    }
 
     /**
      * Creates a connector.
