The log goes on after a batch that could not be written

Now such a batch is left out and counted as log-lines-left-out. In a heap below 96 MB less is queued: a batch takes several times its characters. AsyncLogHandlerTest#aBatchThatCannotBeWrittenDoesNotEndTheLog failed with the handler of before, and passes.

--- a/gateway/src/main/java/org/quetzalseam/gateway/log/AsyncLogHandler.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/log/AsyncLogHandler.java
@@ -18,8 +18,12 @@
 public final class AsyncLogHandler extends Handler {
     /** Maximum number of queued lines: about ten seconds of a busy entry. */
     private static final int MAX_QUEUED_LINES = 4_096;
+    /** In a small heap, what is queued takes one in so many parts of it at most; a batch takes several times its characters. */
+    private static final int LEAST_HEAP_SHARE = 24;
+
     /** Maximum length of all queued lines, in characters: on average twice the length of the longest usual line. */
-    private static final long MAX_QUEUED_CHARACTERS = 4L * 1024 * 1024;
+    private static final long MAX_QUEUED_CHARACTERS =
+            Math.min(4L * 1024 * 1024, Runtime.getRuntime().maxMemory() / LEAST_HEAP_SHARE);
     /** How long lines are collected before they are written together, in milliseconds. */
     private static final long BATCH_MILLIS = 100;
 
@@ -60,23 +64,34 @@
     private void writeBatches() {
         StringBuilder text = new StringBuilder();
         try {
-            while (true) {
+            while (writeBatch(text)) {
+                Thread.sleep(BATCH_MILLIS);
                 text.setLength(0);
                 if (text.capacity() > MAX_KEPT_CHARACTERS) {
                     text.trimToSize();
                 }
-                if (!awaitBatch(text)) {
-                    return;
-                }
-                out.write(text.toString().getBytes(StandardCharsets.UTF_8));
-                out.flush();
-                Thread.sleep(BATCH_MILLIS);
             }
         } catch (IOException | InterruptedException expected) {
             // Nothing reads the log any more, or the process ends, so the fault cannot be reported.
         }
     }
 
+    /** Writes what is queued. Returns false after the last batch. A batch that cannot be written, as when the heap is full, is left out. */
+    private boolean writeBatch(StringBuilder text) throws IOException, InterruptedException {
+        try {
+            if (!awaitBatch(text)) {
+                return false;
+            }
+            out.write(text.toString().getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        } catch (RuntimeException | OutOfMemoryError e) {
+            synchronized (this) {
+                droppedLines++;
+            }
+        }
+        return true;
+    }
+
     private synchronized boolean awaitBatch(StringBuilder text) throws InterruptedException {
         while (queue.isEmpty() && !closing) {
             wait();
--- a/gateway/src/test/java/org/quetzalseam/gateway/log/AsyncLogHandlerTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/log/AsyncLogHandlerTest.java
@@ -94,4 +94,29 @@
         // At most one batch is being written while another one is queued.
         assertThat(output.text()).contains("event=log-lines-left-out").hasSizeLessThan(2 * MAX_QUEUED_CHARACTERS);
     }
+
+    /** A line that cannot be formatted because the heap is full. */
+    private static final class UnwritableRecord extends LogRecord {
+        private static final long serialVersionUID = 1L;
+
+        UnwritableRecord() {
+            super(Level.INFO, "event=unwritable");
+        }
+
+        @Override
+        public Throwable getThrown() {
+            throw new OutOfMemoryError("the test's heap");
+        }
+    }
+
+    // Guards against the log ending for good when the heap was full while a batch was written.
+    @Test
+    void aBatchThatCannotBeWrittenDoesNotEndTheLog() throws InterruptedException {
+        output.unblocked.countDown();
+        handler.publish(new UnwritableRecord());
+        handler.publish(new LogRecord(Level.INFO, "event=later"));
+        awaitText("event=later");
+        awaitText("event=log-lines-left-out count=1");
+        handler.close();
+    }
 }
