--- a/cli/src/main/java/org/quetzalseam/cli/fault/FaultRun.java
+++ b/cli/src/main/java/org/quetzalseam/cli/fault/FaultRun.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -29,6 +30,7 @@
 import org.quetzalseam.cli.site.Traffic;
 import org.quetzalseam.cli.site.Wait;
 import org.quetzalseam.standins.client.NonReadingClients;
+import org.quetzalseam.standins.client.ReconnectingClients;
 
 /**
  * Sends traffic to a site while random faults are injected, two or more kinds at a time. Then waits until the site
@@ -46,6 +48,12 @@
     /** Clients at each entry that never read an answer, and what they send. */
     private static final int NON_READING_CLIENTS = 4;
 
+    private static final int RECONNECTING_CLIENTS = 1;
+    /** More than such a client can open during a run. */
+    private static final int RECONNECTIONS = 1_000_000;
+
+    private static final int UNREAD_REQUESTS_AHEAD = 50;
+
     private static final String UNREAD_REQUEST = "GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n";
     private static final List<Fault> KINDS = List.of(Fault.values());
 
@@ -123,9 +131,9 @@
             SplittableRandom random = seeds.split();
             injectors.execute(() -> injectFaults(random));
         }
-        List<NonReadingClients> crowds = connectNonReadingClients();
+        List<AutoCloseable> crowds = connectNonReadingClients();
         List<Sample> samples = new LoadRun(site, "fault" + seed, HANG_UP_SHARE, MAX_ATTEMPTS).run(schedule, seed);
-        crowds.forEach(NonReadingClients::close);
+        crowds.forEach(FaultRun::disconnect);
         finished = true;
         injectors.shutdown();
         awaitEnd(injectors);
@@ -140,17 +148,27 @@
                 new Report(report.summaries(), report.madeTokens(), report.wastedTokens(), violations), faults);
     }
 
-    /** Connects clients to all entries that send requests ahead for as long as they are read, and never read an answer. */
-    private List<NonReadingClients> connectNonReadingClients() {
-        List<NonReadingClients> crowds = new ArrayList<>();
+    /** Connects clients to all entries that send requests ahead and never read an answer; some close and connect again and again. */
+    private List<AutoCloseable> connectNonReadingClients() {
+        List<AutoCloseable> crowds = new ArrayList<>();
         for (EntryVm entry : nonReadingClients ? site.entries() : List.<EntryVm>of()) {
             URI uri = URI.create(entry.url());
             InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), uri.getPort());
             crowds.add(new NonReadingClients(address, NON_READING_CLIENTS, UNREAD_REQUEST, Long.MAX_VALUE));
+            byte[] ahead = UNREAD_REQUEST.repeat(UNREAD_REQUESTS_AHEAD).getBytes(StandardCharsets.ISO_8859_1);
+            crowds.add(new ReconnectingClients(address, RECONNECTING_CLIENTS, ahead, RECONNECTIONS));
         }
         return crowds;
     }
 
+    private static void disconnect(AutoCloseable clients) {
+        try {
+            clients.close();
+        } catch (Exception e) {
+            throw new IllegalStateException("clients could not be disconnected", e);
+        }
+    }
+
     private static void awaitEnd(ExecutorService injectors) {
         try {
             if (!injectors.awaitTermination(SETTLE_TIMEOUT.toSeconds(), TimeUnit.SECONDS)) {
