A head that HTTP does not define is no answer, in both programs

What callers saw: a server's answer with status 000 reached them as an answer (as status 0), and so did 099, 600, 2000 and 0200, a control byte in the reason, and a head with a blank in the name of a field, which was passed on cut at the blank. "Content-Length x: 3" framed the body: a 200 with three of 27 bytes that looked whole. An unknown transfer coding was passed on as the body.

Cause: ReplyDecoder checked the version, and status lines within the framing; all else of a head was left to the library, which reads a status of any digits and, for responses, ends a name at its first blank. What it decodes no longer tells what was sent.

An answer to another request with a broken head was skipped, and the one after it taken (43 forms).

Stand-in: BrokenAnswers.

--- /dev/null
+++ b/daemon/src/test/java/org/quetzalseam/daemon/engine/BrokenEngineAnswerTest.java
@@ -0,0 +1,107 @@
+package org.quetzalseam.daemon.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.quetzalseam.daemon.HttpClients;
+import org.quetzalseam.standins.raw.BrokenAnswers;
+import org.quetzalseam.standins.raw.BrokenAnswers.Answer;
+import org.quetzalseam.standins.raw.RawServer;
+
+/** Tests engines that send answers which HTTP/1.1 does not define. */
+@Timeout(value = 3, unit = TimeUnit.MINUTES)
+class BrokenEngineAnswerTest {
+    private static final String TRANSFER = "{\"kv_transfer_params\":{\"at\":\"e-1\"}}";
+    private static final String EVENT = "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\n";
+    private static final String EVENTS = EVENT + "data: [DONE]\n\n";
+
+    private static EngineRequest request() {
+        return new EngineRequest("r-1", 0, "{\"prompt\":\"p\"}".getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String prefill(HttpEngine engine) {
+        return engine.prefill(request())
+                .handle((transfer, failure) -> failure == null ? "done" : code(failure))
+                .join();
+    }
+
+    private static String code(Throwable failure) {
+        return ((EngineException) HttpClients.cause(failure)).code().toString();
+    }
+
+    private static String decode(HttpEngine engine) {
+        CompletableFuture<String> end = new CompletableFuture<>();
+        engine.decode(request(), "{}".getBytes(StandardCharsets.UTF_8), new OutputSink() {
+            @Override
+            public void output(String text) {
+                // Only the end of the stream is tested.
+            }
+
+            @Override
+            public void ended(String reason) {
+                end.complete(reason);
+            }
+
+            @Override
+            public void failed(EngineException failure) {
+                end.complete(failure.code().toString());
+            }
+        });
+        return end.join();
+    }
+
+    private static List<String> taken(String body, Function<HttpEngine, String> call) {
+        List<String> taken = new ArrayList<>();
+        // An event stream has ended before its trailer arrives, so trailers are left out.
+        for (Answer answer : new BrokenAnswers(body, "Content-Type: x/y", "X-S: 1")
+                .broken().stream()
+                        .filter(form -> !body.equals(EVENTS) || !form.name().endsWith("in a trailer"))
+                        .toList()) {
+            try (RawServer server = new RawServer((request, connection) -> {
+                connection.write(answer.text());
+                connection.finish();
+            })) {
+                String told = call.apply(new HttpEngine("http://127.0.0.1:" + server.port()));
+                if (!told.equals("FAILED")) {
+                    taken.add(answer + ": " + told);
+                }
+            }
+        }
+        return taken;
+    }
+
+    // Guards against a prefill counting as done, or as not run, by an answer that HTTP does not define.
+    @Test
+    void aPrefillWithABrokenAnswerFails() {
+        assertThat(taken(TRANSFER, BrokenEngineAnswerTest::prefill)).isEmpty();
+    }
+
+    // Guards against outputs of a stream being delivered, or the request counting as not run, though its head is
+    // broken.
+    @Test
+    void aStreamWithABrokenHeadFails() {
+        assertThat(taken(EVENTS, BrokenEngineAnswerTest::decode)).isEmpty();
+    }
+
+    // Guards against a cancellation counting as done, and the engine's memory as free, by an answer that HTTP does not
+    // define.
+    @Test
+    void aCancellationWithABrokenAnswerIsRepeated() {
+        List<String> requests = new ArrayList<>();
+        try (RawServer server = new RawServer((request, connection) -> {
+            requests.add(request.method());
+            String status = requests.size() == 1 ? "000 Nothing" : "200 OK";
+            connection.write("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n");
+        })) {
+            new HttpEngine("http://127.0.0.1:" + server.port()).cancel("r-1").join();
+        }
+        assertThat(requests).containsExactly("DELETE", "DELETE");
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/quetzalseam/daemon/platform/BrokenStoreAnswerTest.java
@@ -0,0 +1,56 @@
+package org.quetzalseam.daemon.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.quetzalseam.standins.raw.BrokenAnswers;
+import org.quetzalseam.standins.raw.BrokenAnswers.Answer;
+import org.quetzalseam.standins.raw.RawServer;
+
+/** Tests a store that sends answers which HTTP/1.1 does not define. */
+@Timeout(value = 3, unit = TimeUnit.MINUTES)
+class BrokenStoreAnswerTest {
+    private static final String OBJECT = "{\"metadata\":{\"name\":\"n\",\"resourceVersion\":12},\"data\":\"YWJj\"}";
+    private static final String LIST =
+            "{\"metadata\":{\"resourceVersion\":12},\"items\":[{\"name\":\"v\",\"role\":\"entry\",\"port\":1}]}";
+
+    private static List<String> used(String body, Function<HttpObjectStore, Object> call) {
+        List<String> used = new ArrayList<>();
+        for (Answer answer : new BrokenAnswers(body, "Store-Era: 3", "X-S: 1").broken()) {
+            try (RawServer server = new RawServer((request, connection) -> {
+                connection.write(answer.text());
+                connection.finish();
+            })) {
+                HttpObjectStore store = new HttpObjectStore("http://127.0.0.1:" + server.port());
+                String told = told(store, call);
+                if (!told.equals("UNAVAILABLE") || store.era() != 0) {
+                    used.add(answer + ": " + told + ", era " + store.era());
+                }
+            }
+        }
+        return used;
+    }
+
+    private static String told(HttpObjectStore store, Function<HttpObjectStore, Object> call) {
+        try {
+            return "used: " + call.apply(store);
+        } catch (StoreException e) {
+            return e.code().toString();
+        }
+    }
+
+    // Guards against an object, a write or a list of VMs being taken from an answer that HTTP does not define.
+    @Test
+    void aBrokenAnswerIsNotUsed() {
+        assertThat(used(OBJECT, store -> store.read("n"))).isEmpty();
+        assertThat(used(OBJECT, store -> store.create("n", new byte[1]))).isEmpty();
+        assertThat(used(OBJECT, store -> store.watch("n", 0, Duration.ZERO))).isEmpty();
+        assertThat(used(LIST, store -> store.members(0, Duration.ZERO))).isEmpty();
+    }
+}
