Blank lines and interim answers before an answer are bounded in number

Cause: the library's decoder drops blank lines before a status line one by one, so that no bound on a head or a body counts them; both of quetzalseamd's clients skip interim answers without counting them. The streaming entry counted interim ones only.

Fix: the decoder that all answers of both programs pass accepts 16 blank lines before each status line, and 16 interim answers to a request, as many heads as the streaming entry skips; the next one fails the call as other bytes that are no answer do. The bound is a number, so that it holds whatever the deadline and however slowly the bytes come.

--- a/daemon/src/test/java/org/quetzalseam/daemon/service/BrokenAnswerTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/service/BrokenAnswerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -11,11 +12,13 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalseam.core.admission.WorkClass;
 import org.quetzalseam.core.attempt.AttemptId;
 import org.quetzalseam.daemon.HttpClients;
 import org.quetzalseam.standins.raw.BrokenAnswers;
 import org.quetzalseam.standins.raw.BrokenAnswers.Answer;
+import org.quetzalseam.standins.raw.RawConnection;
 import org.quetzalseam.standins.raw.RawServer;
 import org.quetzalseam.wire.message.Call;
 import org.quetzalseam.wire.message.KeyUse;
@@ -27,6 +30,8 @@
     private static final BrokenAnswers ANSWERS =
             new BrokenAnswers("a body of twenty-seven byte", "X-Signature: s", "Content-Type: x/y");
     private static final long TIMEOUT_MILLIS = 20_000;
+    /** Time by which a call must have failed whose service sends bytes without end, in milliseconds: far from its timeout. */
+    private static final long FAILED_MILLIS = 5_000;
 
     private static String call(HttpServiceClient client, boolean idempotent) {
         Work work = new Work("owner", "entry", WorkClass.SHORT, 1, 0, 0, 0, 1);
@@ -88,4 +93,22 @@
                     client -> assertThat(call(client, false)).as(answer.name()).isEqualTo("status 200"));
         }
     }
+
+    // Guards against reading bytes that are no answer until the call's timeout.
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\n", "HTTP/1.1 103 Hints\r\nA: b\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"})
+    void bytesThatAreNoAnswerAreNotReadUntilTheTimeout(String bytes) {
+        withService((request, connection) -> writeWithoutEnd(connection, bytes.repeat(100)), client -> {
+            long start = System.nanoTime();
+            assertThat(call(client, false)).isEqualTo("NO_ANSWER");
+            assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isLessThan(FAILED_MILLIS);
+        });
+    }
+
+    /** Writes until the client closes the connection. */
+    private static void writeWithoutEnd(RawConnection connection, String block) throws IOException {
+        while (true) {
+            connection.write(block);
+        }
+    }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/BrokenAnswerTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/BrokenAnswerTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,6 +25,11 @@
     private static final String PROMPT_TOKENS_HEADER = "x-tokens: 1000";
     private static final String BODY = "id: 1\ndata: whole\n\n";
 
+    /** Deadline of requests whose endpoint sends bytes without end, in milliseconds. */
+    private static final long LONG_DEADLINE_MILLIS = 20_000;
+    /** Time by which such a request must have been answered, in milliseconds: far from its deadline. */
+    private static final long ANSWERED_MILLIS = 5_000;
+
     private final TestEntry entry = new TestEntry();
     private final Map<String, Answer> broken = new ConcurrentHashMap<>();
     private final List<ScriptedEndpoint> endpoints = List.of(
@@ -32,9 +38,11 @@
             new ScriptedEndpoint("engine-one", this::reply),
             new ScriptedEndpoint("engine-two", this::reply));
 
+    private volatile String endless = "";
+
     @BeforeEach
     void start() {
-        entry.updateRoutes(20_000, 1_000);
+        entry.updateRoutes(LONG_DEADLINE_MILLIS, 1_000);
         entry.updateEndpoints(
                 endpoints.get(0).member("s", Stage.WHOLE),
                 endpoints.get(1).member("s", Stage.WHOLE),
@@ -52,6 +60,8 @@
         Answer answer = broken.get(request.header("x-id"));
         if (request.path().startsWith("/control/")) {
             connection.answer(request, "booking");
+        } else if (!endless.isEmpty()) {
+            writeWithoutEnd(connection);
         } else if (answer == null) {
             connection.answer(request, BODY);
         } else {
@@ -62,6 +72,14 @@
         }
     }
 
+    /** Writes until the entry closes the connection. */
+    private void writeWithoutEnd(ScriptedEndpoint.Connection connection) throws IOException {
+        String block = endless.repeat(100);
+        while (true) {
+            connection.write(block);
+        }
+    }
+
     private static List<Answer> answers(String id) {
         return new BrokenAnswers(BODY, "x-id: " + id, "x-signature: s", "Content-Type: text/event-stream").broken();
     }
@@ -118,4 +136,20 @@
         }
         assertThat(endpoints.get(0).runs()).isNotEmpty();
     }
+
+    // Guards against a caller waiting for its deadline while the entry reads bytes that are no answer.
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\n", "HTTP/1.1 103 Hints\r\nA: b\r\n\r\n"})
+    void bytesThatAreNoAnswerAreNotReadUntilTheDeadline(String bytes) {
+        endless = bytes;
+        for (String route : List.of("/once/", "/many/", "/stream/")) {
+            long start = System.nanoTime();
+            String patience = "x-patience: " + LONG_DEADLINE_MILLIS;
+            assertThat(entry.ask(route + "x", "endless" + route.length(), PROMPT_TOKENS_HEADER, patience))
+                    .startsWith("HTTP/1.1 502");
+            assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start))
+                    .as(route)
+                    .isLessThan(ANSWERED_MILLIS);
+        }
+    }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/http/BrokenReplyTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/http/BrokenReplyTest.java
@@ -30,6 +30,9 @@
     private static final String FIRST = "HTTP/1.1 200 OK\r\nx-id: first\r\nContent-Length: 5\r\n\r\nfirst";
     private static final String SOUND = "HTTP/1.1 200 OK\r\nx-id: r\r\nContent-Length: 5\r\n\r\nsound";
 
+    /** Far more lines or heads than a client has to read before a reply, and far fewer than the kernel keeps for it. */
+    private static final int MOST_REPEATS = 1_000;
+
     private final EmbeddedChannel channel;
     private final HttpConnection connection;
 
@@ -156,4 +159,30 @@
                     .startsWith("head 200", "completed");
         }
     }
+
+    // Guards against reading bytes that are no reply until the request's deadline, instead of failing the request.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\r\n",
+                "\n",
+                " \r\n",
+                "\u0000",
+                "HTTP/1.1 103 Hints\r\n\r\n",
+                "HTTP/1.1 100 Continue\r\nA: b\r\n\r\n"
+            })
+    void bytesThatAreNoReplyAreBoundedInNumber(String endless) {
+        for (boolean used : new boolean[] {false, true}) {
+            Result result = receive(new Answer(endless, endless.repeat(MOST_REPEATS), false), "", used, true);
+            assertThat(result.told).as("used before: %s", used).containsExactly("MALFORMED", "closed");
+        }
+    }
+
+    // Guards against a bound on blank lines that interim replies between them reset, or the other way round.
+    @Test
+    void blankLinesBetweenInterimRepliesAreBoundedInNumber() {
+        String endless = "\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n".repeat(MOST_REPEATS);
+        assertThat(receive(new Answer("mixed", endless, false), "", false, false).told)
+                .containsExactly("MALFORMED", "closed");
+    }
 }
--- a/http/src/main/java/org/quetzalseam/http/HeadSyntax.java
+++ b/http/src/main/java/org/quetzalseam/http/HeadSyntax.java
@@ -10,6 +10,9 @@
  * <p>As the RFC asks of a proxy, blanks between a name and its colon and lines that continue a value are accepted.
  */
 final class HeadSyntax {
+    /** Blank lines that may precede a status line. */
+    static final int MOST_BLANK_LINES = 16;
+
     /** The beginning of a status line; {@code d} stands for a digit, and {@code v} for the digit of a supported version. */
     private static final String STATUS_LINE = "HTTP/1.v ddd";
 
@@ -31,6 +34,7 @@
     private Place place = Place.STATUS_LINE;
     private int matched;
     private int status;
+    private int blankLines;
     private boolean afterCarriageReturn;
     private boolean firstLine;
 
@@ -39,6 +43,7 @@
         begin(Place.STATUS_LINE);
         matched = 0;
         status = 0;
+        blankLines = 0;
     }
 
     /** Begins a trailer, which is the fields of a head without a status line. */
@@ -88,7 +93,10 @@
 
     private @Nullable String addToStatusLine(byte next) {
         if (matched == 0 && next == '\n') {
-            return null;
+            blankLines++;
+            return blankLines > MOST_BLANK_LINES
+                    ? "expected at most " + MOST_BLANK_LINES + " blank lines before a status line, found more"
+                    : null;
         }
         char expected = STATUS_LINE.charAt(matched);
         boolean matches = switch (expected) {
--- a/http/src/main/java/org/quetzalseam/http/ReplyDecoder.java
+++ b/http/src/main/java/org/quetzalseam/http/ReplyDecoder.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -27,7 +28,8 @@
  *
  * <p>The superclass accepts heads that have no meaning in HTTP, and what it makes of them no longer tells what was sent. So the bytes of
  * each head and trailer are checked ({@link HeadSyntax}), also of those that are skipped. A body is delimited only by a length or by
- * chunks; any other transfer coding fails, because it is not decoded. After a failure nothing more is decoded.
+ * chunks; any other transfer coding fails, because it is not decoded. Bytes before a reply are bounded in number: blank lines and interim
+ * replies. After a failure nothing more is decoded.
  *
  * <p>A faulty server may begin to send a reply again, stop anywhere within it, and send the next reply right after that. Read as one
  * message, the first one's status could then stand before the second one's headers and body. The second reply begins with its status
@@ -38,12 +40,16 @@
  * Used on the connection's event loop only.
  */
 public final class ReplyDecoder extends HttpResponseDecoder {
+    /** Interim replies that may precede the reply to a request. */
+    static final int MOST_INTERIM_REPLIES = 16;
+
     private static final String CHUNKED = HttpHeaderValues.CHUNKED.toString();
 
     private final StatusLineScanner statusLines = new StatusLineScanner();
     private final HeadSyntax syntax = new HeadSyntax();
     private final ChunkFraming chunks = new ChunkFraming();
     private HttpMethod method = HttpMethod.GET;
+    private int interimReplies;
     private boolean inMessage;
     private boolean inBody;
     private boolean chunked;
@@ -58,6 +64,7 @@
     /** Sets the method of the request in progress, which determines whether a reply has a body. */
     public void expectReplyTo(HttpMethod requestMethod) {
         method = requestMethod;
+        interimReplies = 0;
     }
 
     /** Skips the rest of the message whose head was decoded last, because it is not the reply to the request in progress. */
@@ -162,6 +169,9 @@
         if (!codings.isEmpty() && head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
             return "expected no transfer coding in HTTP/1.0, found " + codings;
         }
+        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL && ++interimReplies > MOST_INTERIM_REPLIES) {
+            return "expected at most " + MOST_INTERIM_REPLIES + " interim replies, found more";
+        }
         return null;
     }
 
