quetzalseamd: answers of engines and of the store are bounded; an engine's endless stream is closed

A call waited for its timeout (a prefill 60 s) and a decode, which has none, for ever.

Cause: the answers to prefills and of the store were collected without a bound. A stream's line of more than 1 MiB was cut and read on, comments and blank lines between events were not counted, and a stream was read on after its last event. Parts of a body waited for their handler without a bound.

Evidence: with this commit's change of the product taken back, 5 of 9 cases failed: the prefill and the decode with a body without end, with blank lines and with comments were not ended after 10 s, the store's object was read to the timeout of 23 s, and an engine that sent on after [DONE] was read for 10 s and more.

Fix: BoundedBody collects 4 MiB of a prefill's answer at most, as much as a message to an entry carries, 64 KiB of a cancellation's and 16 MiB of the store's; a call with more fails (FAILED, UNAVAILABLE), never as not run. A stream fails after 1 MiB without an event, also within a line, and is closed after as much behind its last event. Reading pauses while more than 1 MiB waits for its handler.

--- a/daemon/src/main/java/org/quetzalseam/daemon/engine/EventStreamParser.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/engine/EventStreamParser.java
@@ -20,11 +20,14 @@
     private static final String DATA = "data:";
     private static final String DONE = "[DONE]";
     private static final int MAX_LINE_BYTES = 1 << 20;
+    /** Most bytes between two events: comments, which keep a connection open, and blank lines. */
+    private static final int MAX_BYTES_BETWEEN_EVENTS = 1 << 20;
 
     private final OutputSink sink;
     private final Runnable endListener;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private int bytesSinceEvent;
     private String finishReason = "stop";
     private volatile Flow.@Nullable Subscription subscription;
 
@@ -68,18 +71,35 @@
         while (buffer.hasRemaining()) {
             byte next = buffer.get();
             if (next == '\n') {
+                bytesSinceEvent += line.size() + 1;
                 handleLine(line.toString(StandardCharsets.UTF_8).strip());
                 line.reset();
-            } else if (line.size() < MAX_LINE_BYTES) {
+            } else {
                 line.write(next);
             }
+            if (line.size() > MAX_LINE_BYTES) {
+                failForLength("a line of at most " + MAX_LINE_BYTES);
+                return;
+            }
+            if (bytesSinceEvent > MAX_BYTES_BETWEEN_EVENTS) {
+                failForLength("an event after at most " + MAX_BYTES_BETWEEN_EVENTS);
+                return;
+            }
         }
     }
 
+    /** Ends the stream, also one whose last event has been received: an engine might send on without end. */
+    private void failForLength(String expected) {
+        line.reset();
+        cancelSubscription();
+        fail(new EngineException(Code.FAILED, "expected " + expected + " bytes, found more", null));
+    }
+
     private void handleLine(String text) {
         if (ended.get() || !text.startsWith(DATA)) {
             return;
         }
+        bytesSinceEvent = 0;
         String data = text.substring(DATA.length()).strip();
         if (data.equals(DONE)) {
             if (markEnded()) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/engine/HttpEngine.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/engine/HttpEngine.java
@@ -8,7 +8,6 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
-import java.net.http.HttpResponse.BodyHandlers;
 import java.net.http.HttpResponse.BodySubscribers;
 import java.time.Duration;
 import java.util.Map;
@@ -17,7 +16,9 @@
 import org.quetzalseam.daemon.HttpClients;
 import org.quetzalseam.daemon.Json;
 import org.quetzalseam.daemon.engine.EngineException.Code;
+import org.quetzalseam.daemon.http.BoundedBody;
 import org.quetzalseam.daemon.http.OneCallClient;
+import org.quetzalseam.wire.FrameCodec;
 
 /**
  * An engine over HTTP: completions in the usual JSON form with {@code request_id}, {@code priority} and
@@ -28,6 +29,12 @@
     private static final Duration PREFILL_TIMEOUT = Duration.ofSeconds(60);
     private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
     private static final int MAX_CANCEL_ATTEMPTS = 3;
+    /** Longest answer to a prefill, in bytes: what a message to an entry can carry. */
+    private static final int MAX_TRANSFER_BYTES = FrameCodec.MAX_FRAME_BYTES;
+
+    /** Longest answer to a cancellation, in bytes, of which only the status counts. */
+    private static final int MAX_CANCEL_BYTES = 64 * 1024;
+
     private static final int OK = 200;
     private static final int GONE = 410;
     private static final int TOO_MANY_REQUESTS = 429;
@@ -72,7 +79,7 @@
         ObjectNode body = body(request);
         body.put("stream", false);
         body.putObject("kv_transfer_params").put("do_remote_decode", true);
-        return client.sendAsync(post(body), BodyHandlers.ofByteArray())
+        return client.sendAsync(post(body), BoundedBody.ofAtMost(MAX_TRANSFER_BYTES))
                 .orTimeout(PREFILL_TIMEOUT.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS)
                 .handle((response, failure) -> {
                     if (failure != null) {
@@ -159,7 +166,7 @@
     }
 
     private CompletableFuture<Void> delete(HttpRequest delete, int attemptsLeft) {
-        return client.sendAsync(delete, BodyHandlers.discarding())
+        return client.sendAsync(delete, BoundedBody.ofAtMost(MAX_CANCEL_BYTES))
                 .handle((response, failure) -> failure == null || attemptsLeft <= 1)
                 .thenCompose(done -> done ? CompletableFuture.completedFuture(null) : delete(delete, attemptsLeft - 1));
     }
--- a/daemon/src/main/java/org/quetzalseam/daemon/http/OneCallConnection.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/http/OneCallConnection.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Flow;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -35,9 +36,13 @@
 // A write or close that fails is reported through the channel's pipeline, where it is handled.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class OneCallConnection<T> extends ChannelInboundHandlerAdapter implements Flow.Subscription {
+    /** Bytes of the body that may wait for the handler; with more, reading pauses. */
+    private static final int MOST_WAITING_BYTES = 1 << 20;
+
     private final HttpRequest request;
     private final BodyHandler<T> handler;
     private final Executor executor;
+    private final AtomicInteger waitingBytes = new AtomicInteger();
     private final CompletableFuture<HttpResponse<T>> response = new CompletableFuture<>();
     private CompletableFuture<Void> handled = CompletableFuture.completedFuture(null);
     private volatile @Nullable Channel channel;
@@ -164,8 +169,7 @@
             return;
         }
         if (content.content().isReadable()) {
-            List<ByteBuffer> part = List.of(ByteBuffer.wrap(ByteBufUtil.getBytes(content.content())));
-            handle(() -> subscriber.onNext(part));
+            deliver(ByteBufUtil.getBytes(content.content()), subscriber);
         }
         if (last && !isFramed(received) && !requestWritten()) {
             // The decoder makes the same end of a connection that a failed write has closed.
@@ -177,6 +181,28 @@
         }
     }
 
+    private void deliver(byte[] part, BodySubscriber<T> subscriber) {
+        if (waitingBytes.addAndGet(part.length) > MOST_WAITING_BYTES) {
+            setReading(false);
+        }
+        handle(() -> {
+            try {
+                subscriber.onNext(List.of(ByteBuffer.wrap(part)));
+            } finally {
+                if (waitingBytes.addAndGet(-part.length) == 0) {
+                    setReading(true);
+                }
+            }
+        });
+    }
+
+    private void setReading(boolean reading) {
+        Channel opened = channel;
+        if (opened != null) {
+            opened.config().setAutoRead(reading);
+        }
+    }
+
     private static boolean isFramed(io.netty.handler.codec.http.HttpResponse received) {
         return HttpUtil.isContentLengthSet(received) || HttpUtil.isTransferEncodingChunked(received);
     }
--- a/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/platform/HttpObjectStore.java
@@ -7,7 +7,6 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
-import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Base64;
@@ -18,6 +17,7 @@
 import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.core.store.UnreadableException;
 import org.quetzalseam.daemon.Json;
+import org.quetzalseam.daemon.http.BoundedBody;
 import org.quetzalseam.daemon.http.OneCallClient;
 import org.quetzalseam.daemon.platform.StoreException.Code;
 
@@ -30,6 +30,9 @@
     /** How long a response may take beyond the wait that a call requests. */
     public static final Duration TIMEOUT = Duration.ofSeconds(3);
 
+    /** Longest response, in bytes: a list of ten thousand VMs takes a third of it, the largest object a tenth. */
+    private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
     private static final int OK = 200;
     private static final int CREATED = 201;
     private static final int NO_CONTENT = 204;
@@ -59,7 +62,7 @@
 
     private HttpResponse<byte[]> send(HttpRequest request) {
         try {
-            HttpResponse<byte[]> response = client.send(request, BodyHandlers.ofByteArray());
+            HttpResponse<byte[]> response = client.send(request, BoundedBody.ofAtMost(MAX_RESPONSE_BYTES));
             boolean success = response.statusCode() < SERVER_ERROR;
             era.update(response.headers().firstValue(StoreEraTracker.HEADER), success);
             if (!success) {
--- a/daemon/src/test/java/org/quetzalseam/daemon/engine/BrokenEngineAnswerTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/engine/BrokenEngineAnswerTest.java
@@ -2,24 +2,33 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalseam.daemon.HttpClients;
 import org.quetzalseam.standins.raw.BrokenAnswers;
 import org.quetzalseam.standins.raw.BrokenAnswers.Answer;
+import org.quetzalseam.standins.raw.RawConnection;
 import org.quetzalseam.standins.raw.RawServer;
 
-/** Tests engines that send answers which HTTP/1.1 does not define. */
+/** Tests engines that send answers which HTTP/1.1 does not define, or bytes without end. */
 @Timeout(value = 3, unit = TimeUnit.MINUTES)
 class BrokenEngineAnswerTest {
     private static final String TRANSFER = "{\"kv_transfer_params\":{\"at\":\"e-1\"}}";
     private static final String EVENT = "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\n";
+    private static final String STREAM = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    /** Time by which a request must have failed whose engine sends bytes without end, in milliseconds. */
+    private static final long FAILED_MILLIS = 10_000;
+
     private static final String EVENTS = EVENT + "data: [DONE]\n\n";
 
     private static EngineRequest request() {
@@ -104,4 +113,55 @@
         }
         assertThat(requests).containsExactly("DELETE", "DELETE");
     }
+
+    // Guards against an endpoint that keeps what an engine sends without end: its memory, and the time of the request.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"\r\n", "HTTP/1.1 103 Hints\r\nA: b\r\n\r\n", STREAM + "x", STREAM + "\n", STREAM + ": x\n"})
+    void bytesThatAreNoAnswerAreBoundedInNumber(String bytes) {
+        boolean inBody = bytes.startsWith(STREAM);
+        String endless = bytes.substring(inBody ? STREAM.length() : 0).repeat(10_000);
+        try (RawServer server = new RawServer((request, connection) -> {
+            connection.write(inBody ? STREAM : "");
+            writeWithoutEnd(connection, endless);
+        })) {
+            HttpEngine engine = new HttpEngine("http://127.0.0.1:" + server.port());
+            assertThat(failedInTime(() -> decode(engine))).isEqualTo("FAILED");
+            assertThat(failedInTime(() -> prefill(engine))).isEqualTo("FAILED");
+        }
+    }
+
+    // Guards against an engine that sends on after the last event, and keeps a connection and its reader busy.
+    @Test
+    void anEngineThatSendsOnAfterTheLastEventIsClosed() throws Exception {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        try (RawServer server = new RawServer((request, connection) -> {
+            connection.write(STREAM + EVENTS);
+            try {
+                writeWithoutEnd(connection, EVENT.repeat(1_000));
+            } catch (IOException e) {
+                closed.complete(null);
+            }
+        })) {
+            assertThat(decode(new HttpEngine("http://127.0.0.1:" + server.port())))
+                    .isEqualTo("stop");
+            assertThat(closed).succeedsWithin(FAILED_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static String failedInTime(Supplier<String> call) {
+        long start = System.nanoTime();
+        String told = CompletableFuture.supplyAsync(call)
+                .completeOnTimeout("not ended", FAILED_MILLIS, TimeUnit.MILLISECONDS)
+                .join();
+        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isLessThanOrEqualTo(FAILED_MILLIS + 1_000);
+        return told;
+    }
+
+    /** Writes until the client closes the connection. */
+    private static void writeWithoutEnd(RawConnection connection, String block) throws IOException {
+        while (true) {
+            connection.write(block);
+        }
+    }
 }
--- a/daemon/src/test/java/org/quetzalseam/daemon/platform/BrokenStoreAnswerTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/platform/BrokenStoreAnswerTest.java
@@ -9,11 +9,13 @@
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalseam.standins.raw.BrokenAnswers;
 import org.quetzalseam.standins.raw.BrokenAnswers.Answer;
 import org.quetzalseam.standins.raw.RawServer;
 
-/** Tests a store that sends answers which HTTP/1.1 does not define. */
+/** Tests a store that sends answers which HTTP/1.1 does not define, or bytes without end. */
 @Timeout(value = 3, unit = TimeUnit.MINUTES)
 class BrokenStoreAnswerTest {
     private static final String OBJECT = "{\"metadata\":{\"name\":\"n\",\"resourceVersion\":12},\"data\":\"YWJj\"}";
@@ -53,4 +55,23 @@
         assertThat(used(OBJECT, store -> store.watch("n", 0, Duration.ZERO))).isEmpty();
         assertThat(used(LIST, store -> store.members(0, Duration.ZERO))).isEmpty();
     }
+
+    // Guards against a process that keeps what the store sends without end.
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\n", "HTTP/1.1 103 Hints\r\nA: b\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"})
+    void bytesWithoutEndAreBoundedInNumber(String begin) {
+        String endless = (begin.contains("200") ? "x" : begin).repeat(10_000);
+        try (RawServer server = new RawServer((request, connection) -> {
+            connection.write(begin);
+            while (true) {
+                connection.write(endless);
+            }
+        })) {
+            HttpObjectStore store = new HttpObjectStore("http://127.0.0.1:" + server.port());
+            Duration longWait = Duration.ofSeconds(20);
+            long start = System.nanoTime();
+            assertThat(told(store, one -> one.watch("n", 0, longWait))).isEqualTo("UNAVAILABLE");
+            assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(10));
+        }
+    }
 }
