A stopping entry takes late requests only if they end in time by their deadline

What callers saw: in a planned stop of one entry, calm, requests sent later than 3 s after the signal were passed on and cut at the end of the grace period: told 502, streams broken off; among them requests that may not be repeated.

Cause: until the end an entry took what it expected to end in time, by what the route's earlier answers took (3 standard deviations above the median once the balancer must have noticed). Work that lasts longer than learnt, two in five for 6 s here, is outside any such bound. What was learnt also lags: answers that last as long as the rest of the grace period arrive too late to be learnt.

Fix: GracePeriod.endsForCertain. A request that arrived 2.5 s after the signal or later is taken only if its deadline, or its route's timeout, passes before the entry ends; it is then answered or told so in time, however long its work lasts. All else is refused as not run before anything is sent. Half a second less than the 3 s within which the balancer must have noticed, because a request is older than its last byte and the signal older than the grace period as the process knows it. What came earlier is decided as before, also if it waited, since the end may cut it.

--- a/core/src/main/java/org/quetzalseam/core/drain/GracePeriod.java
+++ b/core/src/main/java/org/quetzalseam/core/drain/GracePeriod.java
@@ -9,6 +9,9 @@
  * <p>A request that cannot end in the remaining time is refused at once, as not run: if it were accepted, it would be
  * cut off at the end, and its caller could not know whether it has run. Requests are refused for no other reason,
  * because where all entries of a site shut down together, no other entry would accept them.
+ *
+ * <p>While the balancer still sends callers here, a request is accepted if it is expected to end in time. Afterwards it must
+ * end in time for certain: by its own time limit, however long its work lasts.
  */
 public final class GracePeriod {
     /**
@@ -16,6 +19,12 @@
      * second, and removes an entry after two responses that it is not ready.
      */
     private static final long BALANCER_NOTICE_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /**
+     * How long requests are accepted that are only expected to end in time, in nanoseconds: less than the time until the
+     * balancer must have noticed, because a caller's request is older than its last byte and the stop signal older than
+     * the grace period as this process knows it.
+     */
+    private static final long EXPECTATION_NANOS = BALANCER_NOTICE_NANOS - TimeUnit.MILLISECONDS.toNanos(500);
     /**
      * Certainty required of a request's end before the balancer must have noticed, in standard deviations: nine in ten.
      * A refusal costs the caller one of few attempts, a stream that is cut off all that it has waited for.
@@ -79,6 +88,18 @@
         return isNoticed(now) ? LATE_DEVIATIONS : EARLY_DEVIATIONS;
     }
 
+    /**
+     * Returns whether it is sufficiently certain that a request ends before this process does: whether it arrived while an
+     * expectation suffices, or its time limit passes before the end.
+     *
+     * @param arrivedAt when the request was complete
+     * @param now the monotonic time, in nanoseconds
+     * @param limitMillis how long the request can last at the most
+     */
+    public boolean endsForCertain(long arrivedAt, long now, long limitMillis) {
+        return arrivedAt - begunAt <= EXPECTATION_NANOS || limitMillis <= TimeUnit.NANOSECONDS.toMillis(endsAt - now);
+    }
+
     /** Returns whether a request that ends within the given time is still accepted, and records it if so. */
     public boolean accept(long now, long boundMillis) {
         if (boundMillis > remainingMillis(now)) {
--- a/core/src/test/java/org/quetzalseam/core/drain/GracePeriodTest.java
+++ b/core/src/test/java/org/quetzalseam/core/drain/GracePeriodTest.java
@@ -32,6 +32,28 @@
         assertThat(grace.accept(after(0), Long.MAX_VALUE)).isFalse();
     }
 
+    // Guards against a late request being taken because it is expected to be quick, and cut because it is not.
+    @Test
+    void aLateRequestMustEndInTimeByItsLimit() {
+        assertThat(grace.endsForCertain(after(2_400), after(2_400), 60_000)).isTrue();
+        assertThat(grace.endsForCertain(after(3_000), after(3_000), 4_600)).isTrue();
+        assertThat(grace.endsForCertain(after(3_000), after(3_000), 4_601)).isFalse();
+        assertThat(grace.endsForCertain(after(7_500), after(7_500), 200)).isFalse();
+    }
+
+    // Guards against a bound that a caller's request can cross on its way, or because the signal was noticed late.
+    @Test
+    void aLimitIsAskedForBeforeTheBalancerMustHaveNoticed() {
+        assertThat(grace.isNoticed(after(2_600))).isFalse();
+        assertThat(grace.endsForCertain(after(2_600), after(2_600), 60_000)).isFalse();
+    }
+
+    // Guards against refusing what came early and waited, as its end may be cut.
+    @Test
+    void aRequestThatCameEarlyAndWaitedNeedNoLimit() {
+        assertThat(grace.endsForCertain(after(2_400), after(4_000), 60_000)).isTrue();
+    }
+
     @Test
     void moreDeviationsAreRequiredOnceTheBalancerMustHaveNoticed() {
         assertThat(grace.requiredDeviations(after(3_500))).isGreaterThan(grace.requiredDeviations(after(500)));
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RunContext.java
@@ -245,8 +245,9 @@
     }
 
     /**
-     * Returns whether a request that begins now is expected to end before this process does. Otherwise it would be cut, and
-     * its caller could not know whether it has run; if it is refused, the caller can retry elsewhere.
+     * Returns whether a request that begins now ends before this process does: as expected, and late in the grace period by
+     * its time limit. Otherwise it would be cut, and its caller could not know whether it has run; if it is refused, the
+     * caller can retry elsewhere.
      */
     boolean endsInTime(Exchange exchange, RouteRule route) {
         GracePeriod period = grace;
@@ -256,12 +257,18 @@
         long remainingMillis = new ForwardedRequest(exchange, protocol, route).remainingMillis();
         long usualMillis = answerTime(route).boundMillis(exchange.facts().estimate(), period.requiredDeviations(now()));
         long boundMillis = Math.min(remainingMillis, usualMillis);
-        if (period.accept(now(), boundMillis)) {
+        boolean certain = period.endsForCertain(exchange.arrivedAt(), now(), remainingMillis);
+        if (certain && period.accept(now(), boundMillis)) {
             return true;
         }
         logger.atInfo().log(
-                "event=refused-leaving request=%s bound_ms=%d left_ms=%d age_ms=%d",
-                exchange.facts().id(), boundMillis, period.remainingMillis(now()), exchange.ageMillis());
+                "event=refused-leaving request=%s bound_ms=%d limit_ms=%d certain=%s left_ms=%d age_ms=%d",
+                exchange.facts().id(),
+                boundMillis,
+                remainingMillis,
+                certain,
+                period.remainingMillis(now()),
+                exchange.ageMillis());
         return false;
     }
 
