--- a/standins/src/main/java/org/quetzalseam/standins/ServiceStandIn.java
+++ b/standins/src/main/java/org/quetzalseam/standins/ServiceStandIn.java
@@ -8,8 +8,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
+import org.quetzalseam.standins.raw.BrokenAnswers;
 import org.quetzalseam.standins.raw.RawConnection;
 import org.quetzalseam.standins.raw.RawRequest;
 import org.quetzalseam.standins.raw.RawServer;
@@ -39,6 +41,11 @@
         }
     }
 
+    /** One answer in this many is broken where answers are repeated. */
+    private static final int BROKEN_ONE_IN = 20;
+    /** Names no call, so that callers find it out if it is passed on. */
+    private static final String BROKEN_BODY = "{\"id\":\"broken\",\"execution\":0}";
+
     private final Ledger ledger;
     private final long callMillis;
     private final AtomicLong calls = new AtomicLong();
@@ -55,7 +62,8 @@
      *
      * @param ledger executions of all instances
      * @param millis duration of a call, in milliseconds
-     * @param repeats whether it sends answers again, whole or cut, before the next answer on their connection
+     * @param repeats whether it sends answers again, whole or cut, before the next answer on their connection, and some that HTTP does
+     *     not define
      */
     public ServiceStandIn(Ledger ledger, long millis, boolean repeats) {
         this.ledger = ledger;
@@ -109,6 +117,13 @@
         String id = request.headers().get("x-business-id");
         ObjectNode answer =
                 execute(request.method(), request.path(), id, request.body().length());
+        if (ThreadLocalRandom.current().nextInt(BROKEN_ONE_IN) == 0) {
+            String callId = "Quetzalseam-Call-Id: " + request.header("quetzalseam-call-id");
+            new BrokenAnswers(BROKEN_BODY, callId, "Content-Type: application/json")
+                    .anyBroken()
+                    .send(connection);
+            return;
+        }
         connection.reply(200, answer.toString(), "Content-Type: application/json");
         RepeatedAnswers.repeat(connection);
     }
--- a/standins/src/main/java/org/quetzalseam/standins/raw/BrokenAnswers.java
+++ b/standins/src/main/java/org/quetzalseam/standins/raw/BrokenAnswers.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiConsumer;
 
 /**
@@ -140,6 +141,12 @@
         return answers;
     }
 
+    /** Returns one of the broken answers, drawn at random. */
+    public Answer anyBroken() {
+        List<Answer> broken = broken();
+        return broken.get(ThreadLocalRandom.current().nextInt(broken.size()));
+    }
+
     /** Returns sound answers whose form is unusual. */
     public List<Answer> unusual() {
         List<Answer> answers = new ArrayList<>();
