--- a/gateway/src/test/java/org/quetzalseam/gateway/BrokenAnswerTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/BrokenAnswerTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -152,4 +153,31 @@
                     .isLessThan(ANSWERED_MILLIS);
         }
     }
+
+    // Guards against a stream of whole events that never ends keeping an engine and a caller beyond its deadline.
+    @Test
+    void aStreamOfEventsWithoutEndIsBrokenOffAtItsDeadline() throws Exception {
+        long deadlineMillis = 2_000;
+        CompletableFuture<Long> closedAfter = new CompletableFuture<>();
+        endpoints.forEach(endpoint -> endpoint.script((request, connection) -> {
+            if (request.path().startsWith("/control/")) {
+                connection.answer(request, "booking");
+                return;
+            }
+            long start = System.nanoTime();
+            try {
+                connection.beginStream(request);
+                for (long number = 1; true; number++) {
+                    connection.chunk(("id: " + number + "\ndata: " + "x".repeat(500) + "\n\n").repeat(20));
+                }
+            } finally {
+                closedAfter.complete(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start));
+            }
+        }));
+        try (TestEntry.Caller caller = entry.caller()) {
+            caller.send("/stream/x", "endless", PROMPT_TOKENS_HEADER, "x-patience: " + deadlineMillis);
+            assertThat(caller.readToEnd()).isGreaterThan(100_000);
+        }
+        assertThat(closedAfter.get(ANSWERED_MILLIS, TimeUnit.MILLISECONDS)).isLessThan(deadlineMillis + 1_000);
+    }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/TestEntry.java
@@ -252,6 +252,22 @@
             return readUntil("\0");
         }
 
+        /** Reads until the connection ends, in order or with a reset, and returns the number of bytes read. */
+        long readToEnd() {
+            byte[] block = new byte[64 * 1024];
+            long bytes = 0;
+            try {
+                int read = socket.getInputStream().read(block);
+                while (read >= 0) {
+                    bytes += read;
+                    read = socket.getInputStream().read(block);
+                }
+            } catch (IOException reset) {
+                // What was read before counts.
+            }
+            return bytes;
+        }
+
         @Override
         public void close() {
             try {
