quetzalseamd: outputs of a stream are bounded by the tokens that were asked for

An engine that sends events without end fills the memory of its endpoint, and the requests of others there end with it.

Cause: an endpoint keeps the outputs of a request, to send them again after a lost connection; nothing bounded how many there are or how long each is, and a decode has no timeout.

Evidence: an engine was asked for 50 tokens and sent events without end, of 1 and of 100,000 characters; on the code before the stream was not ended after 10 s, now it fails at the 51st output, and before 200,000 characters.

Fix: OutputBound: at most as many outputs as max_tokens, which entries always state, and 1,024 characters a token, more than the longest tokens of usual vocabularies have. A stream with exactly the tokens asked for is delivered.

--- a/daemon/src/main/java/org/quetzalseam/daemon/engine/EventStreamParser.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/engine/EventStreamParser.java
@@ -24,6 +24,7 @@
     private static final int MAX_BYTES_BETWEEN_EVENTS = 1 << 20;
 
     private final OutputSink sink;
+    private final OutputBound bound;
     private final Runnable endListener;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
@@ -31,8 +32,9 @@
     private String finishReason = "stop";
     private volatile Flow.@Nullable Subscription subscription;
 
-    EventStreamParser(OutputSink sink, Runnable endListener) {
+    EventStreamParser(OutputSink sink, OutputBound bound, Runnable endListener) {
         this.sink = sink;
+        this.bound = bound;
         this.endListener = endListener;
     }
 
@@ -112,6 +114,12 @@
                     .path("choices")
                     .path(0);
             String output = choice.path("text").asText();
+            String problem = output.isEmpty() ? null : bound.add(output);
+            if (problem != null) {
+                cancelSubscription();
+                fail(new EngineException(Code.FAILED, problem, null));
+                return;
+            }
             if (!output.isEmpty()) {
                 sink.output(output);
             }
--- a/daemon/src/main/java/org/quetzalseam/daemon/engine/HttpEngine.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/engine/HttpEngine.java
@@ -102,15 +102,17 @@
 
     @Override
     public void decode(EngineRequest request, byte[] transfer, OutputSink sink) {
-        EventStreamParser parser = new EventStreamParser(sink, () -> streams.remove(request.id()));
+        Runnable onEnd = () -> streams.remove(request.id());
+        EventStreamParser parser;
         HttpRequest post;
         try {
             ObjectNode body = body(request);
+            parser = new EventStreamParser(sink, new OutputBound(mostTokens(body)), onEnd);
             body.put("stream", true);
             body.set("kv_transfer_params", Json.read(transfer));
             post = post(body);
         } catch (IOException | EngineException e) {
-            parser.fail(new EngineException(Code.NOT_RUN, "the request can't be sent: " + e.getMessage(), e));
+            sink.failed(new EngineException(Code.NOT_RUN, "the request can't be sent: " + e.getMessage(), e));
             return;
         }
         streams.put(request.id(), parser);
@@ -126,6 +128,11 @@
                 });
     }
 
+    /** Returns how many tokens a request asks for; entries always state it. */
+    private static int mostTokens(ObjectNode body) {
+        return body.path("max_tokens").asInt(Integer.MAX_VALUE);
+    }
+
     private static HttpResponse.BodySubscriber<Integer> bodyOf(
             HttpResponse.ResponseInfo info, EventStreamParser parser) {
         return info.statusCode() == OK
--- a/daemon/src/test/java/org/quetzalseam/daemon/engine/BrokenEngineAnswerTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/engine/BrokenEngineAnswerTest.java
@@ -46,11 +46,15 @@
     }
 
     private static String decode(HttpEngine engine) {
+        return decode(engine, request(), new ArrayList<>());
+    }
+
+    private static String decode(HttpEngine engine, EngineRequest request, List<String> outputs) {
         CompletableFuture<String> end = new CompletableFuture<>();
-        engine.decode(request(), "{}".getBytes(StandardCharsets.UTF_8), new OutputSink() {
+        engine.decode(request, "{}".getBytes(StandardCharsets.UTF_8), new OutputSink() {
             @Override
             public void output(String text) {
-                // Only the end of the stream is tested.
+                outputs.add(text);
             }
 
             @Override
@@ -131,6 +135,43 @@
         }
     }
 
+    // Guards against an endpoint that keeps the outputs of a stream without end, which it may have to send to an entry
+    // again.
+    @ParameterizedTest
+    @ValueSource(ints = {1, 100_000})
+    void outputsAreBoundedByTheTokensThatWereAskedFor(int textBytes) {
+        String event = "data: {\"choices\":[{\"text\":\"" + "a".repeat(textBytes) + "\"}]}\n\n";
+        try (RawServer server = new RawServer((request, connection) -> {
+            connection.write(STREAM);
+            writeWithoutEnd(connection, event);
+        })) {
+            HttpEngine engine = new HttpEngine("http://127.0.0.1:" + server.port());
+            byte[] body = "{\"prompt\":\"p\",\"max_tokens\":50}".getBytes(StandardCharsets.UTF_8);
+            List<String> outputs = new ArrayList<>();
+            assertThat(failedInTime(() -> decode(engine, new EngineRequest("r-1", 0, body), outputs)))
+                    .isEqualTo("FAILED");
+            assertThat(outputs).hasSizeLessThanOrEqualTo(50);
+            assertThat(String.join("", outputs)).hasSizeLessThan(200_000);
+        }
+    }
+
+    // Guards against a stream of as many tokens as were asked for being taken for one without end.
+    @Test
+    void aStreamWithAllTokensThatWereAskedForIsDelivered() {
+        String event = "data: {\"choices\":[{\"text\":\"a\"}]}\n\n";
+        try (RawServer server = new RawServer((request, connection) -> {
+            connection.write(STREAM + event.repeat(50) + EVENTS.replace("\"a\"", "\"\""));
+            connection.finish();
+        })) {
+            byte[] body = "{\"prompt\":\"p\",\"max_tokens\":50}".getBytes(StandardCharsets.UTF_8);
+            List<String> outputs = new ArrayList<>();
+            HttpEngine engine = new HttpEngine("http://127.0.0.1:" + server.port());
+            assertThat(decode(engine, new EngineRequest("r-1", 0, body), outputs))
+                    .isEqualTo("stop");
+            assertThat(outputs).hasSize(50);
+        }
+    }
+
     // Guards against an engine that sends on after the last event, and keeps a connection and its reader busy.
     @Test
     void anEngineThatSendsOnAfterTheLastEventIsClosed() throws Exception {
