quetzalseamd: a stopping entry refuses calls that may outlast it

What callers saw: a call that reached an entry after the signal, and lasted longer than the entry waits for its calls (lame-duck-ms and drain-seconds), was taken and cut: the connection closed without an answer, also of a call that may not be repeated.

Cause: an entry took all requests of its lame-duck time, whatever their deadlines, and cut what outlasted drain-seconds.

Now calls with and without a key are refused as not run in this try, and have not run; one with a deadline of 800 ms is answered.

Fix: once an entry has been told to stop, it begins a call only if its deadline (30 s where the caller states none) passes before the time for the stop is over, else 503 stopping. Completions without a deadline are still taken: they have no bound, and drain-seconds (120 s unless set otherwise) is meant for them.

--- /dev/null
+++ b/cli/src/test/java/org/quetzalseam/cli/LateCallTest.java
@@ -0,0 +1,50 @@
+package org.quetzalseam.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalseam.cli.site.SiteOptions;
+import org.quetzalseam.cli.site.Wait;
+
+/** Tests calls that reach an entry of quetzalseamd after it has been told to stop, and outlast the time that it has left. */
+class LateCallTest {
+    /** How long a call lasts after the signal, in milliseconds: longer than an entry waits for its calls. */
+    private static final long UNEXPECTED_MILLIS = 4_000;
+
+    private final TestSite site = TestSite.start(SiteOptions.defaults().withTiming("drain-seconds", "1"));
+
+    @AfterEach
+    void stop() {
+        site.close();
+    }
+
+    // Guards against a call being taken after the signal, and cut without an answer when the entry has waited for long
+    // enough.
+    @Test
+    void aLateCallThatMayOutlastItsEntryIsRefusedAndOneThatCannotIsAnswered() {
+        assertThat(site.deposit(site.entry(0), "", "learnt").join().statusCode())
+                .isEqualTo(200);
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(site.entry(0)::stop, TestThreads.EXECUTOR);
+        Wait.until(
+                TestSite.LIMIT,
+                "the entry reports that it stops",
+                () -> !site.entry(0).daemon().accepting());
+        CompletableFuture<HttpResponse<String>> quick = site.deposit(site.entry(0), "", "quick", 800);
+        assertThat(quick.join().statusCode()).isEqualTo(200);
+        site.services().forEach(vm -> vm.backend().service().slow(UNEXPECTED_MILLIS));
+        HttpResponse<String> late = site.deposit(site.entry(0), "", "late").join();
+        assertThat(late.statusCode()).as(late.body()).isEqualTo(503);
+        assertThat(late.body()).contains("stopping");
+        HttpResponse<String> keyed =
+                site.deposit(site.entry(0), "late-key", "late-keyed").join();
+        assertThat(keyed.statusCode()).as(keyed.body()).isEqualTo(503);
+        stopped.join();
+        Wait.sleep(Duration.ofMillis(500));
+        assertThat(site.executions("late") + site.executions("late-keyed")).isZero();
+        assertThat(site.executions("quick")).isEqualTo(1);
+    }
+}
--- a/daemon/src/main/java/org/quetzalseam/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/EntryDaemon.java
@@ -114,6 +114,11 @@
         return callers.port();
     }
 
+    /** Returns whether callers should send requests here: not before it has started, nor once it has been told to stop. */
+    public boolean accepting() {
+        return callers.accepting();
+    }
+
     /** Returns the operators' port. */
     public int operatorPort() {
         return operators.port();
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/CallerServer.java
@@ -29,6 +29,8 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MAX_THREADS = 4_000;
     private static final long THREAD_IDLE_SECONDS = 10;
+    /** Part of the time of a planned stop that is left for writing answers. */
+    private static final Duration FINAL_WRITE = Duration.ofMillis(100);
 
     /** Handles one kind of request. */
     @FunctionalInterface
@@ -42,6 +44,9 @@
     private final ExecutorService executor;
     private final Object lock = new Object();
     private boolean ready;
+    /** When a planned stop cuts what is in progress; of meaning once it has begun. */
+    private long endsAtNanos;
+
     private boolean closed;
     private int inFlight;
 
@@ -61,7 +66,8 @@
                 listen.port(),
                 executor,
                 ServerLimits.ofCallers(listen.connections(), metrics::limitReached));
-        RequestAdmission admittance = new RequestAdmission(inForce, new EntryLimiter(), router, metrics);
+        RequestAdmission admittance =
+                new RequestAdmission(inForce, new EntryLimiter(), router, metrics, this::endsInTime);
         BodyReader bodies = new BodyReader(timers);
         CompletionHandler completions = new CompletionHandler(admittance, bodies, router, metrics);
         ServiceHandler services = new ServiceHandler(admittance, bodies, router, metrics);
@@ -114,8 +120,7 @@
         RequestId id = router.nextRequestId();
         try (ErrorReply errors = new ErrorReply(exchange, id)) {
             if (!beginRequest()) {
-                CallerException stopping =
-                        CallerException.retryable(Statuses.UNAVAILABLE, "stopping", "this entry is stopping", 1);
+                CallerException stopping = RequestAdmission.stopping("this entry is stopping");
                 boolean keyed = header(exchange, "Idempotency-Key") != null;
                 errors.send(keyed ? stopping.forKeyedRequest() : stopping);
                 return;
@@ -152,6 +157,13 @@
         }
     }
 
+    /** Returns whether a request that begins now and ends within a time in milliseconds does so before a planned stop cuts it. */
+    private boolean endsInTime(long millis) {
+        synchronized (lock) {
+            return ready || System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis) <= endsAtNanos;
+        }
+    }
+
     /**
      * Drains the server for a planned stop. Reports that it is not ready, still accepts requests for {@code lameDuck} so that load
      * balancers can notice, then refuses new requests as not run. Returns when the requests in progress have ended, at the
@@ -161,6 +173,7 @@
         long deadlineNanos = System.nanoTime() + lameDuck.toNanos();
         synchronized (lock) {
             ready = false;
+            endsAtNanos = deadlineNanos + limit.toNanos() - FINAL_WRITE.toNanos();
             await(deadlineNanos, false);
             closed = true;
             deadlineNanos = System.nanoTime() + limit.toNanos();
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/CompletionHandler.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/CompletionHandler.java
@@ -107,10 +107,16 @@
                 prompt.tokens(),
                 outputs,
                 Rendezvous.hash(prefix),
-                admittance.deadlineMillis(exchange, NO_DEADLINE_MILLIS),
+                deadlineMillis(exchange),
                 prompt.engineBody(outputs));
     }
 
+    /** Returns the deadline that the caller states. A completion without one is expected to end within the time for a planned stop. */
+    private long deadlineMillis(ServerExchange exchange) {
+        long millis = admittance.deadlineMillis(exchange, NO_DEADLINE_MILLIS);
+        return millis == NO_DEADLINE_MILLIS ? millis : admittance.deadlineInTime(exchange, millis);
+    }
+
     private void record(EntrySpec entry, RunResult result, TimingSink sink) {
         String owner = entry.owner();
         boolean good = result.outcome() == Outcome.ANSWERED && sink.meetsTargets(entry.targets());
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/RequestAdmission.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/RequestAdmission.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.LongPredicate;
 import org.quetzalseam.core.catalogue.Catalogue;
 import org.quetzalseam.core.catalogue.CatalogueInForce;
 import org.quetzalseam.core.catalogue.EntrySpec;
@@ -24,6 +25,9 @@
     private static final String BEARER = "Bearer ";
     private static final long MAX_DEADLINE_MILLIS = 86_400_000;
     private static final long NANOS_PER_MILLI = 1_000_000;
+    /** Another entry accepts the request at once. */
+    private static final long STOPPING_RETRY_MILLIS = 1;
+
     private static final long CONCURRENCY_RETRY_MILLIS = 1_000;
 
     /** Longest wait of a caller until an entry that has just started has read its catalogue: the time of several store responses. */
@@ -33,8 +37,20 @@
     private final EntryLimiter limiter;
     private final EntryRouter router;
     private final Metrics metrics;
+    private final LongPredicate endsInTime;
 
-    RequestAdmission(CatalogueInForce inForce, EntryLimiter limiter, EntryRouter router, Metrics metrics) {
+    /**
+     * Creates the admission of an entry.
+     *
+     * @param endsInTime whether a request with a deadline in milliseconds ends before this entry does
+     */
+    RequestAdmission(
+            CatalogueInForce inForce,
+            EntryLimiter limiter,
+            EntryRouter router,
+            Metrics metrics,
+            LongPredicate endsInTime) {
+        this.endsInTime = endsInTime;
         this.inForce = inForce;
         this.limiter = limiter;
         this.router = router;
@@ -80,6 +96,25 @@
                 Statuses.UNAVAILABLE, IN_DOUBT, "this entry can't know whether " + message, IN_DOUBT_RETRY_MILLIS);
     }
 
+    /** Returns the refusal of a request that a stopping entry does not begin. */
+    static CallerException stopping(String message) {
+        return CallerException.retryable(Statuses.UNAVAILABLE, "stopping", message, STOPPING_RETRY_MILLIS);
+    }
+
+    /**
+     * Returns the time that the caller allows for the request, in milliseconds, or the default. Refuses the request if this entry may
+     * end sooner, as it would then be cut without an answer.
+     */
+    long deadlineInTime(ServerExchange exchange, long fallback) {
+        long millis = deadlineMillis(exchange, fallback);
+        if (endsInTime.test(millis)) {
+            return millis;
+        }
+        logger.atInfo().log("event=refused-leaving limit_ms=%d", millis);
+        CallerException refusal = stopping("this entry stops before the request's deadline");
+        throw idempotencyKey(exchange).isPresent() ? refusal.forKeyedRequest() : refusal;
+    }
+
     /** Returns the time that the caller allows for the request, in milliseconds, or the default. */
     long deadlineMillis(ServerExchange exchange, long fallback) {
         String header = CallerServer.header(exchange, "X-Request-Deadline-Ms");
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/ServiceHandler.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/ServiceHandler.java
@@ -89,7 +89,7 @@
                 headers(exchange, id),
                 bodies.read(exchange),
                 admittance.idempotencyKey(exchange),
-                admittance.deadlineMillis(exchange, DEFAULT_DEADLINE_MILLIS));
+                admittance.deadlineInTime(exchange, DEFAULT_DEADLINE_MILLIS));
     }
 
     private static int endOfName(String rest) {
