Tests of late requests keep their entry from ending early

Traced: since the calls that keep its entry alive, with a deadline of 5 s, are refused from 2.6 s after the signal on, and an entry that has accepted nothing for a second ends, 3.6 s after the signal. In an unloaded run the asserted call came just before. Those calls now state a deadline that ends in time, as the others there.

LateRequestTest had the same weakness: its entry ended soon after the first late requests were refused, so that few were tested. Calls that end in time now keep it until the end of its grace period, and more than 20 late requests must have been sent.

--- a/gateway/src/test/java/org/quetzalseam/gateway/EntryShutdownTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/EntryShutdownTest.java
@@ -296,7 +296,7 @@
         CompletableFuture<Void> shutdown = shutDown(8_000);
         service.script((request, connection) -> connection.reject(request));
         for (int i = 0; i < 33; i++) {
-            entry.ask("/once/x", "kept" + i);
+            entry.ask("/once/x", "kept" + i, SHORT_PATIENCE);
             sleep(100);
         }
         String refused = entry.ask("/once/x", "full", SHORT_PATIENCE);
--- a/gateway/src/test/java/org/quetzalseam/gateway/LateRequestTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/LateRequestTest.java
@@ -85,6 +85,10 @@
         }
     }
 
+    private static long elapsedMillis(long startNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    }
+
     private CompletableFuture<Void> shutDown() {
         return CompletableFuture.runAsync(
                 () -> {
@@ -140,9 +144,16 @@
         learn(route);
         List<CompletableFuture<String>> ends = new ArrayList<>();
         List<TestEntry.Caller> open = openConnections(route);
+        long signalNanos = System.nanoTime();
         CompletableFuture<Void> shutdown = shutDown();
-        sleep(LATE_MILLIS);
-        while (!shutdown.isDone()) {
+        for (int round = 0; !shutdown.isDone(); round++) {
+            // The entry stays, as it ends early where it has accepted nothing for a second.
+            String kept = "kept" + round;
+            threads.execute(() -> askOrEmpty("/once/quick", kept, SHORT_PATIENCE));
+            sleep(50);
+            if (elapsedMillis(signalNanos) < LATE_MILLIS) {
+                continue;
+            }
             String id = "late" + ends.size();
             String path = route + (ends.size() % 5 < 2 ? "long" : "quick");
             if (!open.isEmpty()) {
@@ -155,8 +166,8 @@
             String fresh = "new" + ends.size();
             ends.add(CompletableFuture.supplyAsync(
                     () -> judge(fresh, askOrEmpty(path, fresh, headers(route, LONG_PATIENCE))), threads));
-            sleep(50);
         }
+        assertThat(ends).as("late requests").hasSizeGreaterThan(20);
         assertThat(ends.stream().map(CompletableFuture::join).filter(end -> !end.isEmpty()))
                 .isEmpty();
     }
@@ -194,9 +205,9 @@
     @Test
     void aLateRequestWhoseDeadlineIsBeforeTheEndIsServed() {
         learn("/once/");
+        long signalNanos = System.nanoTime();
         CompletableFuture<Void> shutdown = shutDown();
-        sleep(LATE_MILLIS);
-        for (int i = 0; i < 10; i++) {
+        for (int i = 0; elapsedMillis(signalNanos) < LATE_MILLIS + 1_000; i++) {
             assertThat(entry.ask("/once/quick", "short" + i, SHORT_PATIENCE)).contains("whole");
             sleep(100);
         }
