--- a/daemon/src/test/java/org/quetzalseam/daemon/engine/BrokenEngineAnswerTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/engine/BrokenEngineAnswerTest.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
@@ -172,6 +174,41 @@
         }
     }
 
+    // Guards against outputs that are lost, or never read, because reading pauses while a slow receiver takes them.
+    @Test
+    void aStreamOfManyOutputsIsDeliveredWholeToASlowReceiver() {
+        int count = 4_000;
+        String event = "data: {\"choices\":[{\"text\":\"" + "a".repeat(1_000) + "\"}]}\n\n";
+        AtomicInteger outputs = new AtomicInteger();
+        CompletableFuture<String> end = new CompletableFuture<>();
+        try (RawServer server = new RawServer((request, connection) -> {
+            connection.write(STREAM + event.repeat(count) + "data: [DONE]\n\n");
+            connection.finish();
+        })) {
+            HttpEngine engine = new HttpEngine("http://127.0.0.1:" + server.port());
+            engine.decode(request(), "{}".getBytes(StandardCharsets.UTF_8), new OutputSink() {
+                @Override
+                public void output(String text) {
+                    if (outputs.incrementAndGet() % 100 == 0) {
+                        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
+                    }
+                }
+
+                @Override
+                public void ended(String reason) {
+                    end.complete(reason);
+                }
+
+                @Override
+                public void failed(EngineException failure) {
+                    end.complete(String.valueOf(failure.getMessage()));
+                }
+            });
+            assertThat(end).succeedsWithin(FAILED_MILLIS, TimeUnit.MILLISECONDS).isEqualTo("stop");
+        }
+        assertThat(outputs).hasValue(count);
+    }
+
     // Guards against an engine that sends on after the last event, and keeps a connection and its reader busy.
     @Test
     void anEngineThatSendsOnAfterTheLastEventIsClosed() throws Exception {
--- a/daemon/src/test/java/org/quetzalseam/daemon/platform/BrokenStoreAnswerTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/platform/BrokenStoreAnswerTest.java
@@ -74,4 +74,16 @@
             assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(10));
         }
     }
+
+    // Guards against a large answer that is cut, or never read to its end, because reading pauses while parts of it
+    // wait.
+    @Test
+    void aLargeSoundAnswerIsReadWhole() {
+        String data = "YWJj".repeat(2_000_000);
+        try (RawServer server = new RawServer(
+                (request, connection) -> connection.reply(200, OBJECT.replace("YWJj", data), "Store-Era: 3"))) {
+            HttpObjectStore store = new HttpObjectStore("http://127.0.0.1:" + server.port());
+            assertThat(store.read("n").orElseThrow().value()).hasSize(6_000_000);
+        }
+    }
 }
