quetzalseamd: a stopping entry refuses completions that may outlast it

What callers saw: a completion without a deadline that came in the lame-duck time of a planned stop was begun, and broken off without a word when the entry had waited for drain-seconds.

Cause: only requests with a deadline were compared with the time for the stop.

Evidence: LateCallTest#aLateCompletionThatMayOutlastItsEntry... on the code before: expected NOT_RUN, was CUT_OFF.

--- a/cli/src/test/java/org/quetzalseam/cli/TestSite.java
+++ b/cli/src/test/java/org/quetzalseam/cli/TestSite.java
@@ -38,7 +38,7 @@
     }
 
     static TestSite start() {
-        return start(SiteOptions.defaults());
+        return start(SiteOptions.defaults().withTiming("lame-duck-ms", "300"));
     }
 
     /** Starts a site with one prefill engine, two decode engines, three services and two entries. */
@@ -48,7 +48,7 @@
                 .map(pool -> new Deployment.Pool(pool.name(), pool.kind(), servers(pool)))
                 .toList();
         Deployment small = new Deployment("small", full.zones(), 2, pools, full.traffic(), full.catalogue());
-        SiteOptions tested = options.withSpeed(SPEED).withProxies().withTiming("lame-duck-ms", "300");
+        SiteOptions tested = options.withSpeed(SPEED).withProxies();
         return new TestSite(new Site(small, tested));
     }
 
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/CompletionHandler.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/CompletionHandler.java
@@ -107,14 +107,19 @@
                 prompt.tokens(),
                 outputs,
                 Rendezvous.hash(prefix),
-                deadlineMillis(exchange),
+                deadlineMillis(exchange, entry, outputs),
                 prompt.engineBody(outputs));
     }
 
-    /** Returns the deadline that the caller states. A completion without one is expected to end within the time for a planned stop. */
-    private long deadlineMillis(ServerExchange exchange) {
+    /**
+     * Returns the deadline that the caller states, in milliseconds. A completion without one may take as long as the targets of its
+     * catalogue entry allow; a stopping entry begins none that may outlast it.
+     */
+    private long deadlineMillis(ServerExchange exchange, EntrySpec entry, int outputs) {
         long millis = admittance.deadlineMillis(exchange, NO_DEADLINE_MILLIS);
-        return millis == NO_DEADLINE_MILLIS ? millis : admittance.deadlineInTime(exchange, millis);
+        admittance.checkEndsInTime(
+                exchange, millis == NO_DEADLINE_MILLIS ? entry.targets().durationMillis(outputs) : millis);
+        return millis;
     }
 
     private void record(EntrySpec entry, RunResult result, TimingSink sink) {
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/RequestAdmission.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/RequestAdmission.java
@@ -42,7 +42,7 @@
     /**
      * Creates the admission of an entry.
      *
-     * @param endsInTime whether a request with a deadline in milliseconds ends before this entry does
+     * @param endsInTime whether a request that lasts so many milliseconds ends before this entry does
      */
     RequestAdmission(
             CatalogueInForce inForce,
@@ -102,16 +102,16 @@
     }
 
     /**
-     * Returns the time that the caller allows for the request, in milliseconds, or the default. Refuses the request if this entry may
-     * end sooner, as it would then be cut without an answer.
+     * Refuses a request that may last longer than this entry does, as it would then be cut without a whole answer.
+     *
+     * @param millis how long the request may last, in milliseconds
      */
-    long deadlineInTime(ServerExchange exchange, long fallback) {
-        long millis = deadlineMillis(exchange, fallback);
+    void checkEndsInTime(ServerExchange exchange, long millis) {
         if (endsInTime.test(millis)) {
-            return millis;
+            return;
         }
         logger.atInfo().log("event=refused-leaving limit_ms=%d", millis);
-        CallerException refusal = stopping("this entry stops before the request's deadline");
+        CallerException refusal = stopping("this entry stops before the request must have ended");
         throw idempotencyKey(exchange).isPresent() ? refusal.forKeyedRequest() : refusal;
     }
 
--- a/daemon/src/main/java/org/quetzalseam/daemon/caller/ServiceHandler.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/caller/ServiceHandler.java
@@ -89,7 +89,14 @@
                 headers(exchange, id),
                 bodies.read(exchange),
                 admittance.idempotencyKey(exchange),
-                admittance.deadlineInTime(exchange, DEFAULT_DEADLINE_MILLIS));
+                deadlineMillis(exchange));
+    }
+
+    /** Returns the deadline of a call that has been read, in milliseconds; a stopping entry begins none that may outlast it. */
+    private long deadlineMillis(ServerExchange exchange) {
+        long millis = admittance.deadlineMillis(exchange, DEFAULT_DEADLINE_MILLIS);
+        admittance.checkEndsInTime(exchange, millis);
+        return millis;
     }
 
     private static int endOfName(String rest) {
