--- a/cli/src/test/java/org/quetzalseam/cli/LateCallTest.java
+++ b/cli/src/test/java/org/quetzalseam/cli/LateCallTest.java
@@ -59,9 +59,8 @@
         return stopped;
     }
 
-    // Guards against a completion without a deadline being begun after the signal, and broken off when the entry has
-    // waited for long
-    // enough.
+    // Guards against a completion without a deadline being begun after the signal, and broken off at the end of the
+    // stop.
     @Test
     void aLateCompletionThatMayOutlastItsEntryIsRefusedAndAShortOneIsAnswered() {
         CompletableFuture<Void> stopped = beginStop();
--- a/gateway/src/test/java/org/quetzalseam/gateway/EntryShutdownTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/EntryShutdownTest.java
@@ -25,10 +25,9 @@
 @Timeout(60)
 class EntryShutdownTest {
     private static final String PROMPT_TOKENS_HEADER = "x-tokens: 1000";
-    /** Duration of each complete stream of the engine, in milliseconds. */
     /** A deadline before the end of the grace period, so that the entry still accepts the request late in it. */
     private static final String SHORT_PATIENCE = "x-patience: 2000";
-
+    /** Duration of each complete stream of the engine, in milliseconds. */
     private static final long STREAM_MILLIS = 1_500;
     /** Number of requests from whose durations the entry estimates how long another one takes. */
     private static final int SAMPLE_COUNT = 20;
--- a/gateway/src/test/java/org/quetzalseam/gateway/LateRequestTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/LateRequestTest.java
@@ -199,9 +199,8 @@
         }
     }
 
-    // Guards against an entry that refuses all late requests though nobody else may serve them: those that end in time
-    // by their
-    // deadline.
+    // Guards against an entry that refuses all late requests, also those that end in time by their deadline, though
+    // nobody else may serve them.
     @Test
     void aLateRequestWhoseDeadlineIsBeforeTheEndIsServed() {
         learn("/once/");
