Tests of crowds: descriptors count as within their bound when they stay there

Cause: the check waited for a reading within the bound and then asserted a second reading. After the clients have ended the entry still works off connections that they opened and closed (some 45 of them, and 80 closed sockets, at a time), and the number goes up and down on its way from 235.

Change: the check takes the most descriptors of half a second, until that is within the bound or the same time as before (8 s; 60 s for quetzalseamd) is over, and asserts that. The bound and the time are unchanged; a reading within the bound no longer suffices.

--- a/cli/src/test/java/org/quetzalseam/cli/CrowdedDaemons.java
+++ b/cli/src/test/java/org/quetzalseam/cli/CrowdedDaemons.java
@@ -147,10 +147,11 @@
                     .as("memory, in MB")
                     .isLessThanOrEqualTo(DaemonProcess.MEMORY_BOUND_MEGABYTES);
             long until = System.currentTimeMillis() + ANSWER_MILLIS;
-            while (process.descriptors() > DaemonProcess.DESCRIPTORS_AT_REST && System.currentTimeMillis() < until) {
-                Thread.sleep(PAUSE_MILLIS);
+            int descriptors = process.mostDescriptors();
+            while (descriptors > DaemonProcess.DESCRIPTORS_AT_REST && System.currentTimeMillis() < until) {
+                descriptors = process.mostDescriptors();
             }
-            assertThat(process.descriptors()).as("descriptors").isLessThanOrEqualTo(DaemonProcess.DESCRIPTORS_AT_REST);
+            assertThat(descriptors).as("descriptors").isLessThanOrEqualTo(DaemonProcess.DESCRIPTORS_AT_REST);
         }
     }
 
--- a/cli/src/test/java/org/quetzalseam/cli/DaemonProcess.java
+++ b/cli/src/test/java/org/quetzalseam/cli/DaemonProcess.java
@@ -85,8 +85,9 @@
         return ProcessUsage.peakMemoryMegabytes(process.pid());
     }
 
-    int descriptors() {
-        return ProcessUsage.descriptors(process.pid());
+    /** Returns the most descriptors that are open within half a second. */
+    int mostDescriptors() throws InterruptedException {
+        return ProcessUsage.mostDescriptors(process.pid());
     }
 
     private void awaitStart(BufferedReader output) throws IOException {
