Connections to endpoints that no call uses any more are closed

Cause: an idle connection was closed only by KeptConnections.poll, when a call looked for one, and poll ended at the first that could be used. Those behind it, and all of them when no call came, stayed open until the endpoint closed them.

Change: the directory closes, each second, what may not be used any more. The connection that was used last stays, as its end is how an entry learns that the process has ended before the store lists the next one (PeerDisconnects).

--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -17,6 +17,7 @@
 import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.http.Connector;
 import org.quetzalseam.gateway.protocol.Protocol;
+import org.quetzalseam.gateway.runtime.Timers;
 
 /**
  * The endpoints that this entry may use, by service and stage. Used on the event loop only.
@@ -28,6 +29,8 @@
  */
 public final class Directory {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Interval at which connections are closed that have been idle for too long, in milliseconds. */
+    private static final long EXPIRY_CHECK_MILLIS = 1_000;
 
     private final Connector connector;
     private final Protocol protocol;
@@ -42,6 +45,8 @@
     public Directory(Connector connector, Protocol protocol) {
         this.connector = connector;
         this.protocol = protocol;
+        new Timers(connector.loop())
+                .every(EXPIRY_CHECK_MILLIS, () -> endpoints.values().forEach(Endpoint::closeExpiredConnections));
     }
 
     /** Sets the callback that runs when an endpoint has shown that its process ended or can't be reached, while it was not draining. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -168,6 +168,12 @@
         return connections.hasIdle() || connections.open() + controlConnections.open() < maxConnections;
     }
 
+    /** Closes the idle connections that may not be used any more, except the one used last. */
+    void closeExpiredConnections() {
+        connections.closeExpired();
+        controlConnections.closeExpired();
+    }
+
     /**
      * Sends a request.
      *
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/KeptConnections.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/KeptConnections.java
@@ -86,6 +86,21 @@
         return null;
     }
 
+    /**
+     * Closes the idle connections that may not be used any more, except the one used last. The end of that one shows that the endpoint's
+     * process has ended.
+     */
+    void closeExpired() {
+        long now = System.nanoTime();
+        long limitNanos = idleLimit.limitNanos(now);
+        for (HttpConnection connection : List.copyOf(idle)) {
+            if (connection != idle.peekFirst() && !mayBeUsed(connection, limitNanos, now)) {
+                idle.remove(connection);
+                connection.abort();
+            }
+        }
+    }
+
     private static boolean mayBeUsed(HttpConnection connection, long limitNanos, long now) {
         return connection.open() && now - connection.idleSince() < Math.min(limitNanos, maxIdleNanos(connection));
     }
