Review case 7: bodies in chunks use up the heap

60 clients that upload bodies of 1.2 MB in chunks, 114 for ten seconds, fill the heap: requests that were sent whole, small ones too, have no answer half a second after their route's timeout (rule CONFIG).

--- a/review/standin-2/src/Uploads.java
+++ b/review/standin-2/src/Uploads.java
@@ -10,15 +10,13 @@
 
 /**
  * One entry before the four servers of a plain service. Clients upload bodies, each at 6 Mbit/s, with a length or in chunks, and
- * others send small requests. With trouble, twice as many clients upload for five seconds.
+ * others send small requests. With trouble, more clients upload for some seconds.
  */
 final class Uploads {
-    private static final int BURST = 2;
     private static final int SMALL_CLIENTS = 20;
     private static final long PAUSE_MILLIS = 21;
     private static final int DEADLINE_MILLIS = 3_000;
     private static final long BURST_AT_MILLIS = 8_000;
-    private static final long BURST_MILLIS = 5_000;
     private static final long END_MILLIS = 24_000;
 
     private Uploads() {}
@@ -28,6 +26,8 @@
         boolean chunked = args[2].equals("chunked");
         int usualUploaders = Integer.parseInt(args[3]);
         int bodyBytes = Integer.parseInt(args[4]);
+        double burst = Double.parseDouble(args[5]);
+        long burstMillis = Long.parseLong(args[6]);
         Record record = new Record(Path.of(args[0]).resolve("record.txt"));
         Path temporary = Files.createTempDirectory("review");
         Store store = new Store();
@@ -64,16 +64,16 @@
         });
         Queue<Client.Result> results = new ConcurrentLinkedQueue<>();
         List<Thread> clients = new ArrayList<>();
-        int uploaders = trouble ? BURST * usualUploaders : usualUploaders;
+        int uploaders = trouble ? (int) (burst * usualUploaders) : usualUploaders;
         for (int i = 0; i < uploaders + SMALL_CLIENTS; i++) {
             boolean small = i < SMALL_CLIENTS;
-            boolean burst = i >= SMALL_CLIENTS + usualUploaders;
+            boolean comesLate = i >= SMALL_CLIENTS + usualUploaders;
             byte[] body = new byte[small ? 600 : bodyBytes];
             int number = i;
             clients.add(Threads.start("client", () -> {
                 Client client = new Client(entry.callers, small ? 0 : PAUSE_MILLIS);
-                long from = startedAt + (burst ? BURST_AT_MILLIS : 0) + number * 20L;
-                long until = startedAt + (burst ? BURST_AT_MILLIS + BURST_MILLIS : END_MILLIS);
+                long from = startedAt + (comesLate ? BURST_AT_MILLIS : 0) + number * 20L;
+                long until = startedAt + (comesLate ? BURST_AT_MILLIS + burstMillis : END_MILLIS);
                 Threads.sleep(from - record.millis());
                 while (record.millis() < until) {
                     Client.Result result =
