--- a/review/standin-2/src/Entry.java
+++ b/review/standin-2/src/Entry.java
@@ -127,20 +127,6 @@
         }
     }
 
-    /** Peak resident memory in megabytes, 0 if it can't be read. */
-    long peakMegabytes() {
-        try {
-            for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
-                if (line.startsWith("VmHWM:")) {
-                    return Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024;
-                }
-            }
-        } catch (IOException e) {
-            // The process has ended.
-        }
-        return 0;
-    }
-
     Path log() {
         return folder.resolve(name + ".log");
     }
--- a/review/standin-2/src/Record.java
+++ b/review/standin-2/src/Record.java
@@ -13,6 +13,7 @@
 
     Record(Path file) throws IOException {
         out = new PrintWriter(Files.newBufferedWriter(file));
+        Runtime.getRuntime().addShutdownHook(new Thread(Entry::killAll));
         Threads.start("limit", () -> {
             Thread.sleep(MOST_MILLIS);
             end(2, "CAN'T RUN: not at the end after " + MOST_MILLIS + " ms");
