Entry: what a callback throws is logged and counted, and no error ends a periodic call

Cause: Timers caught RuntimeException only, and the event loop does not repeat a periodic call that ends with an Error. An error out of the handling of a reply reached HttpConnection.exceptionCaught, which logs nothing once the reply is complete.

Change: ThrownErrors logs and counts (quetzalseam_callbacks_failed) whatever a timer's call or a reply's handling throws, also while the heap is full: what cannot be logged is counted and stated once a line can be written. Timers catches everything.

The test on the code before:

TimersTest.aRepeatedCallIsRepeatedThoughItThrewAnError:62 expected: 3 but was: 1

--- a/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/EntryProcess.java
@@ -23,6 +23,7 @@
 import org.quetzalseam.gateway.protocol.Protocol;
 import org.quetzalseam.gateway.route.EntrySettings;
 import org.quetzalseam.gateway.route.RequestRouter;
+import org.quetzalseam.gateway.runtime.ThrownErrors;
 import org.quetzalseam.gateway.runtime.Timers;
 
 /**
@@ -143,6 +144,7 @@
         metrics.gauge("quetzalseam.places.waiting", router.dispatchers()::waiting);
         metrics.gauge("quetzalseam.places.in.use", router.dispatchers()::inUse);
         metrics.gauge("quetzalseam.replies.kept.bytes", connector::keptReplyBytes);
+        metrics.gauge("quetzalseam.callbacks.failed", ThrownErrors::total);
         timers.every(LOOP_DELAY_INTERVAL_MILLIS, this::measureLoopDelay);
     }
 
@@ -153,6 +155,7 @@
 
     /** Measures by how much a timer of the event loop is late, which is how long all other work waits for the loop. */
     private void measureLoopDelay() {
+        ThrownErrors.logMissed();
         long now = timers.now();
         if (loopMeasuredAt != 0) {
             long late = TimeUnit.NANOSECONDS.toMillis(now - loopMeasuredAt) - LOOP_DELAY_INTERVAL_MILLIS;
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
@@ -22,6 +22,7 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.http.CallFailure.Kind;
+import org.quetzalseam.gateway.runtime.ThrownErrors;
 import org.quetzalseam.http.ReplyDecoder;
 
 /**
@@ -358,6 +359,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            ThrownErrors.record("reply", cause);
+        }
         closedByPeer |= !closing && cause instanceof IOException;
         fail(Kind.CONNECTION_LOST, String.valueOf(cause.getMessage()));
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/runtime/Timers.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/runtime/Timers.java
@@ -1,15 +1,13 @@
 package org.quetzalseam.gateway.runtime;
 
-import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-/** Schedules calls on one event loop. A call that throws is logged; a repeated call is then still repeated. */
+/** Schedules calls on one event loop. A call that throws an exception or an error is logged, and a
+ * repeated call is repeated nevertheless. */
 public final class Timers {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
     /** By how much the wall clock may run ahead of the monotonic clock between two readings without a suspension, in nanoseconds. */
     private static final long CLOCK_DRIFT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -85,8 +83,9 @@
         return () -> {
             try {
                 call.run();
-            } catch (RuntimeException e) {
-                logger.atSevere().withCause(e).log("event=timer-call-failed");
+            } catch (Throwable e) {
+                // The event loop would not repeat a call that ends with an error.
+                ThrownErrors.record("timer", e);
             }
         };
     }
--- a/gateway/src/test/java/org/quetzalseam/gateway/runtime/TimersTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/runtime/TimersTest.java
@@ -43,4 +43,23 @@
         pass(1_000, 1_010);
         assertThat(elapsedMillis(start)).isEqualTo(1_000);
     }
+
+    // Guards against a renewal, check or report that is never made again after one error.
+    @Test
+    void aRepeatedCallIsRepeatedThoughItThrewAnError() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        channel.freezeTime();
+        int[] calls = new int[1];
+        long failures = ThrownErrors.total();
+        new Timers(channel.eventLoop()).every(10, () -> {
+            calls[0]++;
+            throw new InternalError("thrown by the test");
+        });
+        for (int i = 0; i < 3; i++) {
+            channel.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+            channel.runScheduledPendingTasks();
+        }
+        assertThat(calls[0]).isEqualTo(3);
+        assertThat(ThrownErrors.total() - failures).isEqualTo(3);
+    }
 }
