Entry: an error while an answer is handled no longer ends a watch

Cause: KindWatch made its next call after the listener and those who wait for a refresh had run. An Error of the listener, or an exception of any kind out of a refresh's callback, skipped it. The store's call counted as answered by then, so that its timeout no longer helped, and nothing else ever made a call of that kind. The same order was in onList and retryAfterDelay.

Change: the next call is scheduled before anyone is called. An Error of the listener, an exception anywhere else in the handling and a call that can't be begun lead to a new list after 100 ms, doubling to 1 s, because the answer may be in force in part only. Each callback of a refresh is called whatever the others throw. A check each second lists the kind again when no call was begun or answered in three of them (longer than any call with its retry), which needs nothing but the timer.

--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -6,8 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.gateway.runtime.ScheduledCall;
+import org.quetzalseam.gateway.runtime.ThrownErrors;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.PagedList.WholeList;
 
@@ -17,6 +20,9 @@
  *
  * <p>A watch waits briefly, and one whose answer is late is restarted over another connection, so that an unresponsive connection
  * is noticed before a change is overdue.
+ *
+ * <p>The next call is secured before a listener is called. If handling an answer fails all the same, with any exception or error, or if
+ * a call is never answered, the kind is listed again.
  */
 public final class KindWatch implements KindFreshness {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -42,8 +48,14 @@
     private static final long FIRST_RETRY_DELAY_MILLIS = 100;
 
     private static final long MAX_RETRY_DELAY_MILLIS = 300;
-    /** How long after the store's recovery objects of live processes may still be missing, in nanoseconds. */
-    private static final long RECOVERY_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+    /** Longest delay after an answer that could not be handled, in milliseconds: a part of the time in which a change must be in force. */
+    private static final long MAX_ERROR_DELAY_MILLIS = 1_000;
+    /** Interval of the checks whether calls are still made, in milliseconds. */
+    static final long SILENCE_CHECK_MILLIS = 1_000;
+    /** Number of checks in a row without a call or an answer after which the kind is listed again: longer than any call and pause. */
+    static final int MAX_SILENT_CHECKS = 3;
+    /** How long after a restore of the store from an older copy objects of live processes may be missing, in nanoseconds. */
+    private static final long RESTORED_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
     private static final ScheduledCall NO_TIMER = () -> {};
 
@@ -57,11 +69,14 @@
     private final Map<String, StorePosition> listedPositions = new HashMap<>();
 
     private long retryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
+    private long errorDelayMillis = FIRST_RETRY_DELAY_MILLIS;
     private StorePosition lastListed = StorePosition.NONE;
     private StorePosition newest = StorePosition.NONE;
-    /** Number of the newest watch; answers to earlier ones are ignored. */
-    private long newestWatch;
+    /** Number of the newest list or watch; answers to earlier ones are ignored. */
+    private long newestCall;
 
+    private int silentChecks;
+    private long restarts;
     private boolean unavailable;
     private boolean everUnavailable;
     private long recoveredAtNanos;
@@ -76,12 +91,18 @@
         this.store = store;
         this.kind = kind;
         this.listener = listener;
-        this.lastResponse = new LastResponse(timers.elapsed(), RECOVERY_NANOS);
+        this.lastResponse = new LastResponse(timers.elapsed(), RESTORED_NANOS);
     }
 
     /** Begins to list and watch the kind. */
     public void start() {
         timers.soon(this::listAll);
+        timers.every(SILENCE_CHECK_MILLIS, this::checkSilence);
+    }
+
+    /** Returns how often the kind was listed again because handling an answer failed or no call was made any more. */
+    public long restarts() {
+        return restarts;
     }
 
     @Override
@@ -113,26 +134,67 @@
 
     /** Calls back all who requested a refresh, whether the store has answered or the call has failed. */
     private void completeRefreshes() {
-        immediateAnswerExpected = false;
         List<Runnable> callbacks = List.copyOf(refreshCallbacks);
         refreshCallbacks.clear();
-        callbacks.forEach(Runnable::run);
+        for (Runnable callback : callbacks) {
+            try {
+                callback.run();
+            } catch (Throwable e) {
+                ThrownErrors.record("refresh", e);
+            }
+        }
     }
 
     private void listAll() {
+        long call = beginCall();
         immediateAnswerExpected = true;
         long sentAt = timers.elapsed();
         PagedList.read(
-                (after, done, failed) -> store.list(kind, after, done, failed),
-                list -> onList(list, sentAt),
-                this::listFailed);
+                (after, done, failed) -> readPage(after, done, failed),
+                list -> onAnswer(call, NO_TIMER, () -> onList(list, sentAt)),
+                failure -> onAnswer(call, NO_TIMER, () -> retryAfterDelay(failure, this::listAll)));
+    }
+
+    private void readPage(@Nullable String after, Consumer<ObjectPage> done, Consumer<StoreFailure> failed) {
+        silentChecks = 0;
+        store.list(kind, after, done, failed);
+    }
+
+    /** Returns the number of the next call; an answer to the one in flight is ignored, and the one scheduled is not made. */
+    private long beginCall() {
+        nextCall.cancel();
+        silentChecks = 0;
+        return ++newestCall;
+    }
+
+    /** Schedules the next call in place of the one scheduled, if any. */
+    private void schedule(long delayMillis, Runnable next) {
+        nextCall.cancel();
+        nextCall = timers.after(delayMillis, () -> listAgainOnError(next));
+    }
+
+    private void listAgainOnError(Runnable call) {
+        try {
+            call.run();
+        } catch (Throwable e) {
+            ThrownErrors.record("watch", e);
+            listAfterError();
+        }
     }
 
     private void onList(WholeList list, long sentAt) {
         recordAvailable();
         recordEra(list.last());
-        notifyListener("all", () -> listener.listed(list.objects(), recentlyRecovered()));
-        lastResponse.recordResponse(sentAt);
+        // What changed on an earlier page while later ones were read is in none of them.
+        newest = list.first();
+        listedPositions.clear();
+        if (newest.isBefore(lastListed)) {
+            list.objects().forEach(object -> listedPositions.put(object.name(), object.position()));
+        }
+        watchFrom(newest);
+        if (notifyListener("all", () -> listener.listed(list.objects(), recentlyRecovered()))) {
+            lastResponse.recordResponse(sentAt);
+        }
         logger.atInfo().log(
                 "event=listed kind=%s objects=%d era=%d revision=%d first_page_revision=%d",
                 kind,
@@ -140,14 +202,7 @@
                 lastListed.era(),
                 lastListed.revision(),
                 list.first().revision());
-        // What changed on an earlier page while later ones were read is in none of them.
-        newest = list.first();
-        listedPositions.clear();
-        if (newest.isBefore(lastListed)) {
-            list.objects().forEach(object -> listedPositions.put(object.name(), object.position()));
-        }
         completeRefreshes();
-        watchFrom(newest);
     }
 
     /**
@@ -169,10 +224,6 @@
         lastListed = position;
     }
 
-    private void listFailed(StoreFailure failure) {
-        retryAfterDelay(failure, this::listAll);
-    }
-
     private void watchFrom(StorePosition from) {
         newest = from;
         startWatch(unavailable ? NO_WAIT_MILLIS : WATCH_WAIT_MILLIS);
@@ -184,31 +235,56 @@
 
     /** Starts a watch in place of the one in flight, if any. If it may be late, it is restarted once over another connection. */
     private void startWatch(long waitMillis, boolean mayBeLate) {
-        long watch = ++newestWatch;
+        long call = beginCall();
         long sentAt = timers.elapsed();
         immediateAnswerExpected = waitMillis == NO_WAIT_MILLIS;
-        nextCall.cancel();
         StorePosition from = newest;
-        ScheduledCall lateTimer =
-                mayBeLate ? timers.after(waitMillis + LATE_AFTER_MILLIS, () -> restartWatch(watch)) : NO_TIMER;
+        ScheduledCall lateTimer = mayBeLate
+                ? timers.after(waitMillis + LATE_AFTER_MILLIS, () -> listAgainOnError(() -> restartWatch(call)))
+                : NO_TIMER;
         store.watch(
                 kind,
                 from,
                 waitMillis,
-                changes -> onAnswer(watch, lateTimer, () -> onChanges(from, changes, sentAt, waitMillis)),
-                failure -> onAnswer(watch, lateTimer, () -> watchFailed(from, failure)));
+                changes -> onAnswer(call, lateTimer, () -> onChanges(from, changes, sentAt, waitMillis)),
+                failure -> onAnswer(call, lateTimer, () -> watchFailed(from, failure)));
     }
 
-    private void onAnswer(long watch, ScheduledCall lateTimer, Runnable call) {
+    private void onAnswer(long call, ScheduledCall lateTimer, Runnable handling) {
         lateTimer.cancel();
-        if (watch == newestWatch) {
-            call.run();
+        if (call != newestCall) {
+            return;
+        }
+        silentChecks = 0;
+        immediateAnswerExpected = false;
+        listAgainOnError(handling);
+    }
+
+    /** Lists the kind again after an answer that was not handled whole: what it said may be in force in part only. */
+    private void listAfterError() {
+        restarts++;
+        beginCall();
+        immediateAnswerExpected = true;
+        schedule(errorDelayMillis, this::listAll);
+        errorDelayMillis = Math.min(2 * errorDelayMillis, MAX_ERROR_DELAY_MILLIS);
+        logger.atWarning().log("event=watch-restarted kind=%s reason=error restarts=%d", kind, restarts);
+    }
+
+    /** Lists the kind again if no call was begun or answered for some time, as after an error that nothing could handle. */
+    private void checkSilence() {
+        silentChecks++;
+        if (silentChecks >= MAX_SILENT_CHECKS) {
+            restarts++;
+            logger.atWarning().log(
+                    "event=watch-restarted kind=%s reason=silence restarts=%d era=%d revision=%d",
+                    kind, restarts, newest.era(), newest.revision());
+            listAll();
         }
     }
 
     /** Restarts a late watch over a new connection: open ones may have become unresponsive for good while new ones work. */
-    private void restartWatch(long watch) {
-        if (watch != newestWatch) {
+    private void restartWatch(long call) {
+        if (call != newestCall) {
             return;
         }
         logger.atInfo().log("event=watch-late kind=%s era=%d revision=%d", kind, newest.era(), newest.revision());
@@ -226,23 +302,32 @@
         long waitNanos = TimeUnit.MILLISECONDS.toNanos(waitMillis);
         boolean waited = changes.changes().isEmpty() && timers.elapsed() - sentAt >= waitNanos;
         recordAvailable();
-        for (ObjectChanges.Change change : changes.changes()) {
-            if (listedLater(change.object())) {
-                continue;
-            }
-            if (change.deleted()) {
-                notifyListener(change.object().name(), () -> listener.deleted(change.object(), recentlyRecovered()));
-            } else {
-                notifyListener(change.object().name(), () -> listener.changed(change.object()));
-            }
+        StorePosition next = StorePosition.later(from, changes.position());
+        schedule(changes.changes().isEmpty() ? 0 : BATCH_MILLIS, () -> watchFrom(next));
+        if (notifyChanges(changes)) {
+            lastResponse.recordResponse(waited ? sentAt + waitNanos : sentAt);
         }
-        lastResponse.recordResponse(waited ? sentAt + waitNanos : sentAt);
-        newest = StorePosition.later(from, changes.position());
+        newest = next;
         if (!newest.isBefore(lastListed)) {
             listedPositions.clear();
         }
         completeRefreshes();
-        nextCall = timers.after(changes.changes().isEmpty() ? 0 : BATCH_MILLIS, () -> watchFrom(newest));
+    }
+
+    /** Returns whether the listener could handle all changes. */
+    private boolean notifyChanges(ObjectChanges changes) {
+        boolean handled = true;
+        for (ObjectChanges.Change change : changes.changes()) {
+            StoredObject object = change.object();
+            if (!listedLater(object)) {
+                handled &= notifyListener(
+                        object.name(),
+                        change.deleted()
+                                ? () -> listener.deleted(object, recentlyRecovered())
+                                : () -> listener.changed(object));
+            }
+        }
+        return handled;
     }
 
     /** Returns whether a page of the list was later than a change and has the object as it was after that. */
@@ -251,12 +336,22 @@
         return listed != null && changed.position().isBefore(listed);
     }
 
-    /** Calls the listener; an object that cannot be read is skipped, so that those after it are still processed. */
-    private void notifyListener(String name, Runnable call) {
+    /**
+     * Calls the listener; an object that cannot be read is skipped, so that those after it are still processed. After an error the
+     * kind is listed again, because the object may be readable. Returns whether there was none.
+     */
+    private boolean notifyListener(String name, Runnable call) {
         try {
             call.run();
+            errorDelayMillis = FIRST_RETRY_DELAY_MILLIS;
+            return true;
         } catch (RuntimeException e) {
             logger.atWarning().withCause(e).log("event=object-unreadable kind=%s name=%s", kind, name);
+            return true;
+        } catch (Throwable e) {
+            ThrownErrors.record("listener", e);
+            listAfterError();
+            return false;
         }
     }
 
@@ -272,6 +367,8 @@
     }
 
     private void retryAfterDelay(StoreFailure failure, Runnable next) {
+        schedule(retryDelayMillis, next);
+        retryDelayMillis = Math.min(2 * retryDelayMillis, MAX_RETRY_DELAY_MILLIS);
         if (!unavailable) {
             unavailable = true;
             everUnavailable = true;
@@ -279,8 +376,6 @@
                     "event=store-lost kind=%s failure=%s detail=\"%s\"", kind, failure.kind(), failure.detail());
         }
         completeRefreshes();
-        nextCall = timers.after(retryDelayMillis, next);
-        retryDelayMillis = Math.min(2 * retryDelayMillis, MAX_RETRY_DELAY_MILLIS);
     }
 
     private void recordAvailable() {
@@ -293,6 +388,6 @@
     }
 
     private boolean recentlyRecovered() {
-        return everUnavailable && timers.now() - recoveredAtNanos < RECOVERY_NANOS;
+        return everUnavailable && timers.now() - recoveredAtNanos < RESTORED_NANOS;
     }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -2,14 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.gateway.runtime.Timers;
@@ -352,82 +350,4 @@
             lines.add("deleted " + object.name() + " recovered=" + storeJustRecovered);
         }
     }
-
-    /** Keeps the consumers of the last call, so that the test can answer it. */
-    private static final class FakeStore implements ObjectStore {
-        private Consumer<ObjectPage> listed = page -> {};
-        private Consumer<ObjectChanges> changed = changes -> {};
-        private Consumer<StoreFailure> failed = failure -> {};
-        private @Nullable String after;
-        private long watchedFrom;
-        private long waitMillis;
-        private int calls;
-        private int retirements;
-
-        @Override
-        public void list(
-                String kind, @Nullable String from, Consumer<ObjectPage> done, Consumer<StoreFailure> failure) {
-            calls++;
-            after = from;
-            listed = done;
-            failed = failure;
-        }
-
-        @Override
-        public void watch(
-                String kind,
-                StorePosition from,
-                long wait,
-                Consumer<ObjectChanges> done,
-                Consumer<StoreFailure> failure) {
-            calls++;
-            watchedFrom = from.revision();
-            waitMillis = wait;
-            changed = done;
-            failed = failure;
-        }
-
-        @Override
-        public void retireConnections() {
-            retirements++;
-        }
-
-        @Override
-        public StorePosition position() {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void listRecent(
-                String kind, @Nullable String after, Consumer<ObjectPage> done, Consumer<StoreFailure> failure) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void read(String kind, String name, Consumer<StoredObject> done, Consumer<StoreFailure> failure) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void readRecent(String kind, String name, Consumer<StoredObject> done, Consumer<StoreFailure> failure) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void create(
-                String kind, String name, JsonNode spec, Consumer<StoredObject> done, Consumer<StoreFailure> failure) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void replace(
-                String kind,
-                String name,
-                StorePosition expected,
-                JsonNode spec,
-                Consumer<StoredObject> done,
-                Consumer<StoreFailure> failure) {
-            throw new UnsupportedOperationException();
-        }
-    }
 }
