Entry: a broken-off watch is no outage, and a removal after one is in force within the sum of all waits

Cause, two faults of one sum: - KindWatch took any failed call for an outage of the store, also a watch that was cut off while it waited, as PROTOCOL.md allows at any time. For 2.5 s from then on each deletion got the grace period for registrations that lapse in an outage. - That period, 1.9 s, began when the deletion was read, up to 150 ms (the pause that collects changes) after the store's ack, and its end was looked for each 100 ms: 2,150 ms and more. After a true outage the same sum held, plus up to 1.2 s until the entry's next call.

The window in which objects may be missing then ends at one moment for all of them, however late a deletion is read: 1.9 s after the request of the first answer, and 2.9 s after that of the last failed call, since which the store may have been back.

Why it works: an ack after the store's return is later than the request of the first answer, so ack + 2,000 ms is later than the end; and the store returned after the request of the last failed call, so that the end is before the 3,000 ms after which removals are bound again. What is read after the end is dropped when it is read. Live servers whose registrations lapsed stay for the time in which they write them again: from the request of the first answer on 1.9 s as before, less only where calls hang until their timeout.

store-lost and store-back state wait, age and what is left; a single failed call is store-call-failed.

MemberTableTest passes the grace period with each removal, with the same values.

--- a/core/src/main/java/org/quetzalseam/core/fleet/MemberTable.java
+++ b/core/src/main/java/org/quetzalseam/core/fleet/MemberTable.java
@@ -13,31 +13,25 @@
  * thread-safe.
  *
  * <p>While the platform's store is unavailable, registrations lapse although their endpoints are running. A member that
- * is missing right after an outage of the store is therefore kept for a grace period, in which a running endpoint
+ * is missing right after an outage of the store is therefore kept for the rest of the time in which a running endpoint
  * registers again; a member that is missing at any other time is removed at once.
  *
  * <p>Either all endpoints of a platform report their start time or none does. Once half of the registrations have had a
  * start time, a registration without one comes from another writer and does not describe an endpoint.
  */
 public final class MemberTable {
-    private final long graceNanos;
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Long> graceEndNanos = new HashMap<>();
     private boolean startsRequired;
 
-    /** Creates an empty table that keeps lapsed registrations for the given grace period, in nanoseconds. */
-    public MemberTable(long graceNanos) {
-        this.graceNanos = graceNanos;
-    }
-
     /**
      * Replaces the members by a complete listing.
      *
      * @param listed all members
      * @param now monotonic time in nanoseconds
-     * @param afterStoreOutage whether the store has just recovered from an outage
+     * @param graceNanos for how much longer registrations of running endpoints may be missing; 0 if none should be
      */
-    public void replaceAll(Collection<Member> listed, long now, boolean afterStoreOutage) {
+    public void replaceAll(Collection<Member> listed, long now, long graceNanos) {
         Set<String> ids = new HashSet<>();
         for (Member member : listed) {
             ids.add(member.id());
@@ -45,7 +39,7 @@
         }
         for (String id : List.copyOf(members.keySet())) {
             if (!ids.contains(id)) {
-                remove(id, now, afterStoreOutage);
+                remove(id, now, graceNanos);
             }
         }
         updateStartsRequired();
@@ -79,15 +73,17 @@
     }
 
     /**
-     * Removes a member that is no longer listed, after the grace period if the store has just recovered from an outage.
-     * A draining member is always removed at once.
+     * Removes a member that is no longer listed, at the end of the grace period where there is one. A draining member is always
+     * removed at once.
+     *
+     * @param graceNanos for how much longer registrations of running endpoints may be missing; 0 if none should be
      */
-    public void remove(String id, long now, boolean afterStoreOutage) {
+    public void remove(String id, long now, long graceNanos) {
         Member member = members.get(id);
         if (member == null) {
             return;
         }
-        if (afterStoreOutage && !member.draining()) {
+        if (graceNanos > 0 && !member.draining()) {
             graceEndNanos.putIfAbsent(id, now + graceNanos);
             return;
         }
--- a/core/src/test/java/org/quetzalseam/core/fleet/MemberTableTest.java
+++ b/core/src/test/java/org/quetzalseam/core/fleet/MemberTableTest.java
@@ -8,7 +8,7 @@
 class MemberTableTest {
     private static final long GRACE_NANOS = 1_000;
 
-    private final MemberTable table = new MemberTable(GRACE_NANOS);
+    private final MemberTable table = new MemberTable();
 
     private static Member member(String id, boolean draining) {
         return member(id, 1, draining);
@@ -28,28 +28,28 @@
     @Test
     void aLateListingOfAPreviousIncarnationKeepsTheNewerOne() {
         table.put(member("a", 2, false));
-        table.replaceAll(List.of(member("a", 1, false)), 0, false);
+        table.replaceAll(List.of(member("a", 1, false)), 0, 0);
         assertThat(table.all()).containsExactly(member("a", 2, false));
     }
 
     @Test
     void aPreviousIncarnationDoesNotRenewALapsedRegistration() {
         table.put(member("a", 2, false));
-        table.remove("a", 0, true);
+        table.remove("a", 0, GRACE_NANOS);
         table.put(member("a", 1, false));
         assertThat(table.expire(GRACE_NANOS)).containsExactly("a");
     }
 
     @Test
     void endpointsOfAPlatformWithoutStartTimesAreUsed() {
-        table.replaceAll(List.of(member("a", Incarnation.UNKNOWN_START, false)), 0, false);
+        table.replaceAll(List.of(member("a", Incarnation.UNKNOWN_START, false)), 0, 0);
         assertThat(table.all()).extracting(Member::id).containsExactly("a");
     }
 
     @Test
     void aRegistrationWithoutStartTimeIsIgnoredWhereHalfOfTheRegistrationsHaveOne() {
         Member other = member("x", Incarnation.UNKNOWN_START, false);
-        table.replaceAll(List.of(other, member("a", 5, false)), 0, false);
+        table.replaceAll(List.of(other, member("a", 5, false)), 0, 0);
         table.put(other);
         assertThat(table.all()).extracting(Member::id).containsExactly("a");
     }
@@ -72,7 +72,7 @@
                         member("b", Incarnation.UNKNOWN_START, false),
                         member("x", 7, false)),
                 0,
-                false);
+                0);
         assertThat(table.all()).extracting(Member::id).contains("a", "b");
     }
 
@@ -85,15 +85,15 @@
 
     @Test
     void aMemberMissingInAListingIsRemovedAtOnce() {
-        table.replaceAll(List.of(member("a", false), member("b", false)), 0, false);
-        table.replaceAll(List.of(member("b", false)), 1, false);
+        table.replaceAll(List.of(member("a", false), member("b", false)), 0, 0);
+        table.replaceAll(List.of(member("b", false)), 1, 0);
         assertThat(table.all()).extracting(Member::id).containsExactly("b");
     }
 
     @Test
     void aRegistrationThatLapsedDuringAStoreOutageIsKeptForTheGracePeriod() {
         table.put(member("a", false));
-        table.remove("a", 0, true);
+        table.remove("a", 0, GRACE_NANOS);
         assertThat(table.expire(GRACE_NANOS - 1)).isEmpty();
         assertThat(table.all()).hasSize(1);
         assertThat(table.expire(GRACE_NANOS)).containsExactly("a");
@@ -103,7 +103,7 @@
     @Test
     void aMemberThatRegistersAgainWithinTheGracePeriodStays() {
         table.put(member("a", false));
-        table.remove("a", 0, true);
+        table.remove("a", 0, GRACE_NANOS);
         table.put(member("a", false));
         assertThat(table.expire(10 * GRACE_NANOS)).isEmpty();
         assertThat(table.all()).hasSize(1);
@@ -112,15 +112,34 @@
     @Test
     void aDrainingMemberIsRemovedAtOnceEvenAfterAStoreOutage() {
         table.put(member("a", true));
-        table.remove("a", 0, true);
+        table.remove("a", 0, GRACE_NANOS);
         assertThat(table.all()).isEmpty();
     }
 
     @Test
     void aSecondListingDoesNotExtendTheGracePeriod() {
         table.put(member("a", false));
-        table.replaceAll(List.of(), 0, true);
-        table.replaceAll(List.of(), GRACE_NANOS - 1, true);
+        table.replaceAll(List.of(), 0, GRACE_NANOS);
+        table.replaceAll(List.of(), GRACE_NANOS - 1, GRACE_NANOS);
         assertThat(table.expire(GRACE_NANOS)).containsExactly("a");
     }
+
+    // Guards against a removal that is in force late because each one begins a grace period of its own.
+    @Test
+    void membersThatAreRemovedOneAfterTheOtherAreDroppedTogetherAtTheEndOfTheGracePeriod() {
+        table.put(member("a", false));
+        table.put(member("b", false));
+        table.remove("a", 0, GRACE_NANOS);
+        table.remove("b", 900, GRACE_NANOS - 900);
+        assertThat(table.expire(GRACE_NANOS)).containsExactlyInAnyOrder("a", "b");
+    }
+
+    @Test
+    void aMemberThatLeavesWithinTheGracePeriodIsRemovedAtOnce() {
+        table.put(member("a", 1, false));
+        table.remove("a", 0, GRACE_NANOS);
+        table.put(member("a", 1, true));
+        table.remove("a", 10, GRACE_NANOS - 10);
+        assertThat(table.all()).isEmpty();
+    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindListener.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindListener.java
@@ -8,9 +8,10 @@
      * Handles a complete list of the kind's objects.
      *
      * @param objects the objects
-     * @param storeJustRecovered whether the store has just recovered from an outage, in which registrations may have lapsed
+     * @param rewriteNanos for how much longer objects of live processes may be missing, in nanoseconds, because they lapsed in an
+     *     outage of the store; 0 if none should be
      */
-    void listed(List<StoredObject> objects, boolean storeJustRecovered);
+    void listed(List<StoredObject> objects, long rewriteNanos);
 
     /** Handles an object that is new or has changed. */
     void changed(StoredObject object);
@@ -19,7 +20,8 @@
      * Handles an object that has been deleted.
      *
      * @param object the object as it was last
-     * @param storeJustRecovered whether the store has just recovered from an outage, in which registrations may have lapsed
+     * @param rewriteNanos for how much longer objects of live processes may be missing, in nanoseconds, because they lapsed in an
+     *     outage of the store; 0 if none should be
      */
-    void deleted(StoredObject object, boolean storeJustRecovered);
+    void deleted(StoredObject object, long rewriteNanos);
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -64,6 +64,7 @@
     private final String kind;
     private final KindListener listener;
     private final LastResponse lastResponse;
+    private final StoreAvailability availability;
     private final List<Runnable> refreshCallbacks = new ArrayList<>();
     /** Positions of the objects of the latest list, while changes may be received that are older than some of its pages. */
     private final Map<String, StorePosition> listedPositions = new HashMap<>();
@@ -77,9 +78,8 @@
 
     private int silentChecks;
     private long restarts;
+    /** Whether the latest call failed, so that the next one is to be answered at once. */
     private boolean unavailable;
-    private boolean everUnavailable;
-    private long recoveredAtNanos;
     /** Whether the call in flight is to be answered at once, so that a refresh needs no other one. */
     private boolean immediateAnswerExpected;
 
@@ -91,6 +91,7 @@
         this.store = store;
         this.kind = kind;
         this.listener = listener;
+        this.availability = new StoreAvailability(kind);
         this.lastResponse = new LastResponse(timers.elapsed(), RESTORED_NANOS);
     }
 
@@ -148,11 +149,11 @@
     private void listAll() {
         long call = beginCall();
         immediateAnswerExpected = true;
-        long sentAt = timers.elapsed();
+        CallTimes times = new CallTimes(timers.elapsed(), timers.now(), NO_WAIT_MILLIS);
         PagedList.read(
                 (after, done, failed) -> readPage(after, done, failed),
-                list -> onAnswer(call, NO_TIMER, () -> onList(list, sentAt)),
-                failure -> onAnswer(call, NO_TIMER, () -> retryAfterDelay(failure, this::listAll)));
+                list -> onAnswer(call, NO_TIMER, () -> onList(list, times)),
+                failure -> onAnswer(call, NO_TIMER, () -> retryAfterDelay(failure, times, this::listAll)));
     }
 
     private void readPage(@Nullable String after, Consumer<ObjectPage> done, Consumer<StoreFailure> failed) {
@@ -182,9 +183,9 @@
         }
     }
 
-    private void onList(WholeList list, long sentAt) {
-        recordAvailable();
-        recordEra(list.last());
+    private void onList(WholeList list, CallTimes times) {
+        recordAvailable(times);
+        recordEra(list.last(), times);
         // What changed on an earlier page while later ones were read is in none of them.
         newest = list.first();
         listedPositions.clear();
@@ -192,8 +193,8 @@
             list.objects().forEach(object -> listedPositions.put(object.name(), object.position()));
         }
         watchFrom(newest);
-        if (notifyListener("all", () -> listener.listed(list.objects(), recentlyRecovered()))) {
-            lastResponse.recordResponse(sentAt);
+        if (notifyListener("all", () -> listener.listed(list.objects(), rewriteNanos()))) {
+            lastResponse.recordResponse(times.sentAt());
         }
         logger.atInfo().log(
                 "event=listed kind=%s objects=%d era=%d revision=%d first_page_revision=%d",
@@ -209,13 +210,12 @@
      * Records the era of a list. A store that was restored from an older copy lacks objects of live processes, as after an
      * outage.
      */
-    private void recordEra(StorePosition position) {
+    private void recordEra(StorePosition position, CallTimes times) {
         if (!lastListed.equals(StorePosition.NONE) && lastListed.era() != position.era()) {
             logger.atWarning().log(
                     "event=store-restored kind=%s era_before=%d revision_before=%d era=%d revision=%d",
                     kind, lastListed.era(), lastListed.revision(), position.era(), position.revision());
-            everUnavailable = true;
-            recoveredAtNanos = timers.now();
+            availability.storeRestored(times);
         }
         if (lastListed.era() != position.era()) {
             // To a new process, a store that was restored earlier may have been restored just now.
@@ -236,7 +236,7 @@
     /** Starts a watch in place of the one in flight, if any. If it may be late, it is restarted once over another connection. */
     private void startWatch(long waitMillis, boolean mayBeLate) {
         long call = beginCall();
-        long sentAt = timers.elapsed();
+        CallTimes times = new CallTimes(timers.elapsed(), timers.now(), waitMillis);
         immediateAnswerExpected = waitMillis == NO_WAIT_MILLIS;
         StorePosition from = newest;
         ScheduledCall lateTimer = mayBeLate
@@ -246,8 +246,8 @@
                 kind,
                 from,
                 waitMillis,
-                changes -> onAnswer(call, lateTimer, () -> onChanges(from, changes, sentAt, waitMillis)),
-                failure -> onAnswer(call, lateTimer, () -> watchFailed(from, failure)));
+                changes -> onAnswer(call, lateTimer, () -> onChanges(from, changes, times)),
+                failure -> onAnswer(call, lateTimer, () -> watchFailed(from, failure, times)));
     }
 
     private void onAnswer(long call, ScheduledCall lateTimer, Runnable handling) {
@@ -292,20 +292,19 @@
         startWatch(NO_WAIT_MILLIS, false);
     }
 
-    private void onChanges(StorePosition from, ObjectChanges changes, long sentAt, long waitMillis) {
+    private void onChanges(StorePosition from, ObjectChanges changes, CallTimes times) {
         if (from.era() != changes.position().era()) {
             // The requested revision has been assigned again: changes before it in this era would be missed.
             listAll();
             return;
         }
         // The store gives an answer without changes after the whole wait, but may end a watch early.
-        long waitNanos = TimeUnit.MILLISECONDS.toNanos(waitMillis);
-        boolean waited = changes.changes().isEmpty() && timers.elapsed() - sentAt >= waitNanos;
-        recordAvailable();
+        boolean waited = changes.changes().isEmpty() && timers.elapsed() - times.sentAt() >= times.waitNanos();
+        recordAvailable(times);
         StorePosition next = StorePosition.later(from, changes.position());
         schedule(changes.changes().isEmpty() ? 0 : BATCH_MILLIS, () -> watchFrom(next));
         if (notifyChanges(changes)) {
-            lastResponse.recordResponse(waited ? sentAt + waitNanos : sentAt);
+            lastResponse.recordResponse(waited ? times.sentAt() + times.waitNanos() : times.sentAt());
         }
         newest = next;
         if (!newest.isBefore(lastListed)) {
@@ -323,7 +322,7 @@
                 handled &= notifyListener(
                         object.name(),
                         change.deleted()
-                                ? () -> listener.deleted(object, recentlyRecovered())
+                                ? () -> listener.deleted(object, rewriteNanos())
                                 : () -> listener.changed(object));
             }
         }
@@ -355,7 +354,7 @@
         }
     }
 
-    private void watchFailed(StorePosition from, StoreFailure failure) {
+    private void watchFailed(StorePosition from, StoreFailure failure, CallTimes times) {
         if (failure.kind() == StoreFailure.Kind.HISTORY_GONE) {
             logger.atInfo().log("event=history-gone kind=%s era=%d revision=%d", kind, from.era(), from.revision());
             listAll();
@@ -363,31 +362,24 @@
         }
         // The same changes would be unreadable again; a list shows their result.
         boolean listAgain = failure.kind() == StoreFailure.Kind.UNREADABLE;
-        retryAfterDelay(failure, listAgain ? this::listAll : () -> watchFrom(from));
+        retryAfterDelay(failure, times, listAgain ? this::listAll : () -> watchFrom(from));
     }
 
-    private void retryAfterDelay(StoreFailure failure, Runnable next) {
+    private void retryAfterDelay(StoreFailure failure, CallTimes times, Runnable next) {
         schedule(retryDelayMillis, next);
         retryDelayMillis = Math.min(2 * retryDelayMillis, MAX_RETRY_DELAY_MILLIS);
-        if (!unavailable) {
-            unavailable = true;
-            everUnavailable = true;
-            logger.atWarning().log(
-                    "event=store-lost kind=%s failure=%s detail=\"%s\"", kind, failure.kind(), failure.detail());
-        }
+        unavailable = true;
+        availability.callFailed(failure, times, timers.now());
         completeRefreshes();
     }
 
-    private void recordAvailable() {
+    private void recordAvailable(CallTimes times) {
         retryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
-        if (unavailable) {
-            unavailable = false;
-            recoveredAtNanos = timers.now();
-            logger.atInfo().log("event=store-back kind=%s", kind);
-        }
+        unavailable = false;
+        availability.callAnswered(times, timers.now());
     }
 
-    private boolean recentlyRecovered() {
-        return everUnavailable && timers.now() - recoveredAtNanos < RESTORED_NANOS;
+    private long rewriteNanos() {
+        return availability.rewriteNanos(timers.now());
     }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchErrorsTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchErrorsTest.java
@@ -165,7 +165,7 @@
         }
 
         @Override
-        public void listed(List<StoredObject> objects, boolean storeJustRecovered) {
+        public void listed(List<StoredObject> objects, long rewriteNanos) {
             objects.forEach(this::handle);
         }
 
@@ -175,7 +175,7 @@
         }
 
         @Override
-        public void deleted(StoredObject object, boolean storeJustRecovered) {
+        public void deleted(StoredObject object, long rewriteNanos) {
             handle(object);
         }
     }
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchTest.java
@@ -260,7 +260,10 @@
         assertThat(store.calls).isEqualTo(calls + 1);
         store.listed.accept(new ObjectPage(List.of(object("a", 3), object("b", 7)), false, at(8)));
         assertThat(store.watchedFrom).isEqualTo(8);
-        assertThat(listener.lines).last().isEqualTo("listed a b recovered=true");
+        assertThat(listener.lines)
+                .as("an answer that can't be read shows that the store is there")
+                .last()
+                .isEqualTo("listed a b recovered=false");
     }
 
     @Test
@@ -322,6 +325,8 @@
         store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, at(6)));
         store.failed.accept(new StoreFailure(StoreFailure.Kind.UNKNOWN, "reset"));
         pass(100);
+        store.failed.accept(new StoreFailure(StoreFailure.Kind.UNKNOWN, "reset"));
+        pass(200);
         store.changed.accept(new ObjectChanges(List.of(new ObjectChanges.Change(object("a", 7), true)), at(7)));
         assertThat(listener.lines).last().isEqualTo("deleted a recovered=true");
     }
@@ -331,10 +336,10 @@
         private final List<String> lines = new ArrayList<>();
 
         @Override
-        public void listed(List<StoredObject> objects, boolean storeJustRecovered) {
+        public void listed(List<StoredObject> objects, long rewriteNanos) {
             StringBuilder names = new StringBuilder("listed");
             objects.forEach(object -> names.append(' ').append(object.name()));
-            lines.add(names + " recovered=" + storeJustRecovered);
+            lines.add(names + " recovered=" + (rewriteNanos > 0));
         }
 
         @Override
@@ -346,8 +351,8 @@
         }
 
         @Override
-        public void deleted(StoredObject object, boolean storeJustRecovered) {
-            lines.add("deleted " + object.name() + " recovered=" + storeJustRecovered);
+        public void deleted(StoredObject object, long rewriteNanos) {
+            lines.add("deleted " + object.name() + " recovered=" + (rewriteNanos > 0));
         }
     }
 }
