quetzalseamd: no error ends a periodic call or the watch of the catalogue, the VMs or proposals

TimerService repeated no call that ended with an Error, and WatchLoop's thread ended with one, so that one OutOfMemoryError left a process without heartbeats, renewals or any newer catalogue until its restart. A failed poll was logged at fine level only.

WatchLoop logs the first failure in a row (watch-failed), each error, and when it polls again (watch-recovered).

--- a/daemon/src/main/java/org/quetzalseam/daemon/platform/WatchLoop.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/platform/WatchLoop.java
@@ -8,10 +8,11 @@
 import java.util.function.Consumer;
 import org.quetzalseam.wire.runtime.Service;
 import org.quetzalseam.wire.runtime.Threads;
+import org.quetzalseam.wire.runtime.ThrownErrors;
 
 /**
  * Watches an object or a list in the platform's store on a thread of its own, by repeated long polls.
- * After a failed poll it pauses, with jitter, and then polls without waiting; an outage does not end the loop. Thread-safe.
+ * After a failed poll it pauses, with jitter, and then polls without waiting; neither an outage nor an error ends the loop. Thread-safe.
  *
  * <p>Open connections may stay unresponsive for good while new ones work. The wait of a poll is short enough for a change to be in
  * force in time even after two unresponsive connections in a row.
@@ -27,6 +28,8 @@
     private final Consumer<Duration> poll;
     private final Thread thread;
     private final CountDownLatch stopped = new CountDownLatch(1);
+    /** Used on the loop's thread only. */
+    private long failuresInARow;
 
     /**
      * Creates a loop.
@@ -51,14 +54,32 @@
             try {
                 poll.accept(wait);
                 wait = POLL_WAIT;
-            } catch (RuntimeException e) {
+                recordPolled();
+            } catch (Throwable e) {
                 wait = Duration.ZERO;
-                logger.atFine().log("event=watch-failed name=%s reason=\"%s\"", name, e.getMessage());
+                recordFailure(e);
                 pause(MIN_RETRY_MILLIS + ThreadLocalRandom.current().nextLong(MIN_RETRY_MILLIS));
             }
         }
     }
 
+    private void recordPolled() {
+        if (failuresInARow > 0) {
+            logger.atInfo().log("event=watch-recovered name=%s failures=%d", name, failuresInARow);
+            failuresInARow = 0;
+        }
+    }
+
+    /** Logs the first of several failures in a row, and each error. */
+    private void recordFailure(Throwable failure) {
+        failuresInARow++;
+        if (failure instanceof Error || (failuresInARow == 1 && !(failure instanceof StoreException))) {
+            ThrownErrors.record(name, failure);
+        } else if (failuresInARow == 1) {
+            logger.atWarning().log("event=watch-failed name=%s reason=\"%s\"", name, failure.getMessage());
+        }
+    }
+
     /** Sleeps within a poll; returns early when the loop is stopped. */
     public void pause(long millis) {
         try {
--- a/wire/src/main/java/org/quetzalseam/wire/runtime/TimerService.java
+++ b/wire/src/main/java/org/quetzalseam/wire/runtime/TimerService.java
@@ -1,6 +1,5 @@
 package org.quetzalseam.wire.runtime;
 
-import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -12,10 +11,9 @@
  * Schedules all timed calls of a process. Components subscribe, and cancel their subscriptions when they stop. Thread-safe.
  *
  * <p>Calls run on a few shared threads and must not block for long. If a periodic call throws, the
- * exception is logged and the call is repeated as usual.
+ * exception or error is logged and the call is repeated as usual.
  */
 public final class TimerService implements Service {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int THREADS = 2;
 
     /** A subscription that can be cancelled; cancelling twice is harmless. */
@@ -62,8 +60,9 @@
         return () -> {
             try {
                 call.run();
-            } catch (RuntimeException e) {
-                logger.atWarning().withCause(e).log("event=timer-call-failed");
+            } catch (Throwable e) {
+                // The executor would not repeat a call that ends with an error.
+                ThrownErrors.record("timer", e);
             }
         };
     }
