quetzalseamd: connections are accepted and dialed again after any error

Same class, found by reading for it: Acceptor's loop ended with any exception but an IOException, for instance when no thread could be started for a handshake, and then nobody could connect; Dialer dialed no more when its thread could not be started, when dialing ended with an Error, or when its listener threw while it handled the loss of a connection.

Change: each of these is logged and counted, the socket is closed, and the loop or the next attempt goes on. A limit's listener is called after the limit was applied, and a connection counts as closed whatever its listener throws.

--- a/wire/src/main/java/org/quetzalseam/wire/connection/Acceptor.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Acceptor.java
@@ -25,6 +25,7 @@
 import org.quetzalseam.wire.message.Message;
 import org.quetzalseam.wire.runtime.Service;
 import org.quetzalseam.wire.runtime.Threads;
+import org.quetzalseam.wire.runtime.ThrownErrors;
 
 /** Accepts connections from other processes and reports each one once its handshake has succeeded. Thread-safe. */
 public final class Acceptor implements Service {
@@ -142,6 +143,10 @@
                     logger.atWarning().log("event=accept-failed reason=%s", e.getMessage());
                     pause();
                 }
+            } catch (Throwable e) {
+                // Such as an error because no thread could be started: without this loop nobody could connect any more.
+                ThrownErrors.record("accept", e);
+                pause();
             }
         }
     }
@@ -172,22 +177,26 @@
                                 MAX_CONCURRENT_HANDSHAKES,
                                 oldest.getKey().getRemoteSocketAddress(),
                                 TimeUnit.NANOSECONDS.toMillis(now - oldest.getValue()));
-                        onLimit.accept("handshakes");
                         handshaking.remove(oldest.getKey());
                         Sockets.close(oldest.getKey());
+                        onLimit.accept("handshakes");
                     });
         }
     }
 
     private void startHandshake(Socket socket) {
-        makeRoom();
-        handshaking.put(socket, System.nanoTime());
         try {
+            makeRoom();
+            handshaking.put(socket, System.nanoTime());
             handshakes.execute(() -> handshake(socket));
         } catch (RejectedExecutionException e) {
             // The acceptor is stopping. If the socket stayed open, the peer would keep waiting for an answer.
             handshaking.remove(socket);
             Sockets.close(socket);
+        } catch (Throwable e) {
+            handshaking.remove(socket);
+            Sockets.close(socket);
+            throw e;
         }
     }
 
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Connection.java
@@ -276,8 +276,11 @@
         memory.closed(this);
         dropQueued();
         Sockets.close(socket);
-        listener.closed(this);
-        whenClosed.complete(null);
+        try {
+            listener.closed(this);
+        } finally {
+            whenClosed.complete(null);
+        }
     }
 
     /** Empties the queue but for a mark that ends the writing thread. */
--- a/wire/src/main/java/org/quetzalseam/wire/connection/Dialer.java
+++ b/wire/src/main/java/org/quetzalseam/wire/connection/Dialer.java
@@ -16,6 +16,7 @@
 import org.quetzalseam.wire.message.Message;
 import org.quetzalseam.wire.runtime.Service;
 import org.quetzalseam.wire.runtime.Threads;
+import org.quetzalseam.wire.runtime.ThrownErrors;
 import org.quetzalseam.wire.runtime.TimerService;
 import org.quetzalseam.wire.runtime.TimerService.Subscription;
 
@@ -100,8 +101,13 @@
 
     private void dialIfPending(boolean early) {
         if (attemptPending.compareAndSet(true, false)) {
-            // Dialing blocks, so it runs on a thread of its own instead of a timer thread.
-            Threads.daemon("dial-" + host + ":" + port, () -> dial(early)).start();
+            try {
+                // Dialing blocks, so it runs on a thread of its own instead of a timer thread.
+                Threads.daemon("dial-" + host + ":" + port, () -> dial(early)).start();
+            } catch (Throwable e) {
+                ThrownErrors.record("dial", e);
+                scheduleRetry(early);
+            }
         }
     }
 
@@ -135,6 +141,9 @@
                 refusedAttempts.incrementAndGet();
             }
             scheduleRetry(early);
+        } catch (Throwable e) {
+            ThrownErrors.record("dial", e);
+            scheduleRetry(early);
         }
     }
 
@@ -145,7 +154,7 @@
             OutputStream out = Connection.output(socket);
             Handshake.Peer peer = Handshake.open(in, out, self, key, connectionNumbers.incrementAndGet());
             return new Connection(socket, in, out, peer, false, new RedialingListener());
-        } catch (IOException | RuntimeException e) {
+        } catch (Throwable e) {
             Sockets.close(socket);
             throw e;
         }
@@ -184,7 +193,11 @@
 
         @Override
         public void closed(Connection connection) {
-            listener.closed(connection);
+            try {
+                listener.closed(connection);
+            } catch (Throwable e) {
+                ThrownErrors.record("connection-closed", e);
+            }
             scheduleRetry(false);
         }
     }
--- a/wire/src/test/java/org/quetzalseam/wire/connection/DialerTest.java
+++ b/wire/src/test/java/org/quetzalseam/wire/connection/DialerTest.java
@@ -123,4 +123,48 @@
         dialer.stop();
         assertThat(dialer.refusedAttempts()).isGreaterThanOrEqualTo(2);
     }
+
+    /** Throws when its connection closes, like a listener in a process whose heap is full. */
+    private static final class FailingListener implements Dialer.Listener {
+        private final CountDownLatch connections = new CountDownLatch(2);
+
+        @Override
+        public void opened(Connection connection) {
+            connections.countDown();
+        }
+
+        @Override
+        public void received(Connection connection, Message message) {
+            // The peer sends no messages.
+        }
+
+        @Override
+        public void closed(Connection connection) {
+            throw new InternalError("thrown by the test");
+        }
+    }
+
+    // Guards against an entry that never reaches an endpoint again because handling the loss of a connection failed.
+    @Test
+    void aConnectionIsDialedAgainThoughHandlingItsLossFailed() throws InterruptedException {
+        FailingListener failing = new FailingListener();
+        Dialer dialer = new Dialer(
+                "127.0.0.1",
+                acceptor.port(),
+                Identity.start(Role.ENTRY, "entry", "zone"),
+                SiteKey.loopback(),
+                Transport.plain(),
+                timers,
+                failing);
+        dialer.start();
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+        while (failing.connections.getCount() > 0 && System.nanoTime() - end < 0) {
+            acceptor.connections().forEach(Connection::close);
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        dialer.stop();
+        assertThat(failing.connections.getCount())
+                .as("connections still missing")
+                .isZero();
+    }
 }
