quetzalseamd: a list of VMs that could not be applied is applied when it is read again

Same class: SiteSync took the version of a list for known before the list was applied. If applying it failed, the next watch asked for changes after it, and its endpoints stayed unknown until the list changed once more.

Change: after any exception or error the version before is the known one, so that the next poll gets the list again.

On the code before:

SiteSyncTest.aListOfVmsThatCouldNotBeAppliedIsAppliedWhenItIsOfferedAgain:29 [version to watch from] expected: 0L but was: 7L

--- a/daemon/src/main/java/org/quetzalseam/daemon/entry/SiteSync.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/entry/SiteSync.java
@@ -51,8 +51,15 @@
             if (candidate.version() <= members.version()) {
                 return;
             }
+            MemberList before = members;
             members = candidate;
-            listener.changed(candidate);
+            try {
+                listener.changed(candidate);
+            } catch (Throwable e) {
+                // Else the list would count as known, and would not be offered again before the next change.
+                members = before;
+                throw e;
+            }
         }
     }
 
