quetzalseamd: one failed check does not end the checks for crashes of the back end

A check that threw before it took the waiting requests left them waiting, so that none was ever the first again: crashes of the back end were no longer found, and requests that crash it no longer quarantined.

Change: a check that fails is logged and counted, and what it was to check is forgotten.

On the code before:

BackendCrashesTest.aCheckThatFailsDoesNotEndTheChecks:107 [failed checks] expected 2 or more, was fewer

--- a/daemon/src/main/java/org/quetzalseam/daemon/endpoint/BackendCrashes.java
+++ b/daemon/src/main/java/org/quetzalseam/daemon/endpoint/BackendCrashes.java
@@ -22,6 +22,7 @@
 import org.quetzalseam.wire.message.Work;
 import org.quetzalseam.wire.runtime.Service;
 import org.quetzalseam.wire.runtime.Threads;
+import org.quetzalseam.wire.runtime.ThrownErrors;
 
 /**
  * Finds out when the back end of this endpoint crashes, and reports the requests that were lost in the crash. Thread-safe.
@@ -148,13 +149,25 @@
         }
         if (first) {
             try {
-                checks.execute(this::check);
+                checks.execute(this::checkOrForget);
             } catch (RejectedExecutionException stopping) {
                 logger.atFine().log("event=crash-not-checked name=%s", name);
             }
         }
     }
 
+    /** Checks, or forgets what there is to check if that fails: the next lost request would begin no check otherwise. */
+    private void checkOrForget() {
+        try {
+            check();
+        } catch (Throwable e) {
+            ThrownErrors.record("crash-check", e);
+            synchronized (this) {
+                unchecked = new ArrayList<>();
+            }
+        }
+    }
+
     private void check() {
         boolean crashed = !connects();
         List<LostRequest> lost = new ArrayList<>();
--- a/daemon/src/test/java/org/quetzalseam/daemon/endpoint/BackendCrashesTest.java
+++ b/daemon/src/test/java/org/quetzalseam/daemon/endpoint/BackendCrashesTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.quetzalseam.standins.raw.RawServer;
 import org.quetzalseam.wire.message.LostRequest;
+import org.quetzalseam.wire.runtime.ThrownErrors;
 
 class BackendCrashesTest {
     private static final long REPORT_SECONDS = 5;
@@ -91,4 +92,18 @@
         }
         assertThat(crashes.recentlyLost()).isEqualTo(all.subList(BackendCrashes.MAX_LOST, all.size()));
     }
+
+    // Guards against crashes that are never looked for again because one check failed.
+    @Test
+    void aCheckThatFailsDoesNotEndTheChecks() throws InterruptedException {
+        long recorded = ThrownErrors.total();
+        BackendCrashes unusable = new BackendCrashes("e", "http://127.0.0.1:70000", reports::add, clock::get);
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(REPORT_SECONDS);
+        while (ThrownErrors.total() < recorded + 2 && System.nanoTime() - end < 0) {
+            unusable.recordLost("r", 1);
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        unusable.stop();
+        assertThat(ThrownErrors.total() - recorded).as("failed checks").isGreaterThanOrEqualTo(2);
+    }
 }
