--- a/gateway/src/main/java/org/quetzalseam/gateway/crash/ReportSchedule.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/crash/ReportSchedule.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.runtime.ScheduledCall;
+import org.quetzalseam.gateway.runtime.ThrownErrors;
 import org.quetzalseam.gateway.runtime.Timers;
 
 /** Plans when an entry reads the reports of all entries and writes its own. Used on the event loop only. */
@@ -94,11 +95,18 @@
     private void report() {
         plannedReport = null;
         reporting = true;
-        reports.write(written -> {
-            reporting = false;
-            lastReportFailed = !written;
-            retryAt = timers.now() + RETRY_NANOS;
-            reportIfOutdated();
-        });
+        try {
+            reports.write(this::reported);
+        } catch (Throwable e) {
+            ThrownErrors.record("crash-report", e);
+            reported(false);
+        }
+    }
+
+    private void reported(boolean written) {
+        reporting = false;
+        lastReportFailed = !written;
+        retryAt = timers.now() + RETRY_NANOS;
+        reportIfOutdated();
     }
 }
