Entry: an answer of the store that is too long leads to a list

An answer to a watch that is longer than the entry takes (4 MiB) failed like a lost connection, and the same watch was asked again from the same revision, with the same answer. It is a kind of failure of its own now (TOO_LONG), and the store's answer counts as unreadable, after which KindWatch lists the kind. Other malformed answers stay as they were: the soak takes an unreadable answer for an alarm, and broken bytes are none of the store's.

--- a/gateway/src/main/java/org/quetzalseam/gateway/http/CallFailure.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/CallFailure.java
@@ -15,6 +15,8 @@
         CONNECTION_LOST,
         /** The reply violates the protocol or cannot be forwarded. */
         MALFORMED,
+        /** The reply is longer than the caller takes: the same call would get it again. */
+        TOO_LONG,
         /** The reply did not arrive within the time limit. */
         TIMED_OUT,
         /** The call was cancelled by the code that made it. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
@@ -251,7 +251,7 @@
 
     private void failIf(@Nullable String problem) {
         if (problem != null) {
-            fail(Kind.MALFORMED, problem);
+            fail(bounds.tooLong() ? Kind.TOO_LONG : Kind.MALFORMED, problem);
         }
     }
 
@@ -287,7 +287,7 @@
         String problem = bounds.body(content.content().readableBytes());
         if (problem != null) {
             content.release();
-            fail(Kind.MALFORMED, problem);
+            failIf(problem);
             return;
         }
         if (content.content().isReadable()) {
@@ -390,7 +390,7 @@
 
     /** States what tells a repeated reply from one that is malformed by itself: it comes over a connection that was used before. */
     private void logMalformed(Kind kind, String detail) {
-        if (kind == Kind.MALFORMED) {
+        if (kind == Kind.MALFORMED || kind == Kind.TOO_LONG) {
             logger.atInfo().log(
                     "event=reply-malformed peer=%s request=%s %s head=%s detail=\"%s\"",
                     peer(), requestId, times.describe(), head != null, detail);
--- a/gateway/src/main/java/org/quetzalseam/gateway/http/ReplyBounds.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/ReplyBounds.java
@@ -20,6 +20,7 @@
     private long maxBytes = Long.MAX_VALUE;
     private long bytes;
     private long taken;
+    private boolean tooLong;
 
     ReplyBounds(ReplyMemory memory) {
         this.memory = memory;
@@ -32,6 +33,7 @@
         skippedBytes = 0;
         maxBytes = Long.MAX_VALUE;
         bytes = 0;
+        tooLong = false;
     }
 
     /** Ends the exchange: what it kept belongs to the receiver of the reply. */
@@ -78,7 +80,13 @@
         return null;
     }
 
+    /** Returns whether the body of the reply is longer than the caller takes. */
+    boolean tooLong() {
+        return tooLong;
+    }
+
     private String describeTooLong() {
+        tooLong = true;
         return "the body is longer than " + maxBytes + " bytes";
     }
 }
