Entry: a lease, a batch of origins and a record of builds are written again after a step that threw

The rest of the class: each of them marks a call as in flight before it begins one, and where that threw, as when a full heap leaves no room for the call's body, the mark stayed for good, with the lease never renewed, or no origin noted, until the process ended.

Change: the mark is cleared, or the update is repeated later, after any exception or error. The search for noted origins schedules its next list likewise.

On the code before:

StageLeaseTest.aRenewalThatCannotBeBegunIsMadeInTheNextRound:196 Expecting AtomicInteger(0) to have value: 1

The others were read, not shown.

--- a/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stage/StageLease.java
@@ -84,14 +84,26 @@
         if (callInFlight) {
             return;
         }
-        if (!lease.isKnown()) {
-            read();
-        } else if (lease.isHeld()) {
-            renew(() -> {});
-        } else if (lease.hasLapsed(timers.now())) {
-            takeOver(true);
-        } else {
-            checkHolder();
+        begin(() -> {
+            if (!lease.isKnown()) {
+                read();
+            } else if (lease.isHeld()) {
+                renew(() -> {});
+            } else if (lease.hasLapsed(timers.now())) {
+                takeOver(true);
+            } else {
+                checkHolder();
+            }
+        });
+    }
+
+    /** Begins a call; if that fails none is in flight, so that the next one is made. */
+    private void begin(Runnable call) {
+        try {
+            call.run();
+        } catch (Throwable e) {
+            callInFlight = false;
+            throw e;
         }
     }
 
@@ -175,6 +187,10 @@
         if (callInFlight) {
             return;
         }
+        begin(() -> sendRenewal(confirmed));
+    }
+
+    private void sendRenewal(Runnable confirmed) {
         callInFlight = true;
         long steadyNanos = timers.now();
         long wallMillis = timers.wallMillis();
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/NotedOriginSearch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/NotedOriginSearch.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.core.store.UnreadableException;
 import org.quetzalseam.core.stream.NotedOrigin;
+import org.quetzalseam.gateway.runtime.ThrownErrors;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectFaults;
 import org.quetzalseam.gateway.store.ObjectPage;
@@ -96,7 +97,18 @@
             return;
         }
         scheduled = true;
-        timers.after(delayMillis(), () -> begin(used));
+        timers.after(delayMillis(), () -> beginOrRepeat(used));
+    }
+
+    /** Begins a list, or another one later if that fails: the questions that wait would get none. */
+    private void beginOrRepeat(ObjectStore used) {
+        try {
+            begin(used);
+        } catch (Throwable e) {
+            ThrownErrors.record("origins", e);
+            scheduled = false;
+            schedule(used);
+        }
     }
 
     /** The first list of a process begins at a random time, because all entries may have started at once. */
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/NotedOrigins.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/NotedOrigins.java
@@ -12,6 +12,7 @@
 import org.quetzalseam.core.stream.NotedOrigin;
 import org.quetzalseam.core.stream.OriginNotes;
 import org.quetzalseam.core.stream.StreamOrigin;
+import org.quetzalseam.gateway.runtime.ThrownErrors;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.ObjectStore;
 import org.quetzalseam.gateway.store.StoreFailure;
@@ -102,11 +103,20 @@
         severalBuilds = several;
         if (notes.due(several, entries, now)) {
             busy = true;
+            begin(used);
+        }
+    }
+
+    private void begin(ObjectStore used) {
+        try {
             if (ownKnown) {
                 write(used);
             } else {
                 readAndWrite(used);
             }
+        } catch (Throwable e) {
+            ThrownErrors.record("origins", e);
+            failed(new StoreFailure(StoreFailure.Kind.UNKNOWN, "the batch could not be written: " + e));
         }
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/stream/SharedBuilds.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/stream/SharedBuilds.java
@@ -10,6 +10,7 @@
 import org.quetzalseam.core.store.StorePosition;
 import org.quetzalseam.core.store.UnreadableException;
 import org.quetzalseam.core.stream.BuildHistory;
+import org.quetzalseam.gateway.runtime.ThrownErrors;
 import org.quetzalseam.gateway.runtime.Timers;
 import org.quetzalseam.gateway.store.KindFreshness;
 import org.quetzalseam.gateway.store.ObjectStore;
@@ -151,7 +152,7 @@
             return;
         }
         busy = true;
-        timers.after(delayMillis(), () -> readAndWrite(used));
+        timers.after(delayMillis(), () -> orLater(() -> readAndWrite(used)));
     }
 
     private long delayMillis() {
@@ -200,13 +201,15 @@
         } else if (known == null) {
             writeAll(used);
         } else {
-            known.refreshSince(() -> TimeUnit.NANOSECONDS.toMillis(timers.elapsed() - readAt), proved -> {
-                if (proved) {
-                    write(used, wanted(used));
-                } else {
-                    writeAll(used);
-                }
-            });
+            known.refreshSince(
+                    () -> TimeUnit.NANOSECONDS.toMillis(timers.elapsed() - readAt),
+                    proved -> orLater(() -> {
+                        if (proved) {
+                            write(used, wanted(used));
+                        } else {
+                            writeAll(used);
+                        }
+                    }));
         }
     }
 
@@ -238,6 +241,16 @@
         check();
     }
 
+    /** Makes a step of an update, or repeats the update later if the step fails: the mark that one is in progress would stay. */
+    private void orLater(Runnable step) {
+        try {
+            step.run();
+        } catch (Throwable e) {
+            ThrownErrors.record("builds", e);
+            later();
+        }
+    }
+
     private void later() {
         timers.after(RETRY_MILLIS, () -> {
             busy = false;
--- a/gateway/src/test/java/org/quetzalseam/gateway/stage/StageLeaseTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/stage/StageLeaseTest.java
@@ -1,6 +1,7 @@
 package org.quetzalseam.gateway.stage;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.concurrent.TimeUnit;
@@ -182,4 +183,16 @@
         assertThat(firstLease.held()).isTrue();
         assertThat(secondLease.held()).isFalse();
     }
+
+    // Guards against a lease that is never renewed again because one renewal could not be begun, as in a full heap.
+    @Test
+    void aRenewalThatCannotBeBegunIsMadeInTheNextRound() {
+        round(firstLease);
+        round(firstLease);
+        store.failReplacements(1);
+        assertThatThrownBy(firstLease::maintain).isInstanceOf(InternalError.class);
+        AtomicInteger renewals = new AtomicInteger();
+        firstLease.renew(renewals::incrementAndGet);
+        assertThat(renewals).hasValue(1);
+    }
 }
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/MemoryStore.java
@@ -24,6 +24,7 @@
     private @Nullable List<StoredObject> recentList;
     private int pageSize = Integer.MAX_VALUE;
     private Runnable betweenPages = () -> {};
+    private int failingReplacements;
 
     /** Sets whether calls are declined. */
     public void declining(boolean declining) {
@@ -55,6 +56,11 @@
         betweenPages = event;
     }
 
+    /** Sets how many of the next replacements throw an error before they have any effect. */
+    public void failReplacements(int count) {
+        failingReplacements = count;
+    }
+
     /** Returns how often a kind has been listed. */
     public int lists() {
         return lists;
@@ -224,6 +230,10 @@
             JsonNode spec,
             Consumer<StoredObject> done,
             Consumer<StoreFailure> failed) {
+        if (failingReplacements > 0) {
+            failingReplacements--;
+            throw new InternalError("thrown by the test");
+        }
         if (declines(failed)) {
             return;
         }
