Entry: a watch that waits is not taken for silent

Cause, of: three checks, a second apart, without a call or an answer can pass within little more than two seconds if the first comes right after a call, and a watch waits for 2 s and up to 0.25 s more. The kind was then listed instead of asked again over another connection, which costs more and makes it unknown which builds served before. The test began its watches in step with the checks.

Change: four checks, so that three seconds pass at least.

--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -52,8 +52,11 @@
     private static final long MAX_ERROR_DELAY_MILLIS = 1_000;
     /** Interval of the checks whether calls are still made, in milliseconds. */
     static final long SILENCE_CHECK_MILLIS = 1_000;
-    /** Number of checks in a row without a call or an answer after which the kind is listed again: longer than any call and pause. */
-    static final int MAX_SILENT_CHECKS = 3;
+    /**
+     * Number of checks in a row without a call or an answer after which the kind is listed again. The first of them may come right after
+     * a call, so that they take three intervals at least: longer than any call and pause.
+     */
+    static final int MAX_SILENT_CHECKS = 4;
     /** How long after a restore of the store from an older copy objects of live processes may be missing, in nanoseconds. */
     private static final long RESTORED_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchErrorsTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchErrorsTest.java
@@ -140,6 +140,18 @@
         assertThat(watch.restarts()).isZero();
     }
 
+    // Guards against a watch being given up while it waits, where the checks come right after its beginning.
+    @Test
+    void aWatchThatIsAnsweredJustInTimeIsNotListedAgainWheneverItBegan() {
+        int lists = store.lists;
+        for (int i = 0; i < 40; i++) {
+            pass(KindWatch.WATCH_WAIT_MILLIS + KindWatch.LATE_AFTER_MILLIS - 100);
+            store.changed.accept(new ObjectChanges(List.of(), at(6)));
+        }
+        assertThat(store.lists).isEqualTo(lists);
+        assertThat(watch.restarts()).isZero();
+    }
+
     // Guards against an error that repeats itself making a list as often as the store can answer.
     @Test
     void listsAfterErrorsInARowBecomeRarer() {
