Entry: a backlog is read without pauses, and an answer that may be cut proves nothing

Cause, as the entry's log shows: after 5 s in which the store declined all calls the entry read the desired states of that time in answers of a megabyte each and paused 150 ms after each, as it does to collect changes. At version 52 of 80 and more it took the latest answer, which the store had ended before the newest change, for the newest state (no-route word_age_ms=81), and denied a route of version 75. Where large states come quickly the same holds without an outage: a version an answer, and a pause for each.

Change: the adapter says of an answer that it may be cut, if one more change as long as the longest might not have fitted. Such an answer is no proof of the state, those who requested a refresh wait for the next one, and that is asked for at once. Where only the newest change of an object matters, as for the desired state, a list takes the place of the second such answer in a row.

Backoff and RefreshCallbacks leave KindWatch, unchanged but for their place.

KindWatchBacklogTest on the code before, 4 of 4 failed:

aBacklogIsListedWhereOnlyTheNewestMatters: expected: 2 but was: 1 whoRequestsARefreshIsAnsweredWithTheNewestState: Expecting empty but was: [true] anAnswerThatMayBeCutDoesNotProveTheState: Expecting value to be true but was false aBacklogIsReadWithoutPauses: expected: 3 but was: 2

--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindListener.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindListener.java
@@ -24,4 +24,9 @@
      *     outage of the store; 0 if none should be
      */
     void deleted(StoredObject object, long rewriteNanos);
+
+    /** Returns whether changes before the newest one of an object are of no use, so that a list may take their place. */
+    default boolean newestSuffices() {
+        return false;
+    }
 }
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindWatch.java
@@ -1,9 +1,7 @@
 package org.quetzalseam.gateway.store;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -52,10 +50,7 @@
     private static final long MAX_ERROR_DELAY_MILLIS = 1_000;
     /** Interval of the checks whether calls are still made, in milliseconds. */
     static final long SILENCE_CHECK_MILLIS = 1_000;
-    /**
-     * Number of checks in a row without a call or an answer after which the kind is listed again. The first of them may come right after
-     * a call, so that they take three intervals at least: longer than any call and pause.
-     */
+    /** Checks in a row without a call or an answer after which the kind is listed again; they span more than any call and pause. */
     static final int MAX_SILENT_CHECKS = 4;
     /** How long after a restore of the store from an older copy objects of live processes may be missing, in nanoseconds. */
     private static final long RESTORED_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
@@ -68,18 +63,21 @@
     private final KindListener listener;
     private final LastResponse lastResponse;
     private final StoreAvailability availability;
-    private final List<Runnable> refreshCallbacks = new ArrayList<>();
+    private final RefreshCallbacks refreshes = new RefreshCallbacks();
+    private final Backoff retries = new Backoff(FIRST_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS);
+    private final Backoff errors = new Backoff(FIRST_RETRY_DELAY_MILLIS, MAX_ERROR_DELAY_MILLIS);
     /** Positions of the objects of the latest list, while changes may be received that are older than some of its pages. */
     private final Map<String, StorePosition> listedPositions = new HashMap<>();
 
-    private long retryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
-    private long errorDelayMillis = FIRST_RETRY_DELAY_MILLIS;
     private StorePosition lastListed = StorePosition.NONE;
     private StorePosition newest = StorePosition.NONE;
     /** Number of the newest list or watch; answers to earlier ones are ignored. */
     private long newestCall;
 
     private int silentChecks;
+    /** Number of answers in a row that may have ended before the newest change. */
+    private int cutAnswers;
+
     private long restarts;
     /** Whether the latest call failed, so that the next one is to be answered at once. */
     private boolean unavailable;
@@ -130,31 +128,18 @@
             answered.run();
             return;
         }
-        refreshCallbacks.add(answered);
+        refreshes.add(answered);
         if (!immediateAnswerExpected) {
             startWatch(NO_WAIT_MILLIS);
         }
     }
 
-    /** Calls back all who requested a refresh, whether the store has answered or the call has failed. */
-    private void completeRefreshes() {
-        List<Runnable> callbacks = List.copyOf(refreshCallbacks);
-        refreshCallbacks.clear();
-        for (Runnable callback : callbacks) {
-            try {
-                callback.run();
-            } catch (Throwable e) {
-                ThrownErrors.record("refresh", e);
-            }
-        }
-    }
-
     private void listAll() {
         long call = beginCall();
         immediateAnswerExpected = true;
         CallTimes times = new CallTimes(timers.elapsed(), timers.now(), NO_WAIT_MILLIS);
         PagedList.read(
-                (after, done, failed) -> readPage(after, done, failed),
+                this::readPage,
                 list -> onAnswer(call, NO_TIMER, () -> onList(list, times)),
                 failure -> onAnswer(call, NO_TIMER, () -> retryAfterDelay(failure, times, this::listAll)));
     }
@@ -187,6 +172,7 @@
     }
 
     private void onList(WholeList list, CallTimes times) {
+        cutAnswers = 0;
         recordAvailable(times);
         recordEra(list.last(), times);
         // What changed on an earlier page while later ones were read is in none of them.
@@ -206,7 +192,7 @@
                 lastListed.era(),
                 lastListed.revision(),
                 list.first().revision());
-        completeRefreshes();
+        refreshes.complete();
     }
 
     /**
@@ -268,8 +254,7 @@
         restarts++;
         beginCall();
         immediateAnswerExpected = true;
-        schedule(errorDelayMillis, this::listAll);
-        errorDelayMillis = Math.min(2 * errorDelayMillis, MAX_ERROR_DELAY_MILLIS);
+        schedule(errors.next(), this::listAll);
         logger.atWarning().log("event=watch-restarted kind=%s reason=error restarts=%d", kind, restarts);
     }
 
@@ -305,15 +290,41 @@
         boolean waited = changes.changes().isEmpty() && timers.elapsed() - times.sentAt() >= times.waitNanos();
         recordAvailable(times);
         StorePosition next = StorePosition.later(from, changes.position());
-        schedule(changes.changes().isEmpty() ? 0 : BATCH_MILLIS, () -> watchFrom(next));
-        if (notifyChanges(changes)) {
-            lastResponse.recordResponse(waited ? times.sentAt() + times.waitNanos() : times.sentAt());
-        }
+        scheduleAfter(changes, next);
+        boolean handled = notifyChanges(changes);
         newest = next;
         if (!newest.isBefore(lastListed)) {
             listedPositions.clear();
         }
-        completeRefreshes();
+        // An answer that may lack the newest changes proves nothing, and those who requested a refresh wait for the
+        // next one.
+        if (!changes.mayBeCut()) {
+            if (handled) {
+                lastResponse.recordResponse(waited ? times.sentAt() + times.waitNanos() : times.sentAt());
+            }
+            refreshes.complete();
+        }
+    }
+
+    /**
+     * Schedules the call after an answer. While this process is behind by more than an answer holds, the next call follows at once; a
+     * list takes the place of the changes where only the newest of them matters.
+     */
+    private void scheduleAfter(ObjectChanges changes, StorePosition next) {
+        cutAnswers = changes.mayBeCut() ? cutAnswers + 1 : 0;
+        if (!changes.mayBeCut()) {
+            schedule(changes.changes().isEmpty() ? 0 : BATCH_MILLIS, () -> watchFrom(next));
+            return;
+        }
+        immediateAnswerExpected = true;
+        if (cutAnswers > 1 && listener.newestSuffices()) {
+            schedule(0, this::listAll);
+        } else {
+            schedule(0, () -> {
+                newest = next;
+                startWatch(NO_WAIT_MILLIS);
+            });
+        }
     }
 
     /** Returns whether the listener could handle all changes. */
@@ -345,7 +356,7 @@
     private boolean notifyListener(String name, Runnable call) {
         try {
             call.run();
-            errorDelayMillis = FIRST_RETRY_DELAY_MILLIS;
+            errors.reset();
             return true;
         } catch (RuntimeException e) {
             logger.atWarning().withCause(e).log("event=object-unreadable kind=%s name=%s", kind, name);
@@ -369,15 +380,14 @@
     }
 
     private void retryAfterDelay(StoreFailure failure, CallTimes times, Runnable next) {
-        schedule(retryDelayMillis, next);
-        retryDelayMillis = Math.min(2 * retryDelayMillis, MAX_RETRY_DELAY_MILLIS);
+        schedule(retries.next(), next);
         unavailable = true;
         availability.callFailed(failure, times, timers.now());
-        completeRefreshes();
+        refreshes.complete();
     }
 
     private void recordAvailable(CallTimes times) {
-        retryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
+        retries.reset();
         unavailable = false;
         availability.callAnswered(times, timers.now());
     }
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectChanges.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/ObjectChanges.java
@@ -9,8 +9,14 @@
  * @param changes the changes, oldest first; empty when the wait ended without one
  * @param position the position to continue from; if its era is later than that of the requested position, the changes lack those
  *     that the new era does not contain
+ * @param mayBeCut whether the store may have ended the answer before the newest change, because of its length
  */
-public record ObjectChanges(List<Change> changes, StorePosition position) {
+public record ObjectChanges(List<Change> changes, StorePosition position, boolean mayBeCut) {
+    /** Creates changes up to the newest one. */
+    public ObjectChanges(List<Change> changes, StorePosition position) {
+        this(changes, position, false);
+    }
+
     /**
      * One change. Immutable.
      *
