Entry: a body takes the memory that is reserved for it while it arrives

The entry's log has 464 lines "caller-connection-failed OutOfMemoryError", out of growing a body's buffer.

Cause: a body in chunks was kept on the heap in a buffer that doubles, with the old one beside it while it is copied, and reserved the bytes that had arrived. 36 MB of bodies were allowed in a heap of 48 MB. In a full heap the connections of callers that had left weren't closed.

Change: ReceivedBody keeps a body in pieces that are never copied, of direct memory, and states before a part is added how much memory it then takes; that is what is reserved. Short pieces come from the pool; a long one is of its exact length.

An error while a request is routed ends it like an exception, so that it does not stay counted as in progress.

--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerConnection.java
@@ -42,7 +42,7 @@
     private final RequestDecoder decoder;
     private @Nullable Exchange current;
     private @Nullable HttpRequest head;
-    private @Nullable ByteBuf body;
+    private @Nullable ReceivedBody body;
     private boolean discarding;
     /** Whether the connection stays open until the refused body has ended, so that its caller receives the refusal. */
     private boolean closingAtBodyEnd;
@@ -178,7 +178,7 @@
             return;
         }
         head = request;
-        body = length > 0 ? channel.alloc().buffer((int) length) : Unpooled.buffer(0);
+        body = new ReceivedBody(channel.alloc(), (int) length);
         if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -203,7 +203,7 @@
         return false;
     }
 
-    /** Reserves memory for a body of the given length so far; refuses the request if there is none. */
+    /** Reserves memory for a body that takes the given bytes; refuses the request if there is none. */
     private boolean reserveBody(long length) {
         long missing = Math.max(0, length - reserved);
         if (server.bodies().tryReserve(missing, length)) {
@@ -219,7 +219,7 @@
     }
 
     private void releaseRequest() {
-        ByteBuf unused = body;
+        ReceivedBody unused = body;
         if (unused != null) {
             unused.release();
         }
@@ -232,7 +232,7 @@
 
     private void receiveContent(HttpContent content) {
         HttpRequest request = head;
-        ByteBuf received = body;
+        ReceivedBody received = body;
         if (discarding || request == null || received == null) {
             content.release();
             if (closingAtBodyEnd && content instanceof LastHttpContent && current == null) {
@@ -240,23 +240,23 @@
             }
             return;
         }
-        if (received.readableBytes() + content.content().readableBytes()
-                > server.limits().bodyBytes()) {
+        int arrived = content.content().readableBytes();
+        if (received.length() + arrived > server.limits().bodyBytes()) {
             content.release();
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is longer than allowed");
             return;
         }
-        if (!reserveBody(received.readableBytes() + content.content().readableBytes())) {
+        if (!reserveBody(received.capacityWith(arrived))) {
             content.release();
             return;
         }
-        received.writeBytes(content.content());
+        received.add(content.content());
         content.release();
         if (content instanceof LastHttpContent) {
             head = null;
             body = null;
             receiving = false;
-            requestReceived(request, received);
+            requestReceived(request, received.whole());
         }
     }
 
--- a/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/caller/CallerServer.java
@@ -246,7 +246,7 @@
         }
         try {
             router.accept(exchange);
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             logger.atSevere().withCause(e).log(
                     "event=request-failed request=%s", exchange.facts().id());
             exchange.abort("internal error");
@@ -304,7 +304,7 @@
         for (CallerConnection connection : connections.all()) {
             try {
                 connection.endForShutdown();
-            } catch (RuntimeException e) {
+            } catch (Throwable e) {
                 logger.atSevere().withCause(e).log("event=request-failed detail=\"at the end of the process\"");
                 connection.close();
             }
