--- a/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/http/HttpConnection.java
@@ -17,8 +17,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.HashSet;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.quetzalseam.gateway.http.CallFailure.Kind;
@@ -36,15 +34,12 @@
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class HttpConnection extends ChannelInboundHandlerAdapter {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** Number of ids after which a connection is closed, which bounds the memory that it takes to remember them. */
-    private static final int MAX_IDS = 500;
-
     private final String idHeader;
     private final ReplyDecoder decoder;
     private final ReplyBounds bounds;
     private final Consumer<HttpConnection> onIdle;
     private final Consumer<HttpConnection> onClosed;
-    private final Set<String> carriedIds = new HashSet<>();
+    private final CarriedIds carriedIds = new CarriedIds();
     private final ExchangeTimes times = new ExchangeTimes();
     private @Nullable Channel channel;
     private @Nullable ReplyListener listener;
@@ -241,7 +236,7 @@
             return;
         }
         head = response;
-        reusable = HttpUtil.isKeepAlive(response) && isFramed(response) && carriedIds.size() < MAX_IDS;
+        reusable = HttpUtil.isKeepAlive(response) && isFramed(response) && !carriedIds.full();
         times.recordHead(response);
         current.head(response);
         if (listener == current) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/RequestRouter.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -315,14 +314,7 @@
 
     private String describeKnowledge() {
         KindFreshness currentKnowledge = knowledge;
-        return currentKnowledge == null
-                ? "word_age_ms=0"
-                : String.format(
-                        Locale.ROOT,
-                        "word_age_ms=%d era=%d revision=%d",
-                        currentKnowledge.ageMillis(),
-                        currentKnowledge.position().era(),
-                        currentKnowledge.position().revision());
+        return currentKnowledge == null ? "word_age_ms=0" : currentKnowledge.describe();
     }
 
     private void refuseEarly(Exchange exchange) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/store/KindFreshness.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/store/KindFreshness.java
@@ -1,5 +1,6 @@
 package org.quetzalseam.gateway.store;
 
+import java.util.Locale;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.quetzalseam.core.store.StorePosition;
@@ -12,6 +13,16 @@
     /** Returns the store's position that the last response showed. */
     StorePosition position();
 
+    /** Returns age and position in a form for the log. */
+    default String describe() {
+        return String.format(
+                Locale.ROOT,
+                "word_age_ms=%d era=%d revision=%d",
+                ageMillis(),
+                position().era(),
+                position().revision());
+    }
+
     /** Returns whether the state is known to be the newest, except for changes that need not be in force yet. */
     boolean current();
 
