Entry: what one receiver of a peer's answer throws does not keep others waiting

A connection that could not be begun left the mark that one is being opened, after which none was.

Change: each receiver gets its answer whatever another one throws; each of these is logged and counted.

On the code before:

PeersTest.aReceiverThatThrowsDoesNotKeepOthersWaiting:300 » Timeout

--- a/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/peer/PeerLink.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
@@ -24,6 +25,7 @@
 import org.quetzalseam.core.limits.PermitAsk;
 import org.quetzalseam.core.stream.StreamOrigin;
 import org.quetzalseam.gateway.runtime.ScheduledCall;
+import org.quetzalseam.gateway.runtime.ThrownErrors;
 import org.quetzalseam.gateway.runtime.Timers;
 
 /**
@@ -165,7 +167,17 @@
         if (open != null) {
             send(open, ask);
         } else if (!connecting) {
+            connectOrFail();
+        }
+    }
+
+    private void connectOrFail() {
+        try {
             connect();
+        } catch (Throwable e) {
+            ThrownErrors.record("peer-connect", e);
+            connecting = false;
+            failAll();
         }
     }
 
@@ -224,13 +236,22 @@
         }
         List<PendingAsk> failed = List.copyOf(pending.values());
         pending.clear();
-        failed.forEach(waiting -> {
+        for (PendingAsk waiting : failed) {
             waiting.timeout().cancel();
-            waiting.answered().accept(Optional.empty());
-        });
+            deliver(waiting, Optional.empty());
+        }
         onLost.run();
     }
 
+    /** Delivers an answer. What its receiver throws must not keep it from the others, whose questions are no longer pending. */
+    private static void deliver(PendingAsk asked, Optional<PeerMessage> answer) {
+        try {
+            asked.answered().accept(answer);
+        } catch (Throwable e) {
+            ThrownErrors.record("peer-answer", e);
+        }
+    }
+
     private final class AnswerHandler extends SimpleChannelInboundHandler<PeerMessage> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, PeerMessage message) {
@@ -242,7 +263,7 @@
                     pending.put(
                             message.id(), new PendingAsk(waiting.ask(), waiting.answered(), waiting.timeout(), true));
                 }
-                waiting.answered().accept(Optional.of(message));
+                deliver(waiting, Optional.of(message));
             }
         }
 
@@ -261,6 +282,9 @@
         @SuppressWarnings("FutureReturnValueIgnored")
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                ThrownErrors.record("peer-message", cause);
+            }
             ctx.close();
         }
     }
--- a/gateway/src/test/java/org/quetzalseam/gateway/peer/PeersTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/peer/PeersTest.java
@@ -282,4 +282,21 @@
         know(address);
         assertThat(ask("dealers", 30)).isEqualTo(30);
     }
+
+    // Guards against requests that wait for good because the one who asked before them failed to handle that there is
+    // no
+    // answer.
+    @Test
+    void aReceiverThatThrowsDoesNotKeepOthersWaiting() throws Exception {
+        CompletableFuture<Boolean> second = new CompletableFuture<>();
+        loop.submit(() -> {
+                    peers.update(Map.of("gone", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1)));
+                    peers.ask("gone", "team", 1, units -> {
+                        throw new InternalError("thrown by the test");
+                    });
+                    peers.ask("gone", "team", 1, units -> second.complete(true));
+                })
+                .get();
+        assertThat(second.get(5, TimeUnit.SECONDS)).isTrue();
+    }
 }
