Entry: what is remembered of builds is bounded in bytes

BuildHistory kept each build that was ever listed until the process ended. It keeps a megabyte at most now, as estimated; beyond it builds that do not serve are forgotten, and what served before counts as unknown, as after a list.

On the code before:

BuildHistoryTest.ofManyBuildsThoseThatServeNowStayKnownAndTheRestCountsAsUnknown:85 [all that time is known] Expecting value to be false but was true

--- a/core/src/main/java/org/quetzalseam/core/stream/BuildHistory.java
+++ b/core/src/main/java/org/quetzalseam/core/stream/BuildHistory.java
@@ -17,13 +17,22 @@
  */
 public final class BuildHistory {
     private static final String UNKNOWN_BUILD = "";
+    /** Most memory for builds, as estimated, in bytes; beyond it those that do not serve now are forgotten. */
+    static final long MAX_BYTES = 1024 * 1024;
+    /** Memory of an entry without its texts, in bytes: map nodes, boxed time and object headers. */
+    private static final long BYTES_PER_BUILD = 250;
 
     private final Map<String, Map<String, Long>> lastListed = new HashMap<>();
     private Set<Listed> present = Set.of();
     private long completeSince;
     private boolean completeFromStart;
+    private long bytes;
 
-    private record Listed(String service, String build) {}
+    private record Listed(String service, String build) {
+        long bytes() {
+            return BYTES_PER_BUILD + service.length() + build.length();
+        }
+    }
 
     /**
      * Records that the endpoints were listed anew, so that what served before is not known.
@@ -88,12 +97,29 @@
             listed.add(new Listed(member.service(), build == null ? UNKNOWN_BUILD : build));
         }
         present.forEach(before -> stamp(before, now));
-        listed.forEach(there -> stamp(there, now));
         present = Set.copyOf(listed);
+        present.forEach(there -> stamp(there, now));
     }
 
     private void stamp(Listed listed, long now) {
-        lastListed.computeIfAbsent(listed.service(), key -> new HashMap<>()).put(listed.build(), now);
+        Map<String, Long> builds = lastListed.computeIfAbsent(listed.service(), key -> new HashMap<>());
+        if (builds.put(listed.build(), now) == null) {
+            bytes += listed.bytes();
+            if (bytes > MAX_BYTES) {
+                forgetFormer(now);
+            }
+        }
+    }
+
+    /** Forgets all builds but those that serve now, so that from now on it is not known what served before. */
+    private void forgetFormer(long now) {
+        lastListed.clear();
+        bytes = 0;
+        for (Listed there : present) {
+            lastListed.computeIfAbsent(there.service(), key -> new HashMap<>()).put(there.build(), now);
+            bytes += there.bytes();
+        }
+        recordList(now, false);
     }
 
     /**
--- a/core/src/test/java/org/quetzalseam/core/stream/BuildHistoryTest.java
+++ b/core/src/test/java/org/quetzalseam/core/stream/BuildHistoryTest.java
@@ -71,4 +71,18 @@
         history.update(List.of(member("v1")), 2);
         assertThat(history.onlyBuild("s", WINDOW, 3)).isEmpty();
     }
+
+    // Guards against builds that came and went filling the memory, and against what was forgotten counting as never
+    // there.
+    @Test
+    void ofManyBuildsThoseThatServeNowStayKnownAndTheRestCountsAsUnknown() {
+        history.recordList(0, true);
+        int builds = (int) (2 * BuildHistory.MAX_BYTES / 200);
+        for (int i = 0; i < builds; i++) {
+            history.update(List.of(member("v" + i)), i);
+        }
+        long now = builds;
+        assertThat(history.complete(now, now)).as("all that time is known").isFalse();
+        assertThat(history.builds("s", now, now)).contains("v" + (builds - 1)).hasSizeLessThan(builds / 2);
+    }
 }
