--- a/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchOutageTest.java
+++ b/gateway/src/test/java/org/quetzalseam/gateway/store/KindWatchOutageTest.java
@@ -108,6 +108,55 @@
         assertThat(grantedMillis).containsExactly(0L);
     }
 
+    private static StoreFailure failure(String which) {
+        return switch (which) {
+            case "a reset" -> new StoreFailure(StoreFailure.Kind.UNKNOWN, "CONNECTION_LOST Connection reset");
+            case "a rejection" -> new StoreFailure(StoreFailure.Kind.DECLINED, "status 503");
+            case "a rate limit" -> new StoreFailure(StoreFailure.Kind.DECLINED, "status 429");
+            case "an unreadable answer" -> new StoreFailure(StoreFailure.Kind.UNREADABLE, "cut short");
+            case "a lost history" -> new StoreFailure(StoreFailure.Kind.HISTORY_GONE, "status 410");
+            default -> throw new IllegalArgumentException("expected a failure, found " + which);
+        };
+    }
+
+    // Guards against any single failure of a call delaying the removals after it.
+    @ParameterizedTest
+    @ValueSource(strings = {"a reset", "a rejection", "a rate limit", "an unreadable answer", "a lost history"})
+    void oneFailedCallDelaysNoRemoval(String which) {
+        int lists = store.lists;
+        store.failed.accept(failure(which));
+        pass(200);
+        if (store.lists > lists) {
+            store.listed.accept(new ObjectPage(List.of(object("a", 3)), false, at(revision)));
+        } else {
+            answer();
+        }
+        pass(300);
+        answer("a");
+        assertThat(grantedMillis).containsExactly(0L);
+    }
+
+    // Guards against an answer that is lost in silence, after which the watch is asked again, counting as an outage.
+    @Test
+    void oneAnswerThatNeverComesDelaysNoRemoval() {
+        pass(KindWatch.WATCH_WAIT_MILLIS + KindWatch.LATE_AFTER_MILLIS);
+        answer("a");
+        assertThat(grantedMillis).containsExactly(0L);
+    }
+
+    @Test
+    void afterARestoreOfTheStoreMissingObjectsAreKeptUntilOneMoment() {
+        StorePosition restored = new StorePosition(StorePosition.NO_ERA + 1, 4);
+        store.changed.accept(new ObjectChanges(List.of(), restored));
+        long askedAt = nowMillis();
+        store.listed.accept(new ObjectPage(List.of(), false, restored));
+        pass(900);
+        StoredObject removed = new StoredObject(
+                "a", new StorePosition(StorePosition.NO_ERA + 1, 5), JsonNodeFactory.instance.objectNode());
+        store.changed.accept(new ObjectChanges(List.of(new ObjectChanges.Change(removed, true)), removed.position()));
+        assertThat(keptUntilMillis.getOrDefault("a", 0L) - askedAt).isBetween(1_800L, WRITTEN_AGAIN_MILLIS);
+    }
+
     // Guards against the same for a removal that is read with the very answer that ends the broken-off call.
     @Test
     void aRemovalInTheFirstAnswerAfterABrokenOffWatchIsInForceAtOnce() {
