--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Directory.java
@@ -59,7 +59,7 @@
         onLimitLifted = call;
     }
 
-    private final class EndpointEvents implements Endpoint.Listener {
+    private final class EndpointEvents implements EndpointListener {
         @Override
         public void unplannedEnd() {
             onUnplannedEnd.run();
--- a/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/endpoint/Endpoint.java
@@ -50,15 +50,6 @@
      */
     private static final long FINAL_REPLIES_MILLIS = 300;
 
-    /** Receives what calls to the endpoint show. */
-    interface Listener {
-        /** Called when the endpoint has shown that its process ended or can't be reached, while it was not draining. */
-        void unplannedEnd();
-
-        /** Called when the endpoint states no limit any more. */
-        void limitLifted(Endpoint endpoint);
-    }
-
     private final Connector connector;
     private final Timers timers;
     private final InetSocketAddress address;
@@ -81,7 +72,7 @@
     private boolean listed = true;
     private boolean ended;
 
-    Endpoint(Connector connector, Protocol protocol, Member member, Listener listener) {
+    Endpoint(Connector connector, Protocol protocol, Member member, EndpointListener listener) {
         this.connector = connector;
         this.protocol = protocol;
         this.limits = new LimitRecord(member.id(), () -> listener.limitLifted(this));
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationRun.java
@@ -8,7 +8,6 @@
 import org.quetzalseam.core.routing.RouteRule;
 import org.quetzalseam.gateway.caller.Exchange;
 import org.quetzalseam.gateway.endpoint.Endpoint;
-import org.quetzalseam.gateway.endpoint.EndpointCall;
 import org.quetzalseam.gateway.http.CallFailure;
 import org.quetzalseam.gateway.protocol.Forwarding;
 import org.quetzalseam.gateway.protocol.ReplyFacts;
@@ -64,7 +63,7 @@
     void start() {
         exchange.onCallerDisconnected(this::callerDisconnected);
         exchange.onShutdown(this::entryStopping);
-        exchange.onWritable(this::callerWritable);
+        exchange.onWritable(work::resumeReading);
         ScheduledCall timer = context.after(forwarded.remainingMillis(), this::deadlinePassed);
         end.onFinished(() -> {
             timer.cancel();
@@ -360,13 +359,6 @@
         }
     }
 
-    private void callerWritable() {
-        EndpointCall running = work.decodeCall();
-        if (running != null) {
-            running.setAutoRead(true);
-        }
-    }
-
     private void recordUnresponsiveEngine() {
         boolean noEvent = relay.pace().pieces() == 0;
         if (noEvent && exchange.ageMillis() > UNRESPONSIVE_OBJECTIVES * route.targetLatencyMillis()) {
--- a/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationWork.java
+++ b/gateway/src/main/java/org/quetzalseam/gateway/route/GenerationWork.java
@@ -43,6 +43,14 @@
         return decodeCall;
     }
 
+    /** Reads on from the decode engine, because the caller takes more. */
+    void resumeReading() {
+        EndpointCall running = decodeCall;
+        if (running != null) {
+            running.setAutoRead(true);
+        }
+    }
+
     /** Returns whether a decode engine has been sent the request and has not ended it. */
     boolean sentToEngine() {
         EndpointCall call = decodeCall;
